Add build, checks, core values, HTTP, JSON-RPC and telemetry

Cause: the project starts; every module needs result codes, transport and a build that formats, lints and tests in one command. Change: CMake with precompiled headers and ccache, Qt style for clang-format and clang-tidy, numbered result codes with a last reason, an HTTP server and client pool with bounded connections, bodies and times, JSON-RPC with message authentication, metrics, traces and logs. Conclusion: the base for the daemons is in place.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/include/oleandercross/http/clientpool.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <oleandercross/http/server.h>
+
+namespace oleandercross::http {
+
+struct ClientOptions
+{
+    absl::Duration connectTimeout = absl::Seconds(1);
+    // Shorter than the servers' keep-alive, so that a request never meets a server that is closing.
+    absl::Duration maxIdle = absl::Seconds(20);
+    int maxIdlePerEndpoint = 64;
+    std::size_t maxBodyBytes = 16 << 20;
+    std::optional<TlsFiles> tls;
+};
+
+// Keep-alive connections to any number of endpoints. Thread safe.
+class ClientPool
+{
+public:
+    explicit ClientPool(ClientOptions options);
+    ~ClientPool();
+    ClientPool(const ClientPool &) = delete;
+    ClientPool &operator=(const ClientPool &) = delete;
+
+    // Sends a request and waits for the whole response, at most `timeout`. Fails with
+    // ConnectionFailed if nothing was sent, ConnectionLost or Timeout if the peer may have received
+    // the request, BadAnswer if the response is cut or too large. A failed connection is not
+    // reused.
+    std::optional<Response> send(const Endpoint &endpoint, const Request &request,
+                                 absl::Duration timeout);
+
+    // Closes the idle connections to an endpoint.
+    void forget(const Endpoint &endpoint);
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace oleandercross::http
--- /dev/null
+++ b/src/core/clock.cpp
@@ -0,0 +1,30 @@
+#include <oleandercross/core/clock.h>
+
+#include <chrono>
+
+namespace oleandercross::core {
+
+Instant SteadyClock::now() const
+{
+    const auto sinceOrigin = std::chrono::steady_clock::now().time_since_epoch();
+    return absl::UnixEpoch() + absl::FromChrono(sinceOrigin);
+}
+
+Instant ManualClock::now() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_now;
+}
+
+void ManualClock::advance(absl::Duration by)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_now += by;
+}
+
+std::int64_t wallClockMicros()
+{
+    return absl::ToUnixMicros(absl::Now());
+}
+
+} // namespace oleandercross::core
