--- /dev/null
+++ b/src/daemon/manifestservice.cpp
@@ -0,0 +1,204 @@
+#include <oleandercross/daemon/manifestservice.h>
+
+#include <oleandercross/core/clock.h>
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+namespace oleandercross::daemon {
+
+namespace {
+
+constexpr char HeadKey[] = "manifest/head";
+constexpr char RevisionPrefix[] = "manifest/r";
+
+// Older revisions are deleted with each commit, so that the table stays bounded.
+constexpr std::int64_t KeptRevisions = 5000;
+
+// Zero-padded, so that the key order is the order of the numbers.
+std::string revisionKey(std::int64_t number)
+{
+    return absl::StrFormat("%s%012d", RevisionPrefix, number);
+}
+
+} // namespace
+
+Json::Value encode(const Revision &revision)
+{
+    Json::Value value;
+    value["revision"] = static_cast<Json::Int64>(revision.number);
+    value["parent"] = static_cast<Json::Int64>(revision.parent);
+    value["writeId"] = revision.writeId;
+    value["yaml"] = revision.yaml;
+    value["comment"] = revision.comment;
+    value["committedAtMicros"] = static_cast<Json::Int64>(revision.committedAtMicros);
+    return value;
+}
+
+std::optional<Revision> decodeRevision(const Json::Value &value)
+{
+    Revision revision;
+    revision.number = core::intMember(value, "revision");
+    revision.parent = core::intMember(value, "parent");
+    revision.writeId = core::stringMember(value, "writeId");
+    revision.yaml = core::stringMember(value, "yaml");
+    revision.comment = core::stringMember(value, "comment");
+    revision.committedAtMicros = core::intMember(value, "committedAtMicros");
+    if (revision.number <= 0 || revision.yaml.empty())
+        return core::fail(core::ResultCode::BadField, "not a manifest revision");
+    return revision;
+}
+
+ManifestService::ManifestService(platform::TableService &tables)
+    : m_tables(tables)
+{ }
+
+std::shared_ptr<const Revision> ManifestService::current() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_current;
+}
+
+std::optional<ManifestService::Head> ManifestService::readHead()
+{
+    const auto row = m_tables.read(HeadKey);
+    if (!row)
+        return std::nullopt;
+    if (!*row)
+        return Head{};
+    const std::optional<Json::Value> value = core::parseJson((*row)->value);
+    if (!value)
+        return std::nullopt;
+    return Head{core::intMember(*value, "revision"), (*row)->version};
+}
+
+bool ManifestService::refresh()
+{
+    const std::optional<Head> head = readHead();
+    if (!head)
+        return false;
+    const std::shared_ptr<const Revision> known = current();
+    if (head->number == 0 || (known && known->number >= head->number))
+        return true;
+    std::optional<Revision> newest = revision(head->number);
+    if (!newest)
+        return false;
+    putInForce(std::move(*newest));
+    return true;
+}
+
+void ManifestService::learn(const Json::Value &encoded)
+{
+    const std::shared_ptr<const Revision> known = current();
+    if (known && known->number >= core::intMember(encoded, "revision"))
+        return;
+    std::optional<Revision> revision = decodeRevision(encoded);
+    if (revision)
+        putInForce(std::move(*revision));
+}
+
+void ManifestService::putInForce(Revision revision)
+{
+    std::optional<config::Manifest> manifest =
+        config::parseManifest(revision.yaml, absl::StrCat("revision ", revision.number));
+    if (!manifest)
+        return;
+    revision.manifest = std::make_shared<const config::Manifest>(std::move(*manifest));
+    absl::MutexLock lock(&m_mutex);
+    if (!m_current || m_current->number < revision.number)
+        m_current = std::make_shared<const Revision>(std::move(revision));
+}
+
+std::optional<std::int64_t> ManifestService::commit(const CommitRequest &request)
+{
+    if (!config::parseManifest(request.yaml, "manifest"))
+        return std::nullopt;
+    const std::optional<Head> head = readHead();
+    if (!head)
+        return std::nullopt;
+    if (head->number != request.parent)
+        return settleConflict(request);
+
+    Revision next{head->number + 1, head->number,    request.writeId,
+                  request.yaml,     request.comment, core::wallClockMicros(),
+                  nullptr};
+    Json::Value headValue;
+    headValue["revision"] = static_cast<Json::Int64>(next.number);
+    platform::Transaction transaction;
+    transaction.writeId = request.writeId;
+    transaction.conditions = {{HeadKey, head->rowVersion}, {revisionKey(next.number), 0}};
+    transaction.puts = {{HeadKey, core::writeJson(headValue)},
+                        {revisionKey(next.number), core::writeJson(encode(next))}};
+    if (next.number > KeptRevisions)
+        transaction.deletes = {revisionKey(next.number - KeptRevisions)};
+    if (m_tables.write(transaction)) {
+        const std::int64_t number = next.number;
+        putInForce(std::move(next));
+        return number;
+    }
+    const core::Reason reason = core::lastReason();
+    if (reason.code == core::ResultCode::StoreUnavailable)
+        return core::fail(reason);
+    // Another commit won, or the answer was lost; the revision row tells which.
+    return settleConflict(request);
+}
+
+std::optional<std::int64_t> ManifestService::settleConflict(const CommitRequest &request)
+{
+    const std::optional<Head> head = readHead();
+    if (!head) {
+        return core::fail(core::ResultCode::OutcomeUnknown,
+                          "the commit may have taken effect; run it again to find out");
+    }
+    const std::int64_t candidate = request.parent + 1;
+    if (head->number == request.parent) {
+        return core::fail(core::ResultCode::OutcomeUnknown,
+                          "the commit is not visible yet; run it again to find out");
+    }
+    if (head->number >= candidate) {
+        const std::optional<Revision> committed = revision(candidate);
+        if (committed && committed->writeId == request.writeId) {
+            putInForce(*committed);
+            return candidate;
+        }
+    }
+    return core::fail(core::ResultCode::ConfigConflict,
+                      absl::StrCat("the commit is based on revision ", request.parent,
+                                   " but the newest is revision ", head->number));
+}
+
+std::optional<Revision> ManifestService::revision(std::int64_t number)
+{
+    const auto row = m_tables.read(revisionKey(number));
+    if (!row)
+        return std::nullopt;
+    if (!*row)
+        return core::fail(core::ResultCode::ConfigNoRevision,
+                          absl::StrCat("there is no revision ", number));
+    const std::optional<Json::Value> value = core::parseJson((*row)->value);
+    return value ? decodeRevision(*value) : std::nullopt;
+}
+
+std::optional<std::vector<Revision>> ManifestService::history(int limit)
+{
+    const std::optional<Head> head = readHead();
+    if (!head)
+        return std::nullopt;
+    const std::int64_t before = std::max<std::int64_t>(0, head->number - limit);
+    const auto rows = m_tables.scan(RevisionPrefix, revisionKey(before), limit);
+    if (!rows)
+        return std::nullopt;
+    std::vector<Revision> revisions;
+    for (auto row = rows->rbegin(); row != rows->rend(); ++row) {
+        const std::optional<Json::Value> value = core::parseJson(row->value);
+        if (value) {
+            if (std::optional<Revision> revision = decodeRevision(*value))
+                revisions.push_back(std::move(*revision));
+        }
+    }
+    return revisions;
+}
+
+} // namespace oleandercross::daemon
--- /dev/null
+++ b/test/core/tst_executor.cpp
@@ -0,0 +1,42 @@
+#include <oleandercross/core/executor.h>
+
+#include <absl/synchronization/notification.h>
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace oleandercross::core;
+
+// Guards against delayed tasks that overtake earlier ones or are lost.
+TEST_CASE("tasks run in the order of their times")
+{
+    Executor executor(1);
+    std::vector<int> order;
+    absl::Notification done;
+    executor.after(absl::Milliseconds(40), [&] {
+        order.push_back(2);
+        done.Notify();
+    });
+    executor.after(absl::Milliseconds(10), [&] { order.push_back(1); });
+    executor.post([&] { order.push_back(0); });
+    done.WaitForNotification();
+    CHECK(order == std::vector<int>{0, 1, 2});
+}
+
+// Guards against a stop that hangs on, or runs, tasks that are still waiting.
+TEST_CASE("stop drops waiting tasks and ends repeated ones")
+{
+    std::atomic<int> runs = 0;
+    std::atomic<bool> dropped = true;
+    Executor executor(2);
+    absl::Notification repeated;
+    executor.every(absl::Milliseconds(1), [&] {
+        if (++runs == 3)
+            repeated.Notify();
+    });
+    executor.after(absl::Hours(1), [&] { dropped = false; });
+    repeated.WaitForNotification();
+    executor.stop();
+    CHECK(dropped);
+    CHECK(runs >= 3);
+}
