--- /dev/null
+++ b/include/oleandercross/gang/ledger.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include <oleandercross/gang/protocol.h>
+
+#include <memory>
+#include <variant>
+
+namespace oleandercross::gang {
+
+struct LedgerSettings
+{
+    Peer self;
+    Incarnation incarnation = 0;
+    core::Resources total;
+
+    friend bool operator==(const LedgerSettings &, const LedgerSettings &) = default;
+};
+
+// The worker's task list. `sentAt` is the time directly before the call.
+struct TasksListed
+{
+    core::Instant sentAt;
+    std::vector<platform::TaskStatus> tasks;
+};
+
+enum class CallOutcome {
+    Done,
+    // The call certainly had no effect.
+    NotDone,
+    Unknown,
+};
+
+// Result of a StartTask action.
+struct StartAnswered
+{
+    std::string taskId;
+    CallOutcome outcome = CallOutcome::Done;
+};
+
+// Result of a PollPeer action. `sentAt` is the time directly before the call. A poll without an
+// answer is not reported.
+struct PeerAnswered
+{
+    GangKey key;
+    core::AgentId peer;
+    core::Instant sentAt;
+    WatchAnswer answer;
+};
+
+// The home entry's heartbeat reply named this epoch.
+struct EpochLearned
+{
+    Epoch epoch = 0;
+};
+
+// While the code is not Ok, new reservations and commits are refused with it.
+struct WorkGate
+{
+    core::ResultCode code = core::ResultCode::Ok;
+};
+
+// Refuses new reservations for good and asks running tasks for checkpoints.
+struct BeginDrain
+{ };
+
+// To be applied at least every WatchPeriod.
+struct LedgerTick
+{ };
+
+using LedgerEvent = std::variant<Reserve, Commit, Abort, StopTask, CheckpointTask, ThrottleTask,
+                                 ReportRequest, Watch, TasksListed, StartAnswered, PeerAnswered,
+                                 EpochLearned, WorkGate, BeginDrain, LedgerTick>;
+
+// Calls WorkerControl::start with the lease `leaseUntil - now`, unless `notAfter` has passed, which
+// is reported as NotDone. The result is reported with StartAnswered.
+struct StartWorkerTask
+{
+    platform::TaskStart task;
+    core::Instant notAfter;
+    core::Instant leaseUntil;
+
+    friend bool operator==(const StartWorkerTask &, const StartWorkerTask &) = default;
+};
+
+struct StopWorkerTask
+{
+    std::string taskId;
+
+    friend bool operator==(const StopWorkerTask &, const StopWorkerTask &) = default;
+};
+
+// Calls WorkerControl::renewLeases with the lease `until - now`, computed directly before the call;
+// skipped if that is not positive.
+struct RenewTaskLeases
+{
+    std::vector<std::string> taskIds;
+    core::Instant until;
+
+    friend bool operator==(const RenewTaskLeases &, const RenewTaskLeases &) = default;
+};
+
+struct CheckpointWorkerTask
+{
+    std::string taskId;
+
+    friend bool operator==(const CheckpointWorkerTask &, const CheckpointWorkerTask &) = default;
+};
+
+struct ThrottleWorkerTask
+{
+    std::string taskId;
+    double share = 1;
+
+    friend bool operator==(const ThrottleWorkerTask &, const ThrottleWorkerTask &) = default;
+};
+
+// Calls WorkerControl::tasks; the result is reported with TasksListed, a failure is not.
+struct ListWorkerTasks
+{
+    friend bool operator==(const ListWorkerTasks &, const ListWorkerTasks &) = default;
+};
+
+struct ForgetWorkerTasks
+{
+    std::vector<std::string> taskIds;
+
+    friend bool operator==(const ForgetWorkerTasks &, const ForgetWorkerTasks &) = default;
+};
+
+// Sends the watch message with a timeout of at most WatchPeriod.
+struct PollPeer
+{
+    Peer peer;
+    Watch message;
+
+    friend bool operator==(const PollPeer &, const PollPeer &) = default;
+};
+
+// Best effort: a leader that misses it learns the same from a report.
+struct SendTaskEvent
+{
+    TaskEvent event;
+
+    friend bool operator==(const SendTaskEvent &, const SendTaskEvent &) = default;
+};
+
+using LedgerAction =
+    std::variant<StartWorkerTask, StopWorkerTask, RenewTaskLeases, CheckpointWorkerTask,
+                 ThrottleWorkerTask, ListWorkerTasks, ForgetWorkerTasks, PollPeer, SendTaskEvent>;
+
+struct LedgerResult
+{
+    // For messages of a leader.
+    Answer answer;
+    // For Watch.
+    WatchAnswer watch;
+    std::vector<LedgerAction> actions;
+};
+
+// The only authority over one worker's accelerators, cores and memory. Pure and not thread safe.
+//
+// A new ledger refuses all reservations with NotReady until it has applied one TasksListed.
+// Refusals: StaleEpoch, StaleIncarnation, NotReady, Draining, NoResources, ReservationExpired (also
+// for an attempt that ended here), BadField (tasks that contradict the reservation), and the
+// gate's code.
+class Ledger
+{
+public:
+    explicit Ledger(LedgerSettings settings);
+    ~Ledger();
+    Ledger(Ledger &&) noexcept;
+    Ledger &operator=(Ledger &&) noexcept;
+
+    LedgerResult apply(const LedgerEvent &event, core::Instant now);
+
+    LedgerReport report() const;
+    bool ready() const;
+    bool draining() const;
+    // True if draining and nothing is reserved or held any more.
+    bool drained() const;
+    Epoch epoch() const;
+    core::Resources free() const;
+    std::vector<int> freeAccelerators() const;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+} // namespace oleandercross::gang
