--- /dev/null
+++ b/include/oleandercross/config/file.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace oleandercross::config {
+
+// Reads a settings or manifest file of at most 512 KiB. Fails with ConfigUnreadable or
+// ConfigTooLarge and "FILE:1: message".
+std::optional<std::string> readFile(const std::string &fileName);
+
+} // namespace oleandercross::config
--- a/include/oleandercross/config/manifest.h
+++ b/include/oleandercross/config/manifest.h
@@ -15,6 +15,12 @@
 // Levels of the hierarchy in which accelerators are adjacent, from narrow to wide.
 enum class Level { Accelerator, Pair, Quad, Worker, Rack };
 
+// The name in files and messages: "accelerator", "pair", "quad", "worker" or "rack".
+const char *toString(Level level);
+
+// Fails with BadField on any other text.
+std::optional<Level> levelFromString(const std::string &text);
+
 // `count` cells of a level in one data centre that an account can claim at any time.
 struct Guarantee
 {
