--- a/include/oleandercross/config/manifest.h
+++ b/include/oleandercross/config/manifest.h
@@ -95,7 +95,8 @@
 };
 
 // Parses a manifest strictly and checks it as a whole: references, uniqueness, ranges, and that all
-// guarantees can be placed together. Fails with a 1xx code and "FILE:LINE: message".
+// guarantees can be placed together. The result is normalised, see normalized(). Fails with a 1xx
+// code and "FILE:LINE: message".
 std::optional<Manifest> parseManifest(const std::string &yaml, const std::string &fileName);
 
 } // namespace oleandercross::config
--- a/src/config/manifest.cpp
+++ b/src/config/manifest.cpp
@@ -3,6 +3,7 @@
 #include "guaranteesfit.h"
 #include "mapreader.h"
 
+#include <oleandercross/config/manifestcodec.h>
 #include <oleandercross/core/digest.h>
 
 #include <absl/container/flat_hash_set.h>
@@ -202,7 +203,7 @@
             accounts[placed.account].guarantees.push_back(placed.guarantee);
             if (detail::guaranteesFit(m_manifest.dataCentres, accounts))
                 continue;
-            const core::Reason reason = core::lastReason();
+            const core::Reason &reason = core::lastReason();
             m_errors.report(reason.code, placed.line, reason.message);
             return;
         }
@@ -274,7 +275,7 @@
     Manifest manifest = ManifestReader(errors, *root).read();
     if (errors.first())
         return core::fail(*errors.first());
-    return manifest;
+    return normalized(std::move(manifest));
 }
 
 } // namespace oleandercross::config
