--- a/include/oleandercross/http/clientpool.h
+++ b/include/oleandercross/http/clientpool.h
@@ -14,6 +14,9 @@
     std::optional<TlsFiles> tls;
 };
 
+// Whether a response belongs to the request that was sent.
+using ResponseCheck = std::function<bool(const Response &)>;
+
 // Keep-alive connections to any number of endpoints. Thread safe.
 class ClientPool
 {
@@ -25,10 +28,10 @@
 
     // Sends a request and waits for the whole response, at most `timeout`. Fails with
     // ConnectionFailed if nothing was sent, ConnectionLost or Timeout if the peer may have received
-    // the request, BadAnswer if the response is cut or too large. A failed connection is not
-    // reused.
+    // the request, BadAnswer if the response is cut, too large or rejected by `check`. A failed
+    // connection is not reused; after a rejected response it may be out of step.
     std::optional<Response> send(const Endpoint &endpoint, const Request &request,
-                                 absl::Duration timeout);
+                                 absl::Duration timeout, const ResponseCheck &check = {});
 
     // Closes the idle connections to an endpoint.
     void forget(const Endpoint &endpoint);
--- /dev/null
+++ b/include/oleandercross/platform/httpadapters.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <oleandercross/http/clientpool.h>
+#include <oleandercross/platform/minionclient.h>
+#include <oleandercross/platform/objectstore.h>
+#include <oleandercross/platform/tableservice.h>
+#include <oleandercross/platform/workercontrol.h>
+
+namespace oleandercross::platform {
+
+// The platform's wire format is not published. Everything that depends on it is in these classes;
+// docs/design/platform.md describes the format of the stand-in that they speak today. The pool must
+// outlive them. Every answer is matched to its call by id and checked for length.
+
+// Longest wait for one call to the platform; a silent connection must be replaced within 2 s.
+constexpr absl::Duration DefaultPlatformTimeout = absl::Milliseconds(1500);
+
+// Calls the transactional table service.
+class HttpTableService : public TableService
+{
+public:
+    HttpTableService(http::ClientPool &pool, http::Endpoint endpoint,
+                     absl::Duration timeout = DefaultPlatformTimeout);
+
+    std::optional<std::optional<Row>> read(const std::string &key) override;
+    std::optional<std::vector<Row>> scan(const std::string &prefix, const std::string &after,
+                                         int limit) override;
+    std::optional<std::int64_t> write(const Transaction &transaction) override;
+
+    // Reads the transaction's marker row, see writemarker.h. Fails with OutcomeUnknown for a
+    // transaction without one.
+    std::optional<bool> applied(const Transaction &transaction) override;
+
+private:
+    http::ClientPool &m_pool;
+    const http::Endpoint m_endpoint;
+    const absl::Duration m_timeout;
+};
+
+// Calls the object store.
+class HttpObjectStore : public ObjectStore
+{
+public:
+    HttpObjectStore(http::ClientPool &pool, http::Endpoint endpoint,
+                    absl::Duration timeout = absl::Seconds(10));
+
+    bool put(const std::string &key, const std::string &bytes) override;
+    std::optional<std::optional<std::string>> fetch(const std::string &key) override;
+
+private:
+    http::ClientPool &m_pool;
+    const http::Endpoint m_endpoint;
+    const absl::Duration m_timeout;
+};
+
+// Calls the control interface of one worker.
+class HttpWorkerControl : public WorkerControl
+{
+public:
+    HttpWorkerControl(http::ClientPool &pool, http::Endpoint endpoint,
+                      absl::Duration timeout = DefaultPlatformTimeout);
+
+    bool start(const TaskStart &task) override;
+    bool stop(const std::string &taskId) override;
+    bool checkpoint(const std::string &taskId) override;
+    bool throttle(const std::string &taskId, double share) override;
+    bool renewLeases(const std::vector<std::string> &taskIds, absl::Duration lease) override;
+    std::optional<std::vector<TaskStatus>> tasks() override;
+    bool forget(const std::vector<std::string> &taskIds) override;
+
+private:
+    http::ClientPool &m_pool;
+    const http::Endpoint m_endpoint;
+    const absl::Duration m_timeout;
+};
+
+// Calls one minion.
+class HttpMinionClient : public MinionClient
+{
+public:
+    HttpMinionClient(http::ClientPool &pool, http::Endpoint endpoint);
+
+    std::optional<MinionAnswer> execute(const MinionRequest &request,
+                                        absl::Duration timeout) override;
+    bool cancel(const core::RequestId &id) override;
+    bool healthy(absl::Duration timeout) override;
+
+private:
+    http::ClientPool &m_pool;
+    const http::Endpoint m_endpoint;
+};
+
+} // namespace oleandercross::platform
--- a/src/http/clientpool.cpp
+++ b/src/http/clientpool.cpp
@@ -119,7 +119,7 @@
 ClientPool::~ClientPool() = default;
 
 std::optional<Response> ClientPool::send(const Endpoint &endpoint, const Request &request,
-                                         absl::Duration timeout)
+                                         absl::Duration timeout, const ResponseCheck &check)
 {
     if (timeout <= absl::ZeroDuration())
         return core::fail(core::ResultCode::ConnectionFailed, "no time left to send");
@@ -155,6 +155,9 @@
         return core::fail(code, toString(endpoint) + ": " + httplib::to_string(result.error()));
     }
     Response response = toResponse(*result);
+    if (check && !check(response))
+        return core::fail(core::ResultCode::BadAnswer,
+                          toString(endpoint) + ": the response belongs to another request");
     if (absl::AsciiStrToLower(result->get_header_value("Connection")) != "close")
         d->giveBack(endpoint, std::move(client));
     return response;
