--- /dev/null
+++ b/include/oleandercross/daemon/messages.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <oleandercross/dispatch/message.h>
+
+#include <json/value.h>
+
+#include <string>
+
+namespace oleandercross::daemon {
+
+// JSON forms of the values in messages between the project's processes. Durations are whole
+// microseconds, members ending in "Us". Decoders give defaults for absent members, so that a
+// message of an older or newer process can be read.
+
+Json::Value encode(const dispatch::TargetId &value);
+dispatch::TargetId decodeTargetId(const Json::Value &value);
+
+Json::Value encode(const dispatch::TargetLoad &value);
+dispatch::TargetLoad decodeTargetLoad(const Json::Value &value);
+
+Json::Value encode(const dispatch::DispatchMessage &value);
+dispatch::DispatchMessage decodeDispatchMessage(const Json::Value &value);
+
+// Answers carry the length of their body; one that does not match decodes as Unknown.
+Json::Value encode(const dispatch::FateReport &value);
+dispatch::FateReport decodeFateReport(const Json::Value &value);
+
+// The reply to `dispatch`: how far the request got, and the load of the target afterwards.
+struct DispatchReply
+{
+    // Answered, Refused or Running; a request that runs longer than the agent holds the call open
+    // is asked for with `fate`.
+    dispatch::FateReport report;
+    dispatch::TargetLoad load;
+
+    friend bool operator==(const DispatchReply &, const DispatchReply &) = default;
+};
+
+Json::Value encode(const DispatchReply &value);
+DispatchReply decodeDispatchReply(const Json::Value &value);
+
+// Durations in messages.
+Json::Value encodeDuration(absl::Duration value);
+absl::Duration decodeDuration(const Json::Value &object, const char *key);
+
+} // namespace oleandercross::daemon
--- /dev/null
+++ b/include/oleandercross/daemon/requestrunner.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <oleandercross/config/settings.h>
+#include <oleandercross/core/executor.h>
+#include <oleandercross/daemon/messages.h>
+#include <oleandercross/dispatch/requesttable.h>
+#include <oleandercross/platform/minionclient.h>
+#include <oleandercross/telemetry/metrics.h>
+#include <oleandercross/telemetry/tracer.h>
+
+#include <json/value.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace oleandercross::daemon {
+
+// What an agent announces about one of its minions.
+struct MinionState
+{
+    core::MinionId minion;
+    core::ServiceId service;
+    int slots = 0;
+    int shortSlots = 0;
+    dispatch::TargetLoad load;
+    bool draining = false;
+    absl::Duration servingFor;
+
+    friend bool operator==(const MinionState &, const MinionState &) = default;
+};
+
+// Runs short requests on the minions beside one agent. Thread safe.
+class RequestRunner
+{
+public:
+    using MinionClients = std::map<core::MinionId, std::shared_ptr<platform::MinionClient>>;
+
+    RequestRunner(const config::Settings &settings, std::int64_t incarnation, MinionClients clients,
+                  telemetry::Metrics &metrics, const telemetry::Tracer &tracer);
+
+    // Handlers of the messages `dispatch`, `fate` and `cancelRequest`.
+    std::optional<Json::Value> dispatch(const Json::Value &params);
+    std::optional<Json::Value> fate(const Json::Value &params);
+    std::optional<Json::Value> cancel(const Json::Value &params);
+
+    // An entry confirmed the configuration in force.
+    void configurationConfirmed();
+
+    // Stops admission to the minions named; an empty set admits to all again.
+    void drainMinions(const std::vector<core::MinionId> &minions);
+
+    // Stops all admission for good: the process is about to end.
+    void drain();
+
+    std::vector<MinionState> minions() const;
+    absl::Duration uptime() const;
+    int running() const;
+
+private:
+    void execute(const dispatch::DispatchMessage &message, const std::string &body,
+                 const std::string &traceparent);
+    dispatch::FateReport waitForEnd(const core::RequestId &id, absl::Duration agentUptime,
+                                    absl::Duration limit) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    DispatchReply reply(const dispatch::DispatchMessage &message, dispatch::FateReport report)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    const core::SteadyClock m_clock;
+    const core::Instant m_started;
+    const std::vector<config::MinionSettings> m_minions;
+    const MinionClients m_clients;
+    telemetry::Metrics &m_metrics;
+    const telemetry::Tracer &m_tracer;
+    mutable absl::Mutex m_mutex;
+    dispatch::Admission m_admission ABSL_GUARDED_BY(m_mutex);
+    dispatch::RequestTable m_table ABSL_GUARDED_BY(m_mutex);
+    // Requests whose minion call has not returned.
+    std::map<core::RequestId, core::MinionId> m_executing ABSL_GUARDED_BY(m_mutex);
+    std::map<core::MinionId, bool> m_draining ABSL_GUARDED_BY(m_mutex);
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    // One thread per slot, so that an admitted request starts at once.
+    core::Executor m_executor;
+};
+
+} // namespace oleandercross::daemon
--- /dev/null
+++ b/src/daemon/clusterview.cpp
@@ -0,0 +1,524 @@
+#include <oleandercross/daemon/clusterview.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/daemon/gangmessages.h>
+#include <oleandercross/telemetry/log.h>
+
+#include <algorithm>
+
+namespace oleandercross::daemon {
+
+namespace {
+
+using core::boolMember;
+using core::intMember;
+using core::member;
+using core::stringMember;
+
+constexpr int Threads = 8;
+constexpr absl::Duration TickPeriod = absl::Milliseconds(250);
+constexpr absl::Duration ExchangeTimeout = absl::Milliseconds(900);
+// A peer's round trip is smoothed over about this many exchanges.
+constexpr double RoundTripWeight = 0.125;
+
+membership::EntryRecord selfRecord(const config::Settings &settings, std::int64_t incarnation)
+{
+    return {core::EntryId(settings.id), settings.dataCentre, http::toString(settings.rpcListen),
+            incarnation, 0};
+}
+
+Json::Value encode(const membership::AgentRecord &record)
+{
+    Json::Value out;
+    out["agent"] = record.agent.str();
+    out["dataCentre"] = record.dataCentre.str();
+    out["address"] = record.address;
+    out["incarnation"] = static_cast<Json::Int64>(record.incarnation);
+    out["sequence"] = static_cast<Json::Int64>(record.sequence);
+    out["state"] = record.state;
+    return out;
+}
+
+membership::AgentRecord decodeAgentRecord(const Json::Value &value)
+{
+    return {core::AgentId(stringMember(value, "agent")),
+            core::DataCentreId(stringMember(value, "dataCentre")),
+            stringMember(value, "address"),
+            intMember(value, "incarnation"),
+            intMember(value, "sequence"),
+            stringMember(value, "state")};
+}
+
+Json::Value encode(const membership::EntryRecord &record)
+{
+    Json::Value out;
+    out["entry"] = record.entry.str();
+    out["dataCentre"] = record.dataCentre.str();
+    out["address"] = record.address;
+    out["incarnation"] = static_cast<Json::Int64>(record.incarnation);
+    out["sequence"] = static_cast<Json::Int64>(record.sequence);
+    return out;
+}
+
+membership::EntryRecord decodeEntryRecord(const Json::Value &value)
+{
+    return {core::EntryId(stringMember(value, "entry")),
+            core::DataCentreId(stringMember(value, "dataCentre")), stringMember(value, "address"),
+            intMember(value, "incarnation"), intMember(value, "sequence")};
+}
+
+Json::Value encode(const membership::Summary &summary)
+{
+    Json::Value out;
+    out["sender"] = encode(summary.sender);
+    out["since"] = static_cast<Json::Int64>(summary.since);
+    out["version"] = static_cast<Json::Int64>(summary.version);
+    out["changed"] = Json::Value(Json::arrayValue);
+    for (const membership::AgentRecord &record : summary.changed)
+        out["changed"].append(encode(record));
+    out["removed"] = Json::Value(Json::arrayValue);
+    for (const core::AgentId &agent : summary.removed)
+        out["removed"].append(agent.str());
+    return out;
+}
+
+membership::Summary decodeSummary(const Json::Value &value)
+{
+    membership::Summary summary;
+    summary.sender = decodeEntryRecord(member(value, "sender"));
+    summary.since = intMember(value, "since");
+    summary.version = intMember(value, "version");
+    for (const Json::Value &record : member(value, "changed"))
+        summary.changed.push_back(decodeAgentRecord(record));
+    for (const Json::Value &agent : member(value, "removed"))
+        summary.removed.emplace_back(agent.asString());
+    return summary;
+}
+
+Json::Value encode(const LeaderInfo &leader)
+{
+    Json::Value out;
+    out["dataCentre"] = leader.dataCentre.str();
+    out["entry"] = leader.entry.str();
+    out["address"] = http::toString(leader.rpc);
+    out["epoch"] = static_cast<Json::Int64>(leader.epoch);
+    return out;
+}
+
+std::optional<WorkerState> decodeWorker(const Json::Value &value)
+{
+    if (!value.isObject())
+        return std::nullopt;
+    return WorkerState{core::WorkerId(stringMember(value, "id")),
+                       core::RackId(stringMember(value, "rack")), decodeResources(value)};
+}
+
+MinionState decodeMinion(const Json::Value &value, const Json::Value &loads)
+{
+    MinionState minion;
+    minion.minion = core::MinionId(stringMember(value, "id"));
+    minion.service = core::ServiceId(stringMember(value, "service"));
+    minion.slots = static_cast<int>(intMember(value, "slots"));
+    minion.shortSlots = static_cast<int>(intMember(value, "shortSlots"));
+    minion.draining = boolMember(value, "draining");
+    const Json::Value &load = member(loads, minion.minion.str().c_str());
+    if (load.isObject()) {
+        minion.load = decodeTargetLoad(load);
+        minion.servingFor = decodeDuration(load, "servingForUs");
+    } else {
+        // Without a report the minion counts as free; replies to dispatches correct it.
+        minion.load = {minion.slots, minion.shortSlots, absl::ZeroDuration()};
+        minion.servingFor = absl::InfiniteDuration();
+    }
+    return minion;
+}
+
+} // namespace
+
+Json::Value encodeStatic(const AgentInfo &info)
+{
+    Json::Value out;
+    if (info.worker) {
+        out["worker"] = encode(info.worker->resources);
+        out["worker"]["id"] = info.worker->id.str();
+        out["worker"]["rack"] = info.worker->rack.str();
+    }
+    out["minions"] = Json::Value(Json::arrayValue);
+    for (const MinionState &minion : info.minions) {
+        Json::Value value;
+        value["id"] = minion.minion.str();
+        value["service"] = minion.service.str();
+        value["slots"] = minion.slots;
+        value["shortSlots"] = minion.shortSlots;
+        value["draining"] = minion.draining;
+        out["minions"].append(value);
+    }
+    out["draining"] = info.draining;
+    out["revision"] = static_cast<Json::Int64>(info.revision);
+    return out;
+}
+
+Json::Value encodeLoads(const AgentInfo &info)
+{
+    Json::Value out(Json::objectValue);
+    for (const MinionState &minion : info.minions) {
+        Json::Value load = encode(minion.load);
+        load["servingForUs"] = encodeDuration(minion.servingFor);
+        out[minion.minion.str()] = load;
+    }
+    out["uptimeUs"] = encodeDuration(info.uptime);
+    return out;
+}
+
+AgentInfo decodeAgentInfo(const membership::AgentRecord &record, const Json::Value &loads)
+{
+    AgentInfo info;
+    info.id = record.agent;
+    info.dataCentre = record.dataCentre;
+    info.rpc = http::parseEndpoint(record.address).value_or(http::Endpoint{});
+    info.incarnation = record.incarnation;
+    const std::optional<Json::Value> state = core::parseJson(record.state);
+    if (!state)
+        return info;
+    info.worker = decodeWorker(member(*state, "worker"));
+    for (const Json::Value &minion : member(*state, "minions"))
+        info.minions.push_back(decodeMinion(minion, loads));
+    info.draining = boolMember(*state, "draining");
+    info.revision = intMember(*state, "revision");
+    info.uptime = decodeDuration(loads, "uptimeUs");
+    return info;
+}
+
+ClusterView::ClusterView(const config::Settings &settings, std::int64_t incarnation,
+                         rpc::Client &client, ManifestService &manifests,
+                         telemetry::Metrics &metrics)
+    : m_settings(settings)
+    , m_incarnation(incarnation)
+    , m_client(client)
+    , m_manifests(manifests)
+    , m_metrics(metrics)
+    , m_directory(selfRecord(settings, incarnation))
+    , m_executor(Threads)
+{ }
+
+ClusterView::~ClusterView()
+{
+    stop();
+}
+
+void ClusterView::addHandlers(rpc::Server &server)
+{
+    server.add("heartbeat", [this](const Json::Value &p) { return heartbeat(p); });
+    server.add("exchange", [this](const Json::Value &p) { return exchange(p); });
+    server.add("leave", [this](const Json::Value &p) { return leave(p); });
+}
+
+void ClusterView::subscribe(Listener listener)
+{
+    m_listeners.push_back(std::move(listener));
+}
+
+void ClusterView::start()
+{
+    m_executor.every(TickPeriod, [this] { tick(); });
+    for (const config::EntryAddress &peer : m_settings.entries) {
+        if (peer.id.str() != m_settings.id)
+            m_executor.every(membership::ExchangePeriod, [this, peer] { exchangeWith(peer); });
+    }
+}
+
+void ClusterView::stop()
+{
+    m_executor.stop();
+}
+
+void ClusterView::exchangeNow()
+{
+    for (const config::EntryAddress &peer : m_settings.entries) {
+        if (peer.id.str() != m_settings.id)
+            m_executor.post([this, peer] { exchangeWith(peer); });
+    }
+}
+
+std::optional<Json::Value> ClusterView::heartbeat(const Json::Value &params)
+{
+    membership::AgentRecord record = decodeAgentRecord(params);
+    const Json::Value &state = member(params, "static");
+    const Json::Value &loads = member(params, "loads");
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (state.isObject())
+            m_states[record.agent] = state;
+        const auto known = m_states.find(record.agent);
+        const auto view = m_directory.agent(record.agent);
+        const bool sameIncarnation = view && view->record.incarnation == record.incarnation;
+        if (known == m_states.end() || (!state.isObject() && !sameIncarnation)) {
+            Json::Value reply;
+            reply["needState"] = true;
+            return reply;
+        }
+        record.state = core::writeJson(known->second);
+        const int bytes = static_cast<int>(core::writeJson(params).size()) * 2;
+        if (m_directory.heartbeat(record, bytes, m_clock.now())
+            == membership::HeartbeatVerdict::Stale) {
+            Json::Value reply;
+            reply["newerIncarnation"] = static_cast<Json::Int64>(view->record.incarnation);
+            return reply;
+        }
+    }
+    m_metrics.add("heartbeats_received");
+    update(record, loads);
+    return heartbeatReply(params, false);
+}
+
+Json::Value ClusterView::heartbeatReply(const Json::Value &params, bool needState)
+{
+    Json::Value reply;
+    reply["needState"] = needState;
+    const std::shared_ptr<const Revision> current = m_manifests.current();
+    reply["revision"] = static_cast<Json::Int64>(current ? current->number : 0);
+    if (current && current->number > intMember(params, "revision"))
+        reply["manifest"] = encode(*current);
+    absl::MutexLock lock(&m_mutex);
+    const auto leader = m_leaders.find(m_settings.dataCentre);
+    if (leader != m_leaders.end())
+        reply["leader"] = encode(leader->second);
+    reply["entries"] = Json::Value(Json::arrayValue);
+    for (const membership::EntryRecord &entry : m_directory.entries(m_settings.dataCentre))
+        reply["entries"].append(entry.entry.str());
+    reply["periodUs"] = encodeDuration(m_directory.period());
+    return reply;
+}
+
+std::optional<Json::Value> ClusterView::leave(const Json::Value &params)
+{
+    const core::AgentId agent(stringMember(params, "agent"));
+    absl::MutexLock lock(&m_mutex);
+    m_directory.leave(agent, intMember(params, "incarnation"), m_clock.now());
+    return Json::Value(Json::objectValue);
+}
+
+Json::Value ClusterView::news(const config::EntryAddress &peer)
+{
+    Json::Value message;
+    message["summary"] = encode(m_directory.summaryFor(peer.id));
+    const std::shared_ptr<const Revision> current = m_manifests.current();
+    message["revision"] = static_cast<Json::Int64>(current ? current->number : 0);
+    const auto peerRevision = m_entryRevisions.find(peer.id);
+    const std::int64_t known = peerRevision == m_entryRevisions.end() ? 0 : peerRevision->second;
+    if (current && current->number > known)
+        message["manifest"] = encode(*current);
+    const auto leader = m_leaders.find(m_settings.dataCentre);
+    if (leader != m_leaders.end())
+        message["leader"] = encode(leader->second);
+    if (peer.dataCentre == m_settings.dataCentre) {
+        for (const auto &[id, state] : m_states) {
+            const auto info = m_infos.find(id);
+            if (info != m_infos.end())
+                message["loads"][id.str()] = encodeLoads(*info->second);
+        }
+    }
+    return message;
+}
+
+void ClusterView::exchangeWith(const config::EntryAddress &peer)
+{
+    Json::Value message;
+    {
+        absl::MutexLock lock(&m_mutex);
+        message = news(peer);
+    }
+    const core::Instant sentAt = m_clock.now();
+    const auto reply = m_client.call(peer.rpc, "exchange", message, ExchangeTimeout);
+    if (!reply) {
+        m_metrics.add("exchanges_failed");
+        return;
+    }
+    const absl::Duration roundTrip = m_clock.now() - sentAt;
+    absl::MutexLock lock(&m_mutex);
+    if (boolMember(*reply, "accepted"))
+        m_directory.acknowledged(peer.id, intMember(message["summary"], "version"));
+    else
+        m_directory.forgetAcknowledged(peer.id);
+    m_entryRevisions[peer.id] = intMember(*reply, "revision");
+    absl::Duration &smoothed = m_roundTrips.emplace(peer.dataCentre, roundTrip).first->second;
+    smoothed += (roundTrip - smoothed) * RoundTripWeight;
+}
+
+std::optional<Json::Value> ClusterView::exchange(const Json::Value &params)
+{
+    const membership::Summary summary = decodeSummary(member(params, "summary"));
+    bool accepted = false;
+    {
+        absl::MutexLock lock(&m_mutex);
+        accepted = m_directory.receive(summary, m_clock.now());
+        m_entryRevisions[summary.sender.entry] = intMember(params, "revision");
+        learnLeader(member(params, "leader"));
+    }
+    if (accepted) {
+        for (const membership::AgentRecord &record : summary.changed)
+            update(record, member(member(params, "loads"), record.agent.str().c_str()));
+    }
+    learnNews(params);
+    Json::Value reply;
+    reply["accepted"] = accepted;
+    const std::shared_ptr<const Revision> current = m_manifests.current();
+    reply["revision"] = static_cast<Json::Int64>(current ? current->number : 0);
+    return reply;
+}
+
+void ClusterView::learnNews(const Json::Value &news)
+{
+    const Json::Value &manifest = member(news, "manifest");
+    if (manifest.isObject())
+        m_manifests.learn(manifest);
+    const Json::Value &loads = member(news, "loads");
+    if (!loads.isObject())
+        return;
+    for (const std::string &id : loads.getMemberNames()) {
+        std::optional<membership::AgentView> view;
+        {
+            absl::MutexLock lock(&m_mutex);
+            view = m_directory.agent(core::AgentId(id));
+        }
+        if (view && view->liveness != membership::Liveness::Dead)
+            update(view->record, loads[id]);
+    }
+}
+
+void ClusterView::learnLeader(const Json::Value &encoded)
+{
+    if (!encoded.isObject())
+        return;
+    LeaderInfo leader;
+    leader.dataCentre = core::DataCentreId(stringMember(encoded, "dataCentre"));
+    leader.entry = core::EntryId(stringMember(encoded, "entry"));
+    leader.rpc = http::parseEndpoint(stringMember(encoded, "address")).value_or(http::Endpoint{});
+    leader.epoch = intMember(encoded, "epoch");
+    LeaderInfo &known = m_leaders[leader.dataCentre];
+    if (leader.epoch > known.epoch)
+        known = leader;
+}
+
+void ClusterView::update(const membership::AgentRecord &record, const Json::Value &loads)
+{
+    auto info = std::make_shared<const AgentInfo>(decodeAgentInfo(record, loads));
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_infos[record.agent] = info;
+    }
+    notify({info}, true);
+}
+
+void ClusterView::tick()
+{
+    std::vector<std::shared_ptr<const AgentInfo>> lost;
+    std::vector<std::shared_ptr<const AgentInfo>> alive;
+    {
+        absl::MutexLock lock(&m_mutex);
+        for (const membership::Change &change : m_directory.tick(m_clock.now())) {
+            const bool agentLost = change.kind == membership::Change::Kind::AgentLost;
+            telemetry::logState("membership",
+                                (agentLost ? "agent lost: " : "changed: ") + change.id);
+            const auto info = m_infos.find(core::AgentId(change.id));
+            if (agentLost && info != m_infos.end()) {
+                lost.push_back(info->second);
+                m_states.erase(info->first);
+                m_infos.erase(info);
+            }
+        }
+        m_metrics.set("agents_known", static_cast<std::int64_t>(m_infos.size()));
+        m_metrics.set("suspects_itself", m_directory.suspectsItself() ? 1 : 0);
+        // Far data centres send no loads, so their agents are announced again from here.
+        for (const auto &[id, info] : m_infos) {
+            if (info->dataCentre != m_settings.dataCentre)
+                alive.push_back(info);
+        }
+    }
+    notify(lost, false);
+    notify(alive, true);
+}
+
+void ClusterView::notify(const std::vector<std::shared_ptr<const AgentInfo>> &infos,
+                         bool alive) const
+{
+    for (const auto &info : infos) {
+        for (const Listener &listener : m_listeners)
+            listener(*info, alive);
+    }
+}
+
+std::vector<std::shared_ptr<const AgentInfo>> ClusterView::agents() const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<std::shared_ptr<const AgentInfo>> infos;
+    for (const auto &[id, info] : m_infos)
+        infos.push_back(info);
+    return infos;
+}
+
+std::shared_ptr<const AgentInfo> ClusterView::agent(const core::AgentId &id) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto info = m_infos.find(id);
+    return info == m_infos.end() ? nullptr : info->second;
+}
+
+absl::Duration ClusterView::distance(const core::DataCentreId &dataCentre) const
+{
+    if (dataCentre == m_settings.dataCentre)
+        return absl::ZeroDuration();
+    absl::MutexLock lock(&m_mutex);
+    const auto roundTrip = m_roundTrips.find(dataCentre);
+    return roundTrip == m_roundTrips.end() ? absl::Milliseconds(5) : roundTrip->second / 2;
+}
+
+std::optional<LeaderInfo> ClusterView::leader(const core::DataCentreId &dataCentre) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto leader = m_leaders.find(dataCentre);
+    if (leader == m_leaders.end() || leader->second.epoch == 0)
+        return std::nullopt;
+    return leader->second;
+}
+
+std::vector<LeaderInfo> ClusterView::leaders() const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<LeaderInfo> leaders;
+    for (const auto &[dataCentre, leader] : m_leaders) {
+        if (leader.epoch > 0)
+            leaders.push_back(leader);
+    }
+    return leaders;
+}
+
+void ClusterView::setOwnEpoch(std::int64_t epoch)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_leaders[m_settings.dataCentre] = {m_settings.dataCentre, core::EntryId(m_settings.id),
+                                            m_settings.rpcListen, epoch};
+    }
+    exchangeNow();
+}
+
+std::vector<ClusterView::EntryInfo> ClusterView::entries() const
+{
+    absl::MutexLock lock(&m_mutex);
+    const std::vector<membership::EntryRecord> live = m_directory.entries();
+    std::vector<EntryInfo> infos;
+    for (const config::EntryAddress &entry : m_settings.entries) {
+        EntryInfo info{entry.id, entry.dataCentre, entry.rpc, false, 0};
+        info.alive = std::any_of(live.begin(), live.end(),
+                                 [&entry](const auto &record) { return record.entry == entry.id; });
+        const auto revision = m_entryRevisions.find(entry.id);
+        if (revision != m_entryRevisions.end())
+            info.revision = revision->second;
+        infos.push_back(info);
+    }
+    return infos;
+}
+
+} // namespace oleandercross::daemon
--- /dev/null
+++ b/src/daemon/requestrunner.cpp
@@ -0,0 +1,204 @@
+#include <oleandercross/daemon/requestrunner.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+
+#include <algorithm>
+
+namespace oleandercross::daemon {
+
+namespace {
+
+// An agent answers every call within this time, if only with "still running", so that the caller
+// can tell a long request from a silent connection.
+constexpr absl::Duration MaxHold = absl::Seconds(1);
+// Slots of each minion that only short work may use.
+constexpr int ShortSlots = 2;
+
+int totalSlots(const config::Settings &settings)
+{
+    int slots = 0;
+    for (const config::MinionSettings &minion : settings.minions)
+        slots += minion.slots;
+    return slots;
+}
+
+int shortSlotsOf(const config::MinionSettings &minion)
+{
+    return std::min(ShortSlots, minion.slots / 4);
+}
+
+dispatch::AdmissionSettings admissionSettings(const config::Settings &settings,
+                                              std::int64_t incarnation)
+{
+    dispatch::AdmissionSettings admission;
+    admission.agent = core::AgentId(settings.id);
+    admission.incarnation = incarnation;
+    admission.shortSlots = ShortSlots;
+    return admission;
+}
+
+dispatch::FateReport report(dispatch::Fate fate, core::ResultCode code)
+{
+    return {fate, code, {}};
+}
+
+} // namespace
+
+RequestRunner::RequestRunner(const config::Settings &settings, std::int64_t incarnation,
+                             MinionClients clients, telemetry::Metrics &metrics,
+                             const telemetry::Tracer &tracer)
+    : m_started(m_clock.now())
+    , m_minions(settings.minions)
+    , m_clients(std::move(clients))
+    , m_metrics(metrics)
+    , m_tracer(tracer)
+    , m_admission(admissionSettings(settings, incarnation), m_started)
+    , m_table({}, m_admission)
+    , m_executor(std::max(1, totalSlots(settings)))
+{
+    absl::MutexLock lock(&m_mutex);
+    for (const config::MinionSettings &minion : m_minions)
+        m_admission.setMinion(minion.id, minion.service, minion.slots);
+}
+
+std::optional<Json::Value> RequestRunner::dispatch(const Json::Value &params)
+{
+    const dispatch::DispatchMessage message = decodeDispatchMessage(params);
+    const std::string traceparent = core::stringMember(params, "traceparent");
+    const auto span = m_tracer.start("agent admission", traceparent);
+    absl::MutexLock lock(&m_mutex);
+    const dispatch::Receipt receipt = m_table.receive(message, m_clock.now());
+    switch (receipt.kind) {
+    case dispatch::Receipt::Kind::Refused:
+        m_metrics.add("requests_refused");
+        return encode(reply(message, report(dispatch::Fate::Refused, receipt.code)));
+    case dispatch::Receipt::Kind::Answered:
+        return encode(reply(message, {dispatch::Fate::Answered, receipt.code, receipt.answer}));
+    case dispatch::Receipt::Kind::Unknown:
+        break;
+    case dispatch::Receipt::Kind::Start:
+        m_metrics.add("requests_started");
+        m_executing[message.id] = message.target.minion;
+        m_executor.post(
+            [this, message, body = core::stringMember(params, "body"),
+             parent = telemetry::Tracer::traceparent(*span)] { execute(message, body, parent); });
+        break;
+    }
+    const absl::Duration hold = std::min(MaxHold, message.timeLeft);
+    return encode(reply(message, waitForEnd(message.id, message.agentUptime, hold)));
+}
+
+std::optional<Json::Value> RequestRunner::fate(const Json::Value &params)
+{
+    const core::RequestId id(core::stringMember(params, "id"));
+    const absl::Duration hold = std::min(MaxHold, decodeDuration(params, "waitUs"));
+    absl::MutexLock lock(&m_mutex);
+    return encode(waitForEnd(id, decodeDuration(params, "agentUptimeUs"), hold));
+}
+
+std::optional<Json::Value> RequestRunner::cancel(const Json::Value &params)
+{
+    const core::RequestId id(core::stringMember(params, "id"));
+    core::MinionId minion;
+    {
+        absl::MutexLock lock(&m_mutex);
+        minion = m_table.cancel(id, m_clock.now());
+    }
+    const auto client = m_clients.find(minion);
+    if (client != m_clients.end())
+        client->second->cancel(id);
+    return Json::Value(Json::objectValue);
+}
+
+dispatch::FateReport RequestRunner::waitForEnd(const core::RequestId &id,
+                                               absl::Duration agentUptime, absl::Duration limit)
+{
+    const auto ended = [this, &id] {
+        m_mutex.AssertHeld();
+        return m_executing.count(id) == 0;
+    };
+    m_mutex.AwaitWithTimeout(absl::Condition(&ended), limit);
+    return m_table.fate(id, agentUptime, m_clock.now());
+}
+
+DispatchReply RequestRunner::reply(const dispatch::DispatchMessage &message,
+                                   dispatch::FateReport report)
+{
+    return {std::move(report), m_admission.load(message.target.minion, m_clock.now())};
+}
+
+void RequestRunner::execute(const dispatch::DispatchMessage &message, const std::string &body,
+                            const std::string &traceparent)
+{
+    const auto span = m_tracer.start("minion", traceparent);
+    span->SetTag("minion", message.target.minion.str());
+    const core::Instant begin = m_clock.now();
+    const platform::MinionRequest request{message.id, message.account, message.service, body,
+                                          telemetry::Tracer::traceparent(*span)};
+    const auto answer = m_clients.at(message.target.minion)->execute(request, message.timeLeft);
+    const core::ResultCode code = answer ? core::ResultCode::Ok : core::lastReason().code;
+    const core::Instant now = m_clock.now();
+    m_metrics.observe("minion_seconds", now - begin);
+
+    absl::MutexLock lock(&m_mutex);
+    if (answer)
+        m_table.finish(message.id, {answer->succeeded, answer->body}, now);
+    else if (code == core::ResultCode::ConnectionFailed || core::provablyNotRun(code))
+        m_table.finishNotRun(message.id, core::ResultCode::NoTarget, now);
+    else
+        m_table.finishUnknown(message.id, now);
+    m_executing.erase(message.id);
+}
+
+void RequestRunner::configurationConfirmed()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_admission.configurationConfirmed(m_clock.now());
+}
+
+void RequestRunner::drainMinions(const std::vector<core::MinionId> &minions)
+{
+    absl::MutexLock lock(&m_mutex);
+    for (const config::MinionSettings &minion : m_minions) {
+        const bool draining = std::find(minions.begin(), minions.end(), minion.id) != minions.end();
+        m_admission.setDraining(minion.id, draining);
+        m_draining[minion.id] = draining;
+    }
+}
+
+void RequestRunner::drain()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_stopping = true;
+    m_admission.setDraining(true);
+}
+
+std::vector<MinionState> RequestRunner::minions() const
+{
+    absl::MutexLock lock(&m_mutex);
+    const core::Instant now = m_clock.now();
+    std::vector<MinionState> states;
+    for (const config::MinionSettings &minion : m_minions) {
+        const auto draining = m_draining.find(minion.id);
+        states.push_back({minion.id, minion.service, minion.slots, shortSlotsOf(minion),
+                          m_admission.load(minion.id, now),
+                          m_stopping || (draining != m_draining.end() && draining->second),
+                          now - m_started});
+    }
+    return states;
+}
+
+absl::Duration RequestRunner::uptime() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_admission.uptime(m_clock.now());
+}
+
+int RequestRunner::running() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return static_cast<int>(m_executing.size());
+}
+
+} // namespace oleandercross::daemon
--- /dev/null
+++ b/src/daemon/taskrunner.cpp
@@ -0,0 +1,278 @@
+#include <oleandercross/daemon/taskrunner.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/daemon/gangmessages.h>
+
+namespace oleandercross::daemon {
+
+namespace {
+
+constexpr int Threads = 6;
+constexpr absl::Duration TickPeriod = absl::Milliseconds(200);
+constexpr absl::Duration EventTimeout = absl::Seconds(2);
+
+gang::LedgerSettings ledgerSettings(const config::Settings &settings, std::int64_t incarnation)
+{
+    gang::LedgerSettings ledger;
+    ledger.self = {core::AgentId(settings.id), http::toString(settings.rpcListen)};
+    ledger.incarnation = incarnation;
+    if (settings.worker)
+        ledger.total = settings.worker->resources;
+    return ledger;
+}
+
+gang::CallOutcome outcomeOf(bool done, core::ResultCode code)
+{
+    if (done)
+        return gang::CallOutcome::Done;
+    return code == core::ResultCode::ConnectionFailed ? gang::CallOutcome::NotDone
+                                                      : gang::CallOutcome::Unknown;
+}
+
+// A leader needs to know of growth beyond the declared size and of new checkpoints.
+bool worthReporting(const platform::TaskStatus &task, const platform::TaskStatus *reported)
+{
+    if (task.state != platform::TaskState::Running
+        && task.state != platform::TaskState::Checkpointing)
+        return false;
+    if (reported && reported->checkpoint == task.checkpoint && reported->used == task.used)
+        return false;
+    const bool exceeds = task.used.memoryMb > task.declared.memoryMb;
+    const bool newCheckpoint = (reported ? reported->checkpoint : "") != task.checkpoint;
+    return exceeds || newCheckpoint;
+}
+
+} // namespace
+
+TaskRunner::TaskRunner(const config::Settings &settings, std::int64_t incarnation,
+                       std::shared_ptr<platform::WorkerControl> worker, rpc::Client &client,
+                       telemetry::Metrics &metrics)
+    : m_agent(settings.id)
+    , m_worker(std::move(worker))
+    , m_client(client)
+    , m_metrics(metrics)
+    , m_ledger(ledgerSettings(settings, incarnation))
+    , m_executor(Threads)
+{ }
+
+TaskRunner::~TaskRunner()
+{
+    stop();
+}
+
+void TaskRunner::addHandlers(rpc::Server &server)
+{
+    server.add("reserve", [this](const Json::Value &p) { return handle(decodeReserve(p)); });
+    server.add("commit", [this](const Json::Value &p) { return handle(decodeCommit(p)); });
+    server.add("abort", [this](const Json::Value &p) { return handle(decodeAbort(p)); });
+    server.add("stopTask", [this](const Json::Value &p) { return handle(decodeStopTask(p)); });
+    server.add("checkpointTask",
+               [this](const Json::Value &p) { return handle(decodeCheckpointTask(p)); });
+    server.add("throttleTask",
+               [this](const Json::Value &p) { return handle(decodeThrottleTask(p)); });
+    server.add("report", [this](const Json::Value &p) -> std::optional<Json::Value> {
+        std::optional<Json::Value> answer =
+            handle(gang::ReportRequest{core::intMember(p, "epoch")});
+        (*answer)["report"] = encode(report());
+        return answer;
+    });
+    server.add("watch", [this](const Json::Value &p) -> std::optional<Json::Value> {
+        gang::LedgerResult result;
+        {
+            absl::MutexLock lock(&m_mutex);
+            result = m_ledger.apply(decodeWatch(p), m_clock.now());
+        }
+        execute(std::move(result.actions));
+        return encode(result.watch);
+    });
+}
+
+void TaskRunner::start()
+{
+    if (!m_worker)
+        return;
+    m_executor.every(TickPeriod, [this] { apply(gang::LedgerTick{}); });
+}
+
+void TaskRunner::stop()
+{
+    m_executor.stop();
+}
+
+std::optional<Json::Value> TaskRunner::handle(const gang::LedgerEvent &event)
+{
+    gang::LedgerResult result;
+    {
+        absl::MutexLock lock(&m_mutex);
+        result = m_ledger.apply(event, m_clock.now());
+    }
+    execute(std::move(result.actions));
+    return encode(result.answer);
+}
+
+void TaskRunner::apply(const gang::LedgerEvent &event)
+{
+    gang::LedgerResult result;
+    {
+        absl::MutexLock lock(&m_mutex);
+        result = m_ledger.apply(event, m_clock.now());
+    }
+    execute(std::move(result.actions));
+}
+
+void TaskRunner::execute(std::vector<gang::LedgerAction> actions)
+{
+    if (!m_worker)
+        return;
+    for (gang::LedgerAction &action : actions) {
+        m_executor.post([this, action = std::move(action)] {
+            std::visit([this](const auto &a) { run(a); }, action);
+        });
+    }
+}
+
+void TaskRunner::run(const gang::StartWorkerTask &action)
+{
+    const core::Instant now = m_clock.now();
+    if (now >= action.notAfter) {
+        apply(gang::StartAnswered{action.task.taskId, gang::CallOutcome::NotDone});
+        return;
+    }
+    platform::TaskStart task = action.task;
+    task.lease = action.leaseUntil - now;
+    const bool done = m_worker->start(task);
+    m_metrics.add("tasks_started");
+    apply(gang::StartAnswered{task.taskId, outcomeOf(done, core::lastReason().code)});
+}
+
+void TaskRunner::run(const gang::StopWorkerTask &action)
+{
+    m_worker->stop(action.taskId);
+}
+
+void TaskRunner::run(const gang::RenewTaskLeases &action)
+{
+    const absl::Duration lease = action.until - m_clock.now();
+    if (lease > absl::ZeroDuration())
+        m_worker->renewLeases(action.taskIds, lease);
+}
+
+void TaskRunner::run(const gang::CheckpointWorkerTask &action)
+{
+    m_worker->checkpoint(action.taskId);
+}
+
+void TaskRunner::run(const gang::ThrottleWorkerTask &action)
+{
+    m_worker->throttle(action.taskId, action.share);
+}
+
+void TaskRunner::run(const gang::ListWorkerTasks &)
+{
+    const core::Instant sentAt = m_clock.now();
+    std::optional<std::vector<platform::TaskStatus>> tasks = m_worker->tasks();
+    if (!tasks)
+        return;
+    reportUsage(*tasks);
+    apply(gang::TasksListed{sentAt, std::move(*tasks)});
+}
+
+void TaskRunner::run(const gang::ForgetWorkerTasks &action)
+{
+    m_worker->forget(action.taskIds);
+    absl::MutexLock lock(&m_mutex);
+    for (const std::string &taskId : action.taskIds)
+        m_reported.erase(taskId);
+}
+
+void TaskRunner::run(const gang::PollPeer &action)
+{
+    const std::optional<http::Endpoint> endpoint = http::parseEndpoint(action.peer.address);
+    if (!endpoint)
+        return;
+    const core::Instant sentAt = m_clock.now();
+    const auto answer =
+        m_client.call(*endpoint, "watch", encode(action.message), gang::WatchPeriod);
+    if (answer) {
+        apply(gang::PeerAnswered{action.message.key, action.peer.agent, sentAt,
+                                 decodeWatchAnswer(*answer)});
+    }
+}
+
+void TaskRunner::run(const gang::SendTaskEvent &action)
+{
+    std::optional<http::Endpoint> leader;
+    {
+        absl::MutexLock lock(&m_mutex);
+        leader = m_leader;
+    }
+    if (leader)
+        m_client.call(*leader, "taskEvent", encode(action.event), EventTimeout);
+}
+
+void TaskRunner::reportUsage(const std::vector<platform::TaskStatus> &tasks)
+{
+    Json::Value changed(Json::arrayValue);
+    std::optional<http::Endpoint> leader;
+    {
+        absl::MutexLock lock(&m_mutex);
+        leader = m_leader;
+        for (const platform::TaskStatus &task : tasks) {
+            const auto reported = m_reported.find(task.taskId);
+            if (worthReporting(task, reported == m_reported.end() ? nullptr : &reported->second))
+                changed.append(encode(task));
+        }
+    }
+    if (changed.empty() || !leader)
+        return;
+    Json::Value message;
+    message["agent"] = m_agent.str();
+    message["tasks"] = changed;
+    if (!m_client.call(*leader, "taskUsage", message, EventTimeout))
+        return;
+    absl::MutexLock lock(&m_mutex);
+    for (const Json::Value &task : changed) {
+        const platform::TaskStatus status = decodeTaskStatus(task);
+        m_reported[status.taskId] = status;
+    }
+}
+
+void TaskRunner::setLeader(std::optional<http::Endpoint> leader, gang::Epoch epoch)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_leader = std::move(leader);
+    }
+    apply(gang::EpochLearned{epoch});
+}
+
+void TaskRunner::setGate(core::ResultCode code)
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_gate == code)
+            return;
+        m_gate = code;
+    }
+    apply(gang::WorkGate{code});
+}
+
+void TaskRunner::drain()
+{
+    apply(gang::BeginDrain{});
+}
+
+bool TaskRunner::drained() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_ledger.drained();
+}
+
+gang::LedgerReport TaskRunner::report() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_ledger.report();
+}
+
+} // namespace oleandercross::daemon
