Add StoreWriter

All table writes of a process need one place for priorities, the share of the store, and lost answers. Each transaction also puts a marker row of the writer, conditional on the marker's version, so of several attempts at most one takes effect; reading the marker back resolves a lost answer even when others have overwritten the rows. A write that is refused after an attempt in doubt is fenced by one further write of the marker before it is reported as not applied. Not tested yet.

--- a/src/platform/httptableservice.cpp
+++ b/src/platform/httptableservice.cpp
@@ -108,7 +108,7 @@
     const auto response = detail::exchange(
         m_pool, m_endpoint, detail::post("/v1/tables/write", toJson(transaction)), m_timeout);
     if (!response) {
-        const core::Reason reason = core::lastReason();
+        const core::Reason &reason = core::lastReason();
         return core::fail(reason.code == core::ResultCode::ConnectionFailed
                               ? core::ResultCode::StoreUnavailable
                               : core::ResultCode::OutcomeUnknown,
--- /dev/null
+++ b/src/platform/writequeue.cpp
@@ -0,0 +1,416 @@
+#include <oleandercross/platform/detail/writequeue.h>
+
+#include <oleandercross/core/digest.h>
+#include <oleandercross/platform/writemarker.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace oleandercross::platform::detail {
+
+namespace {
+
+// Ids remembered for each marker row; an older one that arrives late counts as another process's.
+constexpr std::size_t MaxInDoubt = 64;
+constexpr char FenceSuffix[] = "/fence";
+// Beyond this the back-off has reached its maximum with any sensible settings.
+constexpr int MaxBackOffDoublings = 20;
+
+} // namespace
+
+WriteQueue::WriteQueue(StoreWriterOptions options)
+    : m_options(std::move(options))
+    , m_writes(m_options.writesPerSecond, m_options.writeBurst)
+    , m_reads(m_options.readsPerSecond, m_options.readBurst)
+    , m_random(m_options.seed)
+    , m_slots(static_cast<std::size_t>(m_options.leaseSlots + m_options.slots))
+{ }
+
+std::uint64_t WriteQueue::submit(Transaction transaction, WritePriority priority,
+                                 core::Instant deadline)
+{
+    PendingWrite write;
+    write.id = ++m_lastId;
+    write.transaction = std::move(transaction);
+    if (write.transaction.writeId.empty())
+        write.transaction.writeId = core::randomHexId();
+    write.priority = priority;
+    write.deadline = deadline;
+    ++m_statistics.submitted;
+    if (!makeRoom(priority)) {
+        report(write, unfinished(write, core::ResultCode::QueueFull));
+        return write.id;
+    }
+    const std::uint64_t id = write.id;
+    m_priorities.emplace(id, priority);
+    m_pending.emplace(Key(priority, id), std::move(write));
+    return id;
+}
+
+// When the queue is full, the newest of the least urgent writes that have not been tried gives way
+// to a more urgent one.
+bool WriteQueue::makeRoom(WritePriority priority)
+{
+    if (m_pending.size() < m_options.maxQueued)
+        return true;
+    for (auto it = m_pending.rbegin(); it != m_pending.rend() && it->first.first > priority; ++it) {
+        PendingWrite &write = it->second;
+        if (write.slot >= 0 || write.calling)
+            continue;
+        finish(write, unfinished(write, core::ResultCode::QueueFull));
+        return true;
+    }
+    return false;
+}
+
+int WriteQueue::freeSlot(WritePriority priority) const
+{
+    const int first = priority == WritePriority::Lease ? 0 : m_options.leaseSlots;
+    for (int i = first; i < static_cast<int>(m_slots.size()); ++i) {
+        if (!m_slots[i].taken)
+            return i;
+    }
+    return -1;
+}
+
+void WriteQueue::takeSlot(PendingWrite &write, int slot)
+{
+    write.slot = slot;
+    m_slots[slot].taken = true;
+    const bool known = m_slots[slot].version != Slot::Unknown;
+    write.step = known ? Step::Write : Step::ReadMarker;
+}
+
+void WriteQueue::releaseSlot(PendingWrite &write)
+{
+    if (write.slot < 0)
+        return;
+    m_slots[write.slot].taken = false;
+    write.slot = -1;
+}
+
+std::string WriteQueue::markerKey(int slot) const
+{
+    return absl::StrCat(WriteMarkerPrefix, m_options.process, "/", slot);
+}
+
+std::optional<StoreCall> WriteQueue::nextCall(core::Instant now, bool leaseOnly)
+{
+    for (auto &[key, write] : m_pending) {
+        if (leaseOnly && write.priority != WritePriority::Lease)
+            break;
+        if (write.calling || write.notBefore > now || write.deadline <= now)
+            continue;
+        if (write.slot < 0) {
+            const int slot = freeSlot(write.priority);
+            if (slot < 0)
+                continue;
+            takeSlot(write, slot);
+        }
+        TokenBucket &bucket = write.step == Step::ReadMarker ? m_reads : m_writes;
+        // Less urgent writes must not take the token that this one waits for.
+        if (!bucket.take(now))
+            return std::nullopt;
+        return callFor(write);
+    }
+    return std::nullopt;
+}
+
+StoreCall WriteQueue::callFor(PendingWrite &write)
+{
+    write.calling = true;
+    StoreCall call;
+    call.id = write.id;
+    call.isRead = write.step == Step::ReadMarker;
+    if (call.isRead) {
+        ++m_statistics.readCalls;
+        call.key = markerKey(write.slot);
+        return call;
+    }
+    ++m_statistics.writeCalls;
+    call.transaction = write.step == Step::Fence ? fence(write) : withMarker(write);
+    return call;
+}
+
+Transaction WriteQueue::withMarker(const PendingWrite &write) const
+{
+    Transaction transaction = write.transaction;
+    const std::string key = markerKey(write.slot);
+    transaction.conditions.push_back({key, m_slots[write.slot].version});
+    transaction.puts.push_back({key, transaction.writeId});
+    return transaction;
+}
+
+// Changes only the marker, after which no earlier attempt can take effect.
+Transaction WriteQueue::fence(const PendingWrite &write) const
+{
+    const std::string key = markerKey(write.slot);
+    Transaction transaction;
+    transaction.writeId = write.transaction.writeId + FenceSuffix;
+    transaction.conditions.push_back({key, m_slots[write.slot].version});
+    transaction.puts.push_back({key, transaction.writeId});
+    return transaction;
+}
+
+core::Instant WriteQueue::nextDue(core::Instant now, bool leaseOnly)
+{
+    core::Instant due = absl::InfiniteFuture();
+    for (const auto &[key, write] : m_pending) {
+        if (!write.abandoned)
+            due = std::min(due, write.deadline);
+        if ((leaseOnly && write.priority != WritePriority::Lease) || write.calling)
+            continue;
+        const bool waitsForSlot = write.slot < 0 && freeSlot(write.priority) < 0;
+        if (waitsForSlot)
+            continue;
+        // A write without a slot may have to read the marker first, so either token may start it.
+        const core::Instant token = write.slot < 0
+            ? std::min(m_reads.ready(now), m_writes.ready(now))
+            : (write.step == Step::ReadMarker ? m_reads : m_writes).ready(now);
+        due = std::min(due, std::max(write.notBefore, token));
+    }
+    return due;
+}
+
+WriteQueue::PendingWrite *WriteQueue::find(std::uint64_t id)
+{
+    const auto priority = m_priorities.find(id);
+    if (priority == m_priorities.end())
+        return nullptr;
+    const auto it = m_pending.find(Key(priority->second, id));
+    return it == m_pending.end() ? nullptr : &it->second;
+}
+
+WriteQueue::PendingWrite *WriteQueue::answered(std::uint64_t id)
+{
+    PendingWrite *write = find(id);
+    if (!write)
+        return nullptr;
+    write->calling = false;
+    if (!write->abandoned)
+        return write;
+    releaseSlot(*write);
+    m_pending.erase(Key(write->priority, id));
+    m_priorities.erase(id);
+    return nullptr;
+}
+
+void WriteQueue::onRead(std::uint64_t id, const std::optional<std::optional<Row>> &row,
+                        core::Instant now)
+{
+    PendingWrite *write = answered(id);
+    if (!write)
+        return;
+    if (row)
+        onMarker(*write, *row, now);
+    else
+        retry(*write, Step::ReadMarker, now);
+}
+
+void WriteQueue::onMarker(PendingWrite &write, const std::optional<Row> &found, core::Instant now)
+{
+    const Row row = found.value_or(Row());
+    Slot &slot = m_slots[write.slot];
+    const std::string &writeId = write.transaction.writeId;
+    if (row.value == writeId || (write.refused && row.value == writeId + FenceSuffix)) {
+        slot.version = row.version;
+        slot.inDoubt.clear();
+        finish(write,
+               row.value == writeId ? WriteResult{WriteOutcome::Applied, row.version, {}}
+                                    : *write.refused);
+        return;
+    }
+    if (slot.version == Slot::Unknown) {
+        slot.version = row.version;
+        write.step = Step::Write;
+        return;
+    }
+    if (row.version != slot.version) {
+        onMarkerChanged(write, row, now);
+        return;
+    }
+    if (write.refused && !write.inDoubt) {
+        finish(write, *write.refused);
+        return;
+    }
+    write.step = write.refused ? Step::Fence : Step::Write;
+}
+
+// Another write has used the marker: one of this process that was in doubt, or one of an earlier or
+// later process of the same name. Attempts made before are void, but in the second case one of them
+// may have been in effect before it.
+void WriteQueue::onMarkerChanged(PendingWrite &write, const Row &row, core::Instant now)
+{
+    Slot &slot = m_slots[write.slot];
+    const bool own =
+        std::any_of(slot.inDoubt.begin(), slot.inDoubt.end(), [&row](const std::string &writeId) {
+            return row.value == writeId || row.value == writeId + FenceSuffix;
+        });
+    slot.version = row.version;
+    if (write.inDoubt && !own) {
+        finish(write,
+               {WriteOutcome::Unknown,
+                0,
+                {core::ResultCode::OutcomeUnknown, "another process used the marker row"}});
+        return;
+    }
+    write.inDoubt = false;
+    write.refused.reset();
+    retry(write, Step::Write, now);
+}
+
+void WriteQueue::onWrite(std::uint64_t id, std::optional<std::int64_t> version,
+                         const core::Reason &reason, core::Instant now)
+{
+    PendingWrite *write = answered(id);
+    if (!write)
+        return;
+    if (version) {
+        Slot &slot = m_slots[write->slot];
+        slot.version = *version;
+        slot.inDoubt.clear();
+        const bool fenced = write->step == Step::Fence;
+        finish(*write, fenced ? *write->refused : WriteResult{WriteOutcome::Applied, *version, {}});
+        return;
+    }
+    switch (reason.code) {
+    case core::ResultCode::StoreUnavailable:
+        retry(*write, write->inDoubt ? Step::ReadMarker : Step::Write, now);
+        break;
+    case core::ResultCode::OutcomeUnknown:
+        write->inDoubt = true;
+        retry(*write, Step::ReadMarker, now);
+        break;
+    default:
+        onRefused(*write, reason);
+    }
+}
+
+// A conflict may come from the marker's condition, which reading it tells.
+void WriteQueue::onRefused(PendingWrite &write, const core::Reason &reason)
+{
+    const bool conflict = reason.code == core::ResultCode::VersionConflict;
+    if (!write.refused)
+        write.refused =
+            WriteResult{conflict ? WriteOutcome::Conflict : WriteOutcome::NotApplied, 0, reason};
+    if (conflict || write.inDoubt)
+        write.step = Step::ReadMarker;
+    else
+        finish(write, *write.refused);
+}
+
+void WriteQueue::retry(PendingWrite &write, Step step, core::Instant now)
+{
+    write.step = step;
+    write.notBefore = now + backOff(write.failures++);
+    // A write that is certainly not in effect does not keep others from the marker row.
+    if (!write.inDoubt && !write.refused)
+        releaseSlot(write);
+}
+
+// Doubles with each failure and takes a random part of at least half, so that processes which
+// failed together do not return together.
+absl::Duration WriteQueue::backOff(int failures)
+{
+    const int doublings = std::min(failures, MaxBackOffDoublings);
+    const absl::Duration full =
+        std::min(m_options.maxBackOff, m_options.backOff * (std::int64_t{1} << doublings));
+    return full * std::uniform_real_distribution<double>(0.5, 1)(m_random);
+}
+
+void WriteQueue::expire(core::Instant now)
+{
+    std::vector<std::uint64_t> expired;
+    for (const auto &[key, write] : m_pending) {
+        if (write.deadline <= now && !write.abandoned)
+            expired.push_back(write.id);
+    }
+    for (const std::uint64_t id : expired) {
+        PendingWrite &write = *find(id);
+        finish(write, unfinished(write, core::ResultCode::DeadlineExpired));
+    }
+}
+
+void WriteQueue::stop()
+{
+    std::vector<std::uint64_t> ids;
+    for (const auto &[key, write] : m_pending) {
+        if (!write.abandoned)
+            ids.push_back(write.id);
+    }
+    for (const std::uint64_t id : ids) {
+        PendingWrite &write = *find(id);
+        finish(write, unfinished(write, core::ResultCode::Draining));
+    }
+}
+
+WriteResult WriteQueue::unfinished(const PendingWrite &write, core::ResultCode code) const
+{
+    const bool attempting = write.calling && write.step == Step::Write;
+    if (write.inDoubt || attempting)
+        return {WriteOutcome::Unknown, 0, {core::ResultCode::OutcomeUnknown, "no answer in time"}};
+    return {WriteOutcome::NotApplied, 0, {code, std::string(core::name(code))}};
+}
+
+void WriteQueue::finish(PendingWrite &write, WriteResult result)
+{
+    if (write.slot >= 0 && result.outcome == WriteOutcome::Unknown) {
+        Slot &slot = m_slots[write.slot];
+        slot.version = Slot::Unknown;
+        slot.inDoubt.push_back(write.transaction.writeId);
+        if (slot.inDoubt.size() > MaxInDoubt)
+            slot.inDoubt.erase(slot.inDoubt.begin());
+    }
+    report(write, std::move(result));
+    if (write.calling) {
+        // The slot stays taken until the call ends.
+        write.abandoned = true;
+        return;
+    }
+    releaseSlot(write);
+    const Key key(write.priority, write.id);
+    m_priorities.erase(write.id);
+    m_pending.erase(key);
+}
+
+void WriteQueue::report(PendingWrite &write, WriteResult result)
+{
+    switch (result.outcome) {
+    case WriteOutcome::Applied:
+        ++m_statistics.applied;
+        break;
+    case WriteOutcome::Conflict:
+        ++m_statistics.conflicts;
+        break;
+    case WriteOutcome::NotApplied:
+        ++m_statistics.notApplied;
+        break;
+    case WriteOutcome::Unknown:
+        ++m_statistics.unknown;
+        break;
+    }
+    m_finished.push_back({write.id, std::move(result)});
+}
+
+std::optional<core::Instant> WriteQueue::takeRead(core::Instant now)
+{
+    if (!m_reads.take(now))
+        return m_reads.ready(now);
+    ++m_statistics.readCalls;
+    return std::nullopt;
+}
+
+std::vector<FinishedWrite> WriteQueue::takeFinished()
+{
+    return std::exchange(m_finished, {});
+}
+
+StoreWriterStatistics WriteQueue::statistics() const
+{
+    StoreWriterStatistics statistics = m_statistics;
+    statistics.queued = static_cast<std::int64_t>(m_pending.size());
+    return statistics;
+}
+
+} // namespace oleandercross::platform::detail
