--- a/include/oleandercross/dispatch/admission.h
+++ b/include/oleandercross/dispatch/admission.h
@@ -48,7 +48,7 @@
     // An entry confirmed that the configuration in force is the newest.
     void configurationConfirmed(core::Instant now);
 
-    // Takes a slot and returns Ok, or returns why the request does not run (3xx, UnknownService).
+    // Takes a slot and returns Ok, or returns why the request does not run (3xx).
     core::ResultCode start(const DispatchMessage &message, core::Instant now);
     // Frees the slot of a request that ended.
     void release(const core::RequestId &id, core::Instant now);
--- a/include/oleandercross/dispatch/dispatcher.h
+++ b/include/oleandercross/dispatch/dispatcher.h
@@ -20,8 +20,8 @@
     bool idempotent = false;
     core::Instant deadline;
     std::size_t bodyBytes = 0;
-    // After the first dispatch, the request is tried only at that target. Set it when a key row
-    // names the target, so that the target's `fate` is conclusive.
+    // The request is dispatched only once. Set it when a key row names the target, so that the
+    // target's `fate` is conclusive.
     bool pinToFirstTarget = false;
 };
 
@@ -68,7 +68,8 @@
 };
 
 // The attempt provably did not run: the agent refused it, or nothing was sent (ConnectionFailed or
-// StoreUnavailable). A code outside 3xx other than ConnectionFailed ends the request with it.
+// StoreUnavailable). Codes 2xx and 4xx end the request with that code, for a key that was used
+// before.
 struct DispatchRefused
 {
     core::RequestId id;
@@ -97,8 +98,8 @@
 {
     core::AccountId account;
     int weight = 1;
-    // 0 is unlimited.
-    int requestsPerSecond = 0;
+    // This entry's share of the account's rate; 0 is unlimited.
+    double requestsPerSecond = 0;
 };
 
 // Reply to AskSlots, or slots granted later on the same demand.
@@ -133,11 +134,8 @@
 // Send `fate` and report FateLearned, also when it fails.
 struct AskFate
 {
-    core::RequestId id;
+    FateQuery query;
     int attempt = 0;
-    TargetId target;
-    // DispatchMessage::agentUptime of the attempt; the message carries it.
-    absl::Duration agentUptime;
 };
 
 // Send `cancelRequest`; no reply is needed.
--- a/include/oleandercross/dispatch/message.h
+++ b/include/oleandercross/dispatch/message.h
@@ -18,12 +18,6 @@
     core::MinionId minion;
 
     friend auto operator<=>(const TargetId &, const TargetId &) = default;
-
-    template <typename H>
-    friend H AbslHashValue(H state, const TargetId &id)
-    {
-        return H::combine(std::move(state), id.agent, id.incarnation, id.minion);
-    }
 };
 
 // What a minion answered. `succeeded` is false if it ran the request and reports a failure.
@@ -89,6 +83,18 @@
     Unreachable,
 };
 
+// The `fate` message.
+struct FateQuery
+{
+    core::RequestId id;
+    // Where the request was sent. A later incarnation can only report Unknown.
+    TargetId target;
+    // DispatchMessage::agentUptime of the dispatch in question, zero if not known.
+    absl::Duration agentUptime;
+
+    friend bool operator==(const FateQuery &, const FateQuery &) = default;
+};
+
 struct FateReport
 {
     Fate fate = Fate::Unreachable;
--- a/include/oleandercross/dispatch/requesttable.h
+++ b/include/oleandercross/dispatch/requesttable.h
@@ -59,9 +59,9 @@
     void finishUnknown(const core::RequestId &id, core::Instant now);
 
     // What is known of an id. An id that was never seen is blocked from later admission. Reports
-    // Unknown if the id is not known and records as old as `agentUptime` (of the dispatch asked
-    // about, zero if not known) may have been forgotten.
-    FateReport fate(const core::RequestId &id, absl::Duration agentUptime, core::Instant now);
+    // Unknown for another incarnation, and if the id is not known and records as old as the
+    // dispatch may have been forgotten.
+    FateReport fate(const FateQuery &query, core::Instant now);
 
     // Blocks an id that has not started. Returns the minion to tell if it runs, else an empty id.
     core::MinionId cancel(const core::RequestId &id, core::Instant now);
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -62,11 +62,9 @@
         || message.target.incarnation != settings.incarnation)
         return ResultCode::StaleIncarnation;
     const auto it = minions.find(message.target.minion);
-    if (it == minions.end())
+    if (it == minions.end() || it->second.service != message.service)
         return ResultCode::NoTarget;
     const Minion &minion = it->second;
-    if (minion.service != message.service)
-        return ResultCode::UnknownService;
     if (draining || minion.draining)
         return ResultCode::Draining;
     if (now - confirmed > settings.configurationLimit)
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -248,7 +248,7 @@
     request.phase = Phase::Asking;
     request.nextQuestion = absl::InfiniteFuture();
     m_actions.push_back(
-        AskFate{request.arrival.id, request.attempt, request.target, request.agentUptime});
+        AskFate{{request.arrival.id, request.target, request.agentUptime}, request.attempt});
 }
 
 void Dispatcher::Private::leaveTarget(const Request &request)
--- a/src/dispatch/requesttable.cpp
+++ b/src/dispatch/requesttable.cpp
@@ -52,7 +52,7 @@
     Receipt receive(const DispatchMessage &message, core::Instant now);
     void end(const RequestId &id, State state, ResultCode code, core::Instant now);
     void holdAnswer(const RequestId &id, const Answer &answer);
-    FateReport fate(const RequestId &id, absl::Duration agentUptime, core::Instant now);
+    FateReport fate(const FateQuery &query, core::Instant now);
     core::MinionId cancel(const RequestId &id, core::Instant now);
     void expire(core::Instant now);
 
@@ -168,14 +168,15 @@
     record.hasAnswer = false;
 }
 
-FateReport RequestTable::Private::fate(const RequestId &id, absl::Duration agentUptime,
-                                       core::Instant now)
+FateReport RequestTable::Private::fate(const FateQuery &query, core::Instant now)
 {
-    const auto it = m_records.find(id);
+    if (query.target.incarnation != m_admission.settings().incarnation)
+        return {Fate::Unknown, ResultCode::OutcomeUnknown, {}};
+    const auto it = m_records.find(query.id);
     if (it == m_records.end()) {
-        if (agentUptime <= m_forgottenUpTo)
+        if (query.agentUptime <= m_forgottenUpTo)
             return {Fate::Unknown, ResultCode::OutcomeUnknown, {}};
-        Record &record = changed(id, now);
+        Record &record = changed(query.id, now);
         record.state = State::Refused;
         record.blocked = true;
         record.code = ResultCode::Cancelled;
@@ -264,10 +265,9 @@
     d->end(id, State::Unknown, ResultCode::OutcomeUnknown, now);
 }
 
-FateReport RequestTable::fate(const core::RequestId &id, absl::Duration agentUptime,
-                              core::Instant now)
+FateReport RequestTable::fate(const FateQuery &query, core::Instant now)
 {
-    return d->fate(id, agentUptime, now);
+    return d->fate(query, now);
 }
 
 core::MinionId RequestTable::cancel(const core::RequestId &id, core::Instant now)
--- /dev/null
+++ b/src/dispatch/servicetimes.cpp
@@ -0,0 +1,59 @@
+#include "servicetimes.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace oleandercross::dispatch::detail {
+
+namespace {
+
+// Observations that a group needs before it is used.
+constexpr int EnoughObservations = 3;
+// Weight of a new observation once the group is old: follows a change within about 50 requests.
+constexpr double SmoothingWeight = 0.02;
+constexpr double ShortestSeconds = 1e-5;
+constexpr int AllSizes = -1;
+
+int sizeBucket(std::size_t bytes)
+{
+    return std::bit_width(bytes);
+}
+
+} // namespace
+
+ServiceTime ServiceTimes::expected(const core::ServiceId &service, const core::AccountId &account,
+                                   std::size_t bodyBytes) const
+{
+    const Key keys[] = {{service, account, sizeBucket(bodyBytes)},
+                        {service, account, AllSizes},
+                        {service, core::AccountId(), sizeBucket(bodyBytes)},
+                        {service, core::AccountId(), AllSizes}};
+    for (const Key &key : keys) {
+        const auto it = m_groups.find(key);
+        if (it != m_groups.end() && it->second.count >= EnoughObservations)
+            return {absl::Seconds(it->second.mean), absl::Seconds(std::exp(it->second.logMean))};
+    }
+    return {};
+}
+
+void ServiceTimes::observe(const core::ServiceId &service, const core::AccountId &account,
+                           std::size_t bodyBytes, absl::Duration time)
+{
+    const double seconds = std::max(ShortestSeconds, absl::ToDoubleSeconds(time));
+    const int bucket = sizeBucket(bodyBytes);
+    update(m_groups[{service, account, bucket}], seconds);
+    update(m_groups[{service, account, AllSizes}], seconds);
+    update(m_groups[{service, core::AccountId(), bucket}], seconds);
+    update(m_groups[{service, core::AccountId(), AllSizes}], seconds);
+}
+
+void ServiceTimes::update(Group &group, double seconds)
+{
+    ++group.count;
+    const double weight = std::max(1.0 / group.count, SmoothingWeight);
+    group.mean += weight * (seconds - group.mean);
+    group.logMean += weight * (std::log(seconds) - group.logMean);
+}
+
+} // namespace oleandercross::dispatch::detail
