--- a/src/cli/main_cli.cpp
+++ b/src/cli/main_cli.cpp
@@ -1,4 +1,10 @@
-int main()
+#include <oleandercross/cli/cli.h>
+
+#include <iostream>
+
+int main(int argc, char **argv)
 {
-    return 0;
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return oleandercross::cli::run(arguments, oleandercross::cli::processEnvironment(), std::cout,
+                                   std::cerr);
 }
