--- /dev/null
+++ b/include/oleandercross/daemon/leasedriver.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <oleandercross/config/settings.h>
+#include <oleandercross/core/executor.h>
+#include <oleandercross/ownership/leaseholder.h>
+#include <oleandercross/platform/storewriter.h>
+#include <oleandercross/rpc/rpc.h>
+
+#include <functional>
+
+namespace oleandercross::daemon {
+
+// Carries out the actions of the lease holder of this entry's data centre. Thread safe.
+class LeaseDriver
+{
+public:
+    // Called from the driver's threads, one at a time and in order.
+    struct Callbacks
+    {
+        std::function<void(const ownership::Lead &)> lead;
+        std::function<void()> resign;
+    };
+
+    LeaseDriver(const config::Settings &settings, std::int64_t incarnation,
+                platform::StoreWriter &store, rpc::Client &client, Callbacks callbacks);
+    ~LeaseDriver();
+
+    void addHandlers(rpc::Server &server);
+    void start();
+    void stop();
+
+    // An agent or entry named a higher epoch.
+    void epochSeen(ownership::Epoch epoch);
+    // Gives the lease up for a planned stop. Returns true when it was released or never held.
+    bool handOver(absl::Duration timeout);
+
+    bool mayDecide() const;
+    bool storeOutage() const;
+
+private:
+    void apply(const ownership::LeaseEvent &event);
+    void run(const ownership::ReadRows &action);
+    void run(const ownership::WriteRows &action);
+    void run(const ownership::AskWitnesses &action);
+    void run(const ownership::AnnounceRelease &action);
+    void tell(const ownership::LeaseAction &action);
+
+    const config::Settings m_settings;
+    platform::StoreWriter &m_store;
+    rpc::Client &m_client;
+    const Callbacks m_callbacks;
+    const core::SteadyClock m_clock;
+    // Serialises the callbacks in the order of the decisions.
+    absl::Mutex m_callbackMutex ABSL_ACQUIRED_BEFORE(m_mutex);
+    mutable absl::Mutex m_mutex;
+    ownership::LeaseHolder m_holder ABSL_GUARDED_BY(m_mutex);
+    core::Executor m_executor;
+};
+
+} // namespace oleandercross::daemon
--- a/include/oleandercross/daemon/manifestservice.h
+++ b/include/oleandercross/daemon/manifestservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <oleandercross/config/manifest.h>
-#include <oleandercross/platform/tableservice.h>
+#include <oleandercross/platform/storewriter.h>
 
 #include <absl/synchronization/mutex.h>
 #include <json/value.h>
@@ -44,7 +44,7 @@
 class ManifestService
 {
 public:
-    explicit ManifestService(platform::TableService &tables);
+    explicit ManifestService(platform::StoreWriter &store);
 
     // The revision in force, or null before the first was learnt.
     std::shared_ptr<const Revision> current() const;
@@ -79,7 +79,7 @@
     std::optional<std::int64_t> settleConflict(const CommitRequest &request);
     void putInForce(Revision revision);
 
-    platform::TableService &m_tables;
+    platform::StoreWriter &m_store;
     mutable absl::Mutex m_mutex;
     std::shared_ptr<const Revision> m_current ABSL_GUARDED_BY(m_mutex);
 };
--- a/include/oleandercross/daemon/messages.h
+++ b/include/oleandercross/daemon/messages.h
@@ -21,6 +21,9 @@
 Json::Value encode(const dispatch::DispatchMessage &value);
 dispatch::DispatchMessage decodeDispatchMessage(const Json::Value &value);
 
+Json::Value encode(const dispatch::FateQuery &value);
+dispatch::FateQuery decodeFateQuery(const Json::Value &value);
+
 // Answers carry the length of their body; one that does not match decodes as Unknown.
 Json::Value encode(const dispatch::FateReport &value);
 dispatch::FateReport decodeFateReport(const Json::Value &value);
--- a/include/oleandercross/daemon/requestgateway.h
+++ b/include/oleandercross/daemon/requestgateway.h
@@ -2,6 +2,7 @@
 
 #include <oleandercross/config/settings.h>
 #include <oleandercross/daemon/clusterview.h>
+#include <oleandercross/daemon/requestclaims.h>
 #include <oleandercross/dispatch/dispatcher.h>
 #include <oleandercross/platform/tableservice.h>
 #include <oleandercross/telemetry/tracer.h>
@@ -23,6 +24,8 @@
     absl::Duration deadline;
     std::string body;
     std::string traceparent;
+    // The caller's key of a non-idempotent request.
+    std::optional<RequestKey> key;
     // Null if the transport cannot tell whether the caller has gone.
     const http::Connection *connection = nullptr;
 };
@@ -33,26 +36,19 @@
 {
 public:
     RequestGateway(const config::Settings &settings, ClusterView &cluster, rpc::Client &client,
-                   telemetry::Metrics &metrics, const telemetry::Tracer &tracer);
+                   RequestClaims &claims, telemetry::Metrics &metrics,
+                   const telemetry::Tracer &tracer);
     ~RequestGateway();
 
     void start();
     void stop();
 
-    // Blocks until the request has its one outcome. An id is used once.
+    // Blocks until the request has its one outcome. A request with a key that was claimed before is
+    // answered with the outcome of the earlier attempt, or run if that provably did not run.
     dispatch::Outcome run(const ShortRequest &request);
 
-    // Handler of `requestFate`: the outcome of a request that this entry accepted, or that it is
-    // still open here, or that it never saw it (and will not run it any more).
-    std::optional<Json::Value> requestFate(const Json::Value &params);
-
-    // What this entry knows of a request it accepted: an ended one's outcome, StillRunning, or an
-    // empty optional, after which the id is refused here.
-    std::optional<dispatch::Outcome> knownOutcome(const core::RequestId &id);
-
-    // Asks agents for a request that no live entry knows. NotRun if all agents that may have got it
-    // blocked it, Unknown if one could not be asked.
-    dispatch::Outcome askAgents(const core::RequestId &id);
+    // The outcome of the latest attempt under a key; UnknownRequest if there is none.
+    dispatch::Outcome outcomeOfKey(const RequestKey &key, absl::Duration timeout);
 
     // Limits of all accounts, after a manifest change.
     void setLimits(const std::vector<config::Account> &accounts);
@@ -66,23 +62,22 @@
     {
         const ShortRequest *request = nullptr;
         std::deque<dispatch::Action> actions;
+        // Version of the key's row that this attempt may replace.
+        std::int64_t claimVersion = 0;
         bool callerGone = false;
     };
 
-    struct Ended
-    {
-        dispatch::Outcome outcome;
-        core::Instant at;
-    };
+    dispatch::Outcome runOnce(const ShortRequest &request, std::int64_t claimVersion);
+    dispatch::Outcome follow(const Claim &claim, core::Instant deadline);
 
     void apply(const dispatch::Event &event) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void route(dispatch::Action action) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     dispatch::Action nextAction(Waiter &waiter) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    void remember(const core::RequestId &id, const dispatch::Outcome &outcome)
-        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
-    dispatch::Event execute(const dispatch::DispatchRequest &action, const ShortRequest &request);
-    dispatch::Event execute(const dispatch::AskFate &action);
+    std::optional<dispatch::Event> claimTarget(const dispatch::DispatchMessage &message,
+                                               Waiter &waiter);
+    dispatch::Event execute(const dispatch::DispatchRequest &action, Waiter &waiter);
+    dispatch::FateReport askFate(const dispatch::FateQuery &query);
     void cancelAtTarget(const dispatch::CancelAtTarget &action);
     void tick();
     void watchCallers();
@@ -90,14 +85,13 @@
     const config::Settings m_settings;
     ClusterView &m_cluster;
     rpc::Client &m_client;
+    RequestClaims &m_claims;
     telemetry::Metrics &m_metrics;
     const telemetry::Tracer &m_tracer;
     const core::SteadyClock m_clock;
     mutable absl::Mutex m_mutex;
     dispatch::Dispatcher m_dispatcher ABSL_GUARDED_BY(m_mutex);
     std::map<core::RequestId, Waiter *> m_waiters ABSL_GUARDED_BY(m_mutex);
-    std::map<core::RequestId, Ended> m_ended ABSL_GUARDED_BY(m_mutex);
-    std::deque<core::RequestId> m_endedOrder ABSL_GUARDED_BY(m_mutex);
     std::map<core::AgentId, std::shared_ptr<const AgentInfo>> m_agents ABSL_GUARDED_BY(m_mutex);
     core::Executor m_executor;
 };
--- a/include/oleandercross/daemon/requestrunner.h
+++ b/include/oleandercross/daemon/requestrunner.h
@@ -60,8 +60,8 @@
 private:
     void execute(const dispatch::DispatchMessage &message, const std::string &body,
                  const std::string &traceparent);
-    dispatch::FateReport waitForEnd(const core::RequestId &id, absl::Duration agentUptime,
-                                    absl::Duration limit) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    dispatch::FateReport waitForEnd(const dispatch::FateQuery &query, absl::Duration limit)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     DispatchReply reply(const dispatch::DispatchMessage &message, dispatch::FateReport report)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
--- a/src/daemon/manifestservice.cpp
+++ b/src/daemon/manifestservice.cpp
@@ -17,6 +17,9 @@
 // Older revisions are deleted with each commit, so that the table stays bounded.
 constexpr std::int64_t KeptRevisions = 5000;
 
+constexpr absl::Duration ReadTimeout = absl::Seconds(2);
+constexpr absl::Duration CommitTimeout = absl::Seconds(5);
+
 // Zero-padded, so that the key order is the order of the numbers.
 std::string revisionKey(std::int64_t number)
 {
@@ -51,8 +54,8 @@
     return revision;
 }
 
-ManifestService::ManifestService(platform::TableService &tables)
-    : m_tables(tables)
+ManifestService::ManifestService(platform::StoreWriter &store)
+    : m_store(store)
 { }
 
 std::shared_ptr<const Revision> ManifestService::current() const
@@ -63,7 +66,7 @@
 
 std::optional<ManifestService::Head> ManifestService::readHead()
 {
-    const auto row = m_tables.read(HeadKey);
+    const auto row = m_store.read(HeadKey, ReadTimeout);
     if (!row)
         return std::nullopt;
     if (!*row)
@@ -127,22 +130,25 @@
     Json::Value headValue;
     headValue["revision"] = static_cast<Json::Int64>(next.number);
     platform::Transaction transaction;
-    transaction.writeId = request.writeId;
     transaction.conditions = {{HeadKey, head->rowVersion}, {revisionKey(next.number), 0}};
     transaction.puts = {{HeadKey, core::writeJson(headValue)},
                         {revisionKey(next.number), core::writeJson(encode(next))}};
     if (next.number > KeptRevisions)
         transaction.deletes = {revisionKey(next.number - KeptRevisions)};
-    if (m_tables.write(transaction)) {
+    const platform::WriteResult result =
+        m_store.write(std::move(transaction), platform::WritePriority::GangDecision, CommitTimeout);
+    switch (result.outcome) {
+    case platform::WriteOutcome::Applied: {
         const std::int64_t number = next.number;
         putInForce(std::move(next));
         return number;
     }
-    const core::Reason reason = core::lastReason();
-    if (reason.code == core::ResultCode::StoreUnavailable)
-        return core::fail(reason);
-    // Another commit won, or the answer was lost; the revision row tells which.
-    return settleConflict(request);
+    case platform::WriteOutcome::NotApplied:
+        return core::fail(result.reason);
+    default:
+        // Another commit won, or the outcome is not known; the revision row tells which.
+        return settleConflict(request);
+    }
 }
 
 std::optional<std::int64_t> ManifestService::settleConflict(const CommitRequest &request)
@@ -171,7 +177,7 @@
 
 std::optional<Revision> ManifestService::revision(std::int64_t number)
 {
-    const auto row = m_tables.read(revisionKey(number));
+    const auto row = m_store.read(revisionKey(number), ReadTimeout);
     if (!row)
         return std::nullopt;
     if (!*row)
@@ -187,7 +193,7 @@
     if (!head)
         return std::nullopt;
     const std::int64_t before = std::max<std::int64_t>(0, head->number - limit);
-    const auto rows = m_tables.scan(RevisionPrefix, revisionKey(before), limit);
+    const auto rows = m_store.scan(RevisionPrefix, revisionKey(before), limit, ReadTimeout);
     if (!rows)
         return std::nullopt;
     std::vector<Revision> revisions;
--- a/src/daemon/messages.cpp
+++ b/src/daemon/messages.cpp
@@ -114,6 +114,21 @@
     return message;
 }
 
+Json::Value encode(const dispatch::FateQuery &value)
+{
+    Json::Value out;
+    out["id"] = value.id.str();
+    out["target"] = encode(value.target);
+    out["agentUptimeUs"] = encodeDuration(value.agentUptime);
+    return out;
+}
+
+dispatch::FateQuery decodeFateQuery(const Json::Value &value)
+{
+    return {core::RequestId(stringMember(value, "id")), decodeTargetId(member(value, "target")),
+            decodeDuration(value, "agentUptimeUs")};
+}
+
 Json::Value encode(const dispatch::FateReport &value)
 {
     Json::Value out;
--- a/src/daemon/requestgateway.cpp
+++ b/src/daemon/requestgateway.cpp
@@ -1,5 +1,6 @@
 #include <oleandercross/daemon/requestgateway.h>
 
+#include <oleandercross/core/digest.h>
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/daemon/messages.h>
@@ -19,8 +20,9 @@
 constexpr absl::Duration CallTimeout = absl::Milliseconds(1800);
 constexpr absl::Duration FateHold = absl::Milliseconds(900);
 constexpr absl::Duration CancelTimeout = absl::Seconds(1);
-// Outcomes held for callers that ask again through another entry.
-constexpr std::size_t MaxEnded = 20000;
+constexpr absl::Duration ClaimTimeout = absl::Seconds(2);
+// Most attempts under one key, each after the one before provably did not run.
+constexpr int MaxClaimAttempts = 4;
 
 std::mt19937_64 seededGenerator(const config::Settings &settings)
 {
@@ -42,11 +44,12 @@
 } // namespace
 
 RequestGateway::RequestGateway(const config::Settings &settings, ClusterView &cluster,
-                               rpc::Client &client, telemetry::Metrics &metrics,
-                               const telemetry::Tracer &tracer)
+                               rpc::Client &client, RequestClaims &claims,
+                               telemetry::Metrics &metrics, const telemetry::Tracer &tracer)
     : m_settings(settings)
     , m_cluster(cluster)
     , m_client(client)
+    , m_claims(claims)
     , m_metrics(metrics)
     , m_tracer(tracer)
     , m_dispatcher(dispatcherSettings(settings), seededGenerator(settings))
@@ -70,13 +73,38 @@
 }
 
 dispatch::Outcome RequestGateway::run(const ShortRequest &request)
+{
+    if (!request.key)
+        return runOnce(request, 0);
+    const core::Instant deadline = m_clock.now() + request.deadline;
+    std::int64_t claimVersion = 0;
+    ShortRequest attempt = request;
+    for (int i = 0; i < MaxClaimAttempts; ++i) {
+        attempt.deadline = deadline - m_clock.now();
+        const dispatch::Outcome own = runOnce(attempt, claimVersion);
+        if (own.code != core::ResultCode::DuplicateKey)
+            return own;
+        const auto claim = m_claims.read(*request.key);
+        if (!claim || !*claim)
+            return outcome(dispatch::OutcomeKind::NotRun, core::ResultCode::StoreUnavailable);
+        if ((*claim)->digest != request.key->digest)
+            return own;
+        const dispatch::Outcome earlier = follow(**claim, deadline);
+        if (earlier.kind != dispatch::OutcomeKind::NotRun)
+            return earlier;
+        claimVersion = (*claim)->version;
+        attempt.id = core::RequestId(core::randomHexId());
+    }
+    return outcome(dispatch::OutcomeKind::NotRun, core::ResultCode::NoTarget);
+}
+
+dispatch::Outcome RequestGateway::runOnce(const ShortRequest &request, std::int64_t claimVersion)
 {
     const auto queueSpan = m_tracer.start("entry queue", request.traceparent);
     Waiter waiter;
     waiter.request = &request;
+    waiter.claimVersion = claimVersion;
     absl::MutexLock lock(&m_mutex);
-    if (m_ended.count(request.id) > 0)
-        return outcome(dispatch::OutcomeKind::NotRun, core::ResultCode::Cancelled);
     m_waiters[request.id] = &waiter;
     dispatch::RequestArrived arrived;
     arrived.id = request.id;
@@ -90,19 +118,52 @@
         const dispatch::Action action = nextAction(waiter);
         if (const auto *finish = std::get_if<dispatch::FinishRequest>(&action)) {
             m_waiters.erase(request.id);
-            remember(request.id, finish->outcome);
             return finish->outcome;
         }
         queueSpan->Finish();
         m_mutex.Unlock();
-        const dispatch::Event event = std::holds_alternative<dispatch::DispatchRequest>(action)
-            ? execute(std::get<dispatch::DispatchRequest>(action), request)
-            : execute(std::get<dispatch::AskFate>(action));
+        dispatch::Event event;
+        if (const auto *dispatch = std::get_if<dispatch::DispatchRequest>(&action)) {
+            event = execute(*dispatch, waiter);
+        } else {
+            const auto &fate = std::get<dispatch::AskFate>(action);
+            event = dispatch::FateLearned{fate.query.id, fate.attempt, askFate(fate.query)};
+        }
         m_mutex.Lock();
         apply(event);
     }
 }
 
+dispatch::Outcome RequestGateway::follow(const Claim &claim, core::Instant deadline)
+{
+    while (true) {
+        const dispatch::FateReport report = askFate(claim.fate);
+        switch (report.fate) {
+        case dispatch::Fate::Answered:
+            return {dispatch::OutcomeKind::Answered, report.code, report.answer, {}};
+        case dispatch::Fate::Refused:
+        case dispatch::Fate::NeverSeen:
+            return outcome(dispatch::OutcomeKind::NotRun, report.code);
+        case dispatch::Fate::Running:
+            break;
+        default:
+            return outcome(dispatch::OutcomeKind::Unknown, core::ResultCode::OutcomeUnknown);
+        }
+        if (m_clock.now() >= deadline)
+            return outcome(dispatch::OutcomeKind::Unknown, core::ResultCode::StillRunning);
+    }
+}
+
+dispatch::Outcome RequestGateway::outcomeOfKey(const RequestKey &key, absl::Duration timeout)
+{
+    const auto claim = m_claims.read(key);
+    if (!claim)
+        return outcome(dispatch::OutcomeKind::Unknown, core::ResultCode::StoreUnavailable);
+    if (!*claim)
+        return outcome(dispatch::OutcomeKind::NotRun, core::ResultCode::UnknownRequest);
+    return follow(**claim, m_clock.now() + timeout);
+}
+
 dispatch::Action RequestGateway::nextAction(Waiter &waiter)
 {
     const auto ready = [&waiter] { return !waiter.actions.empty(); };
@@ -128,7 +189,7 @@
     if (const auto *dispatch = std::get_if<dispatch::DispatchRequest>(&action))
         id = dispatch->message.id;
     else if (const auto *fate = std::get_if<dispatch::AskFate>(&action))
-        id = fate->id;
+        id = fate->query.id;
     else if (const auto *finish = std::get_if<dispatch::FinishRequest>(&action))
         id = finish->id;
     else
@@ -138,25 +199,41 @@
         waiter->second->actions.push_back(std::move(action));
 }
 
-void RequestGateway::remember(const core::RequestId &id, const dispatch::Outcome &outcome)
+std::optional<dispatch::Event> RequestGateway::claimTarget(const dispatch::DispatchMessage &message,
+                                                           Waiter &waiter)
 {
-    m_ended[id] = {outcome, m_clock.now()};
-    m_endedOrder.push_back(id);
-    if (m_endedOrder.size() > MaxEnded) {
-        m_ended.erase(m_endedOrder.front());
-        m_endedOrder.pop_front();
+    const RequestKey &key = *waiter.request->key;
+    Claim claim;
+    claim.request = message.id;
+    claim.fate = {message.id, message.target, message.agentUptime};
+    claim.digest = key.digest;
+    claim.claimedAtMicros = core::wallClockMicros();
+    const absl::Duration timeout = std::min(ClaimTimeout, message.timeLeft);
+    const auto version = m_claims.write(key, claim, waiter.claimVersion, timeout);
+    if (version) {
+        waiter.claimVersion = *version;
+        return std::nullopt;
     }
+    const bool claimed = core::lastReason().code == core::ResultCode::VersionConflict;
+    return dispatch::DispatchRefused{message.id, message.attempt,
+                                     claimed ? core::ResultCode::DuplicateKey
+                                             : core::ResultCode::StoreUnavailable,
+                                     std::nullopt};
 }
 
-dispatch::Event RequestGateway::execute(const dispatch::DispatchRequest &action,
-                                        const ShortRequest &request)
+dispatch::Event RequestGateway::execute(const dispatch::DispatchRequest &action, Waiter &waiter)
 {
     const dispatch::DispatchMessage &message = action.message;
+    const ShortRequest &request = *waiter.request;
     const auto agent = m_cluster.agent(message.target.agent);
     if (!agent || agent->incarnation != message.target.incarnation) {
         return dispatch::DispatchRefused{message.id, message.attempt,
                                          core::ResultCode::StaleIncarnation, std::nullopt};
     }
+    if (request.key) {
+        if (const auto refused = claimTarget(message, waiter))
+            return *refused;
+    }
     const auto span = m_tracer.start("dispatch", request.traceparent);
     span->SetTag("agent", message.target.agent.str());
     Json::Value params = encode(message);
@@ -185,26 +262,22 @@
     }
 }
 
-dispatch::Event RequestGateway::execute(const dispatch::AskFate &action)
+dispatch::FateReport RequestGateway::askFate(const dispatch::FateQuery &query)
 {
-    const dispatch::FateReport unreachable;
-    const auto agent = m_cluster.agent(action.target.agent);
+    dispatch::FateReport report;
+    const auto agent = m_cluster.agent(query.target.agent);
     if (!agent)
-        return dispatch::FateLearned{action.id, action.attempt, unreachable};
-    if (agent->incarnation != action.target.incarnation) {
+        return report;
+    if (agent->incarnation != query.target.incarnation) {
         // The incarnation that may have run the request is gone with its records.
-        dispatch::FateReport unknown;
-        unknown.fate = dispatch::Fate::Unknown;
-        return dispatch::FateLearned{action.id, action.attempt, unknown};
+        report.fate = dispatch::Fate::Unknown;
+        return report;
     }
-    Json::Value params;
-    params["id"] = action.id.str();
-    params["agentUptimeUs"] = encodeDuration(action.agentUptime);
+    Json::Value params = encode(query);
     params["waitUs"] = encodeDuration(FateHold);
     m_metrics.add("fates_asked");
     const auto answer = m_client.call(agent->rpc, "fate", std::move(params), CallTimeout);
-    return dispatch::FateLearned{action.id, action.attempt,
-                                 answer ? decodeFateReport(*answer) : unreachable};
+    return answer ? decodeFateReport(*answer) : report;
 }
 
 void RequestGateway::cancelAtTarget(const dispatch::CancelAtTarget &action)
@@ -281,61 +354,6 @@
         apply(dispatch::LimitsChanged{account.name, account.weight, account.requestsPerSecond});
 }
 
-std::optional<dispatch::Outcome> RequestGateway::knownOutcome(const core::RequestId &id)
-{
-    absl::MutexLock lock(&m_mutex);
-    if (m_waiters.count(id) > 0)
-        return outcome(dispatch::OutcomeKind::Unknown, core::ResultCode::StillRunning);
-    const auto ended = m_ended.find(id);
-    if (ended != m_ended.end())
-        return ended->second.outcome;
-    // A request that was accepted but has not reached the queue must not start any more.
-    remember(id, outcome(dispatch::OutcomeKind::NotRun, core::ResultCode::Cancelled));
-    return std::nullopt;
-}
-
-std::optional<Json::Value> RequestGateway::requestFate(const Json::Value &params)
-{
-    const core::RequestId id(core::stringMember(params, "id"));
-    const std::optional<dispatch::Outcome> known = knownOutcome(id);
-    Json::Value reply;
-    reply["known"] = known.has_value();
-    if (!known)
-        return reply;
-    reply["kind"] = static_cast<int>(known->kind);
-    dispatch::FateReport report;
-    report.fate = known->kind == dispatch::OutcomeKind::Answered ? dispatch::Fate::Answered
-                                                                 : dispatch::Fate::Refused;
-    report.code = known->code;
-    report.answer = known->answer;
-    reply["report"] = encode(report);
-    return reply;
-}
-
-dispatch::Outcome RequestGateway::askAgents(const core::RequestId &id)
-{
-    bool unreachable = false;
-    for (const auto &agent : m_cluster.agents()) {
-        Json::Value params;
-        params["id"] = id.str();
-        const auto answer = m_client.call(agent->rpc, "fate", std::move(params), CallTimeout);
-        if (!answer) {
-            unreachable = true;
-            continue;
-        }
-        const dispatch::FateReport report = decodeFateReport(*answer);
-        if (report.fate == dispatch::Fate::Answered)
-            return {dispatch::OutcomeKind::Answered, report.code, report.answer, {}};
-        if (report.fate == dispatch::Fate::Running)
-            return outcome(dispatch::OutcomeKind::Unknown, core::ResultCode::StillRunning);
-        if (report.fate == dispatch::Fate::Unknown || report.fate == dispatch::Fate::Unreachable)
-            unreachable = true;
-    }
-    if (unreachable)
-        return outcome(dispatch::OutcomeKind::Unknown, core::ResultCode::OutcomeUnknown);
-    return outcome(dispatch::OutcomeKind::NotRun, core::ResultCode::Cancelled);
-}
-
 int RequestGateway::open() const
 {
     absl::MutexLock lock(&m_mutex);
--- a/src/daemon/requestrunner.cpp
+++ b/src/daemon/requestrunner.cpp
@@ -86,15 +86,16 @@
         break;
     }
     const absl::Duration hold = std::min(MaxHold, message.timeLeft);
-    return encode(reply(message, waitForEnd(message.id, message.agentUptime, hold)));
+    return encode(
+        reply(message, waitForEnd({message.id, message.target, message.agentUptime}, hold)));
 }
 
 std::optional<Json::Value> RequestRunner::fate(const Json::Value &params)
 {
-    const core::RequestId id(core::stringMember(params, "id"));
+    const dispatch::FateQuery query = decodeFateQuery(params);
     const absl::Duration hold = std::min(MaxHold, decodeDuration(params, "waitUs"));
     absl::MutexLock lock(&m_mutex);
-    return encode(waitForEnd(id, decodeDuration(params, "agentUptimeUs"), hold));
+    return encode(waitForEnd(query, hold));
 }
 
 std::optional<Json::Value> RequestRunner::cancel(const Json::Value &params)
@@ -111,15 +112,15 @@
     return Json::Value(Json::objectValue);
 }
 
-dispatch::FateReport RequestRunner::waitForEnd(const core::RequestId &id,
-                                               absl::Duration agentUptime, absl::Duration limit)
+dispatch::FateReport RequestRunner::waitForEnd(const dispatch::FateQuery &query,
+                                               absl::Duration limit)
 {
-    const auto ended = [this, &id] {
+    const auto ended = [this, &query] {
         m_mutex.AssertHeld();
-        return m_executing.count(id) == 0;
+        return m_executing.count(query.id) == 0;
     };
     m_mutex.AwaitWithTimeout(absl::Condition(&ended), limit);
-    return m_table.fate(id, agentUptime, m_clock.now());
+    return m_table.fate(query, m_clock.now());
 }
 
 DispatchReply RequestRunner::reply(const dispatch::DispatchMessage &message,
