Add the scheduler of one data centre

The interface is Scheduler::apply(event, now); cells, placement, the queue, pre-emption and worker health are internal.

--- /dev/null
+++ b/src/scheduling/claims.cpp
@@ -0,0 +1,433 @@
+#include "cluster.h"
+
+#include <algorithm>
+
+namespace oleandercross::scheduling::detail {
+
+namespace {
+
+constexpr std::array AllLevels = {config::Level::Accelerator, config::Level::Pair,
+                                  config::Level::Quad, config::Level::Worker, config::Level::Rack};
+
+// The aligned block of `size` slots that contains all of `slots`, 0 if they span several.
+Slots blockAround(Slots slots, int size)
+{
+    if (slots == 0)
+        return 0;
+    const int base = std::countr_zero(slots) / size * size;
+    const Slots block = lowest(size) << base;
+    return (slots & ~block) == 0 ? block : 0;
+}
+
+} // namespace
+
+int Cluster::unboundCell(int account, config::Level level) const
+{
+    if (m_unbound[static_cast<std::size_t>(account)][static_cast<std::size_t>(level)] == 0)
+        return -1;
+    for (std::size_t i = 0; i < m_cells.size(); ++i) {
+        if (m_cells[i].account == account && m_cells[i].level == level && !m_cells[i].bound())
+            return static_cast<int>(i);
+    }
+    return -1;
+}
+
+void Cluster::bind(int cell, std::vector<CellPart> parts)
+{
+    Cell &target = m_cells[static_cast<std::size_t>(cell)];
+    target.parts = std::move(parts);
+    for (const CellPart &part : target.parts)
+        m_workers[static_cast<std::size_t>(part.worker)].bound |= part.slots;
+    --m_unbound[static_cast<std::size_t>(target.account)][static_cast<std::size_t>(target.level)];
+}
+
+void Cluster::unbind(int cell)
+{
+    Cell &target = m_cells[static_cast<std::size_t>(cell)];
+    if (!target.bound())
+        return;
+    for (const CellPart &part : target.parts)
+        m_workers[static_cast<std::size_t>(part.worker)].bound &= ~part.slots;
+    target.parts.clear();
+    ++m_unbound[static_cast<std::size_t>(target.account)][static_cast<std::size_t>(target.level)];
+}
+
+bool Cluster::bindIfSafe(int cell, std::vector<CellPart> parts)
+{
+    bind(cell, std::move(parts));
+    if (!worse())
+        return true;
+    unbind(cell);
+    return false;
+}
+
+std::vector<CellPart> Cluster::rackParts(int worker) const
+{
+    const int rack = m_workers[static_cast<std::size_t>(worker)].rack;
+    const auto needed = static_cast<std::size_t>(std::max(0, m_planned.workersPerRack));
+    std::vector<CellPart> parts;
+    if (needed > 0)
+        parts.push_back({worker, m_workers[static_cast<std::size_t>(worker)].all, 0});
+    for (std::size_t i = 0; i < m_workers.size() && parts.size() < needed; ++i) {
+        const WorkerState &other = m_workers[i];
+        if (other.rack == rack && static_cast<int>(i) != worker && wholeAndFree(other))
+            parts.push_back({static_cast<int>(i), other.all, 0});
+    }
+    if (parts.size() < needed)
+        parts.clear();
+    return parts;
+}
+
+bool Cluster::bindAround(int account, config::Level level, int worker, Slots slots)
+{
+    const int cell = unboundCell(account, level);
+    if (cell < 0)
+        return false;
+    const WorkerState &state = m_workers[static_cast<std::size_t>(worker)];
+    if (cellSize(level) < MaxSlots) {
+        const Slots block = blockAround(slots, cellSize(level));
+        if (block == 0 || (block & ~state.available()) != 0)
+            return false;
+        return bindIfSafe(cell, {{worker, block, 0}});
+    }
+    if (!wholeAndFree(state))
+        return false;
+    if (level == config::Level::Worker)
+        return bindIfSafe(cell, {{worker, state.all, 0}});
+    std::vector<CellPart> parts = rackParts(worker);
+    return !parts.empty() && bindIfSafe(cell, std::move(parts));
+}
+
+bool Cluster::claimTask(int account, int width, TaskHold &hold)
+{
+    const Slots needed = hold.accelerators;
+    for (std::size_t i = 0; i < m_cells.size(); ++i) {
+        Cell &cell = m_cells[i];
+        if (cell.account != account)
+            continue;
+        for (CellPart &part : cell.parts) {
+            const Slots open = part.slots & ~part.claimed;
+            if (part.worker != hold.worker || (needed & ~open) != 0 || count(open) < width)
+                continue;
+            hold.slots = needed | takeLowest(open & ~needed, width - count(needed), 0);
+            hold.cell = static_cast<int>(i);
+            part.claimed |= hold.slots;
+            return true;
+        }
+    }
+    return false;
+}
+
+bool Cluster::claimInPlace(int account, const core::Resources &perTask, Layout &layout)
+{
+    if (account < 0)
+        return false;
+    for (TaskHold &hold : layout) {
+        const int needed = width(hold.worker, perTask);
+        const Slots around = hold.accelerators != 0
+            ? hold.accelerators
+            : pickSlots(m_workers[static_cast<std::size_t>(hold.worker)].available(), 1, ~Slots{0});
+        bool claimed = needed > 0 && needed <= MaxSlots && claimTask(account, needed, hold);
+        for (const config::Level level : AllLevels) {
+            if (claimed || needed <= 0 || cellSize(level) < needed || around == 0)
+                continue;
+            claimed =
+                bindAround(account, level, hold.worker, around) && claimTask(account, needed, hold);
+        }
+        if (!claimed) {
+            release(layout);
+            return false;
+        }
+    }
+    return true;
+}
+
+void Cluster::release(Layout &layout)
+{
+    for (TaskHold &hold : layout) {
+        if (hold.cell >= 0) {
+            Cell &cell = m_cells[static_cast<std::size_t>(hold.cell)];
+            Slots claimed = 0;
+            for (CellPart &part : cell.parts) {
+                if (part.worker == hold.worker)
+                    part.claimed &= ~hold.slots;
+                claimed |= part.claimed;
+            }
+            if (claimed == 0)
+                unbind(hold.cell);
+        } else if (hold.slots != 0) {
+            m_workers[static_cast<std::size_t>(hold.worker)].surplus &= ~hold.slots;
+        }
+        hold.cell = -1;
+        hold.slots = 0;
+    }
+}
+
+void Cluster::forceSurplus(const core::Resources &perTask, Layout &layout)
+{
+    for (TaskHold &hold : layout) {
+        WorkerState &worker = m_workers[static_cast<std::size_t>(hold.worker)];
+        const Slots open = worker.all & ~worker.bound & ~worker.surplus & ~hold.accelerators;
+        const int more = width(hold.worker, perTask) - count(hold.accelerators);
+        hold.slots = hold.accelerators & ~worker.surplus;
+        hold.slots |= takeLowest(open, std::clamp(more, 0, count(open)), 0);
+        worker.surplus |= hold.slots;
+    }
+}
+
+bool Cluster::takeSurplus(const core::Resources &perTask, Layout &layout)
+{
+    for (TaskHold &hold : layout) {
+        WorkerState &worker = m_workers[static_cast<std::size_t>(hold.worker)];
+        const int needed = width(hold.worker, perTask);
+        const Slots open = worker.available() & ~hold.accelerators;
+        const int more = needed - count(hold.accelerators);
+        if ((hold.accelerators & ~worker.available()) != 0 || more > count(open)) {
+            release(layout);
+            return false;
+        }
+        hold.slots = hold.accelerators | takeLowest(open, more, 0);
+        worker.surplus |= hold.slots;
+    }
+    if (!worse())
+        return true;
+    release(layout);
+    return false;
+}
+
+// Searches the account's cells, bound and unbound, for a layout in one domain.
+class ClaimSearch
+{
+public:
+    ClaimSearch(Cluster &cluster, int account, const Shape &shape, const std::vector<int> &avoid)
+        : m_cluster(cluster)
+        , m_account(account)
+        , m_shape(shape)
+        , m_avoid(avoid)
+    { }
+
+    // Tries the workers that satisfy `inDomain`; the layout is claimed on success.
+    template <typename InDomain>
+    bool tryDomain(InDomain inDomain, Layout &layout)
+    {
+        m_domain.clear();
+        for (std::size_t i = 0; i < m_cluster.m_workers.size(); ++i) {
+            const WorkerState &worker = m_cluster.m_workers[i];
+            const bool avoided =
+                std::find(m_avoid.begin(), m_avoid.end(), static_cast<int>(i)) != m_avoid.end();
+            if (worker.usable() && worker.all != 0 && !avoided && inDomain(worker))
+                m_domain.push_back(static_cast<int>(i));
+        }
+        layout.clear();
+        for (int task = 0; task < m_shape.tasks; ++task) {
+            TaskHold hold;
+            if (!claimOpen(hold) && !claimNew(m_shape.tasks - task, hold)) {
+                m_cluster.release(layout);
+                return false;
+            }
+            layout.push_back(hold);
+        }
+        return true;
+    }
+
+    // Accelerators of the layout that other gangs use or reserve.
+    int occupied(const Layout &layout) const
+    {
+        int total = 0;
+        for (const TaskHold &hold : layout) {
+            const WorkerState &worker = state(hold.worker);
+            total += count(hold.accelerators & (worker.used | worker.reserved));
+        }
+        return total;
+    }
+
+private:
+    struct Candidate
+    {
+        int occupied = 0;
+        int spare = 0;
+        int worker = -1;
+        Slots block = 0;
+
+        auto order() const { return std::tuple(occupied, spare, worker, block); }
+    };
+
+    const WorkerState &state(int worker) const
+    {
+        return m_cluster.m_workers[static_cast<std::size_t>(worker)];
+    }
+
+    Slots idle(int worker) const { return ~(state(worker).used | state(worker).reserved); }
+
+    void take(int cell, CellPart &part, int width, TaskHold &hold)
+    {
+        const Slots open = part.slots & ~part.claimed;
+        hold.worker = part.worker;
+        hold.cell = cell;
+        hold.slots = pickSlots(open, width, idle(part.worker));
+        hold.accelerators = takeLowest(hold.slots, m_shape.perTask.accelerators, idle(part.worker));
+        part.claimed |= hold.slots;
+    }
+
+    bool inDomain(int worker) const
+    {
+        return std::binary_search(m_domain.begin(), m_domain.end(), worker);
+    }
+
+    // Uses the unclaimed part of a bound cell, the one with most idle accelerators.
+    bool claimOpen(TaskHold &hold)
+    {
+        CellPart *best = nullptr;
+        int bestCell = -1;
+        int bestIdle = -1;
+        for (std::size_t i = 0; i < m_cluster.m_cells.size(); ++i) {
+            Cell &cell = m_cluster.m_cells[i];
+            if (cell.account != m_account)
+                continue;
+            for (CellPart &part : cell.parts) {
+                const Slots open = part.slots & ~part.claimed;
+                const int width = m_cluster.width(part.worker, m_shape.perTask);
+                const int idleHere = std::min(width, count(open & idle(part.worker)));
+                if (!inDomain(part.worker) || count(open) < width || idleHere <= bestIdle)
+                    continue;
+                best = &part;
+                bestCell = static_cast<int>(i);
+                bestIdle = idleHere;
+            }
+        }
+        if (best == nullptr)
+            return false;
+        take(bestCell, *best, m_cluster.width(best->worker, m_shape.perTask), hold);
+        return true;
+    }
+
+    // Binds the narrowest cell that holds the remaining tasks, or else the widest that holds one.
+    bool claimNew(int remaining, TaskHold &hold)
+    {
+        for (const bool wholeGang : {true, false}) {
+            for (std::size_t i = 0; i < AllLevels.size(); ++i) {
+                const auto level = AllLevels.at(wholeGang ? i : AllLevels.size() - 1 - i);
+                if (bindNew(level, wholeGang ? remaining : 1, hold))
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    bool bindNew(config::Level level, int tasks, TaskHold &hold)
+    {
+        const int cell = m_cluster.unboundCell(m_account, level);
+        if (cell < 0)
+            return false;
+        std::vector<Candidate> candidates = this->candidates(level, tasks);
+        std::sort(candidates.begin(), candidates.end(),
+                  [](const auto &a, const auto &b) { return a.order() < b.order(); });
+        for (const Candidate &candidate : candidates) {
+            std::vector<CellPart> parts{{candidate.worker, candidate.block, 0}};
+            if (level == config::Level::Rack)
+                parts = m_cluster.rackParts(candidate.worker);
+            if (parts.empty() || !m_cluster.bindIfSafe(cell, std::move(parts)))
+                continue;
+            CellPart &part = m_cluster.m_cells[static_cast<std::size_t>(cell)].parts.front();
+            take(cell, part, m_cluster.width(candidate.worker, m_shape.perTask), hold);
+            return true;
+        }
+        return false;
+    }
+
+    std::vector<Candidate> candidates(config::Level level, int tasks) const
+    {
+        std::vector<Candidate> result;
+        for (const int index : m_domain) {
+            const WorkerState &worker = state(index);
+            const Slots available = worker.available();
+            const int size = m_cluster.cellSize(level);
+            const int width = m_cluster.width(index, m_shape.perTask);
+            if (available == 0 || width > std::min(size, count(worker.all)))
+                continue;
+            // A rack cell may hold tasks on several workers, so only one has to fit here.
+            const int wanted = level == config::Level::Rack ? width : width * tasks;
+            if (size == MaxSlots) {
+                if (m_cluster.wholeAndFree(worker) && wanted <= count(available))
+                    result.push_back(candidate(index, available, wanted));
+                continue;
+            }
+            if (wanted > size)
+                continue;
+            for (int base = 0; base + size <= MaxSlots; base += size) {
+                const Slots block = lowest(size) << base;
+                if ((block & ~available) == 0)
+                    result.push_back(candidate(index, block, wanted));
+            }
+        }
+        return result;
+    }
+
+    Candidate candidate(int worker, Slots block, int wanted) const
+    {
+        const Slots free = idle(worker) & state(worker).all;
+        return {std::max(0, wanted - count(block & free)), count(free), worker, block};
+    }
+
+    Cluster &m_cluster;
+    const int m_account;
+    const Shape &m_shape;
+    const std::vector<int> &m_avoid;
+    std::vector<int> m_domain;
+};
+
+std::optional<Layout> Cluster::claimAnywhere(int account, const Shape &shape,
+                                             const std::vector<int> &avoid)
+{
+    if (account < 0)
+        return std::nullopt;
+    ClaimSearch search(*this, account, shape, avoid);
+    Layout layout;
+    int best = -1;
+    int bestOccupied = 0;
+    const auto tryEach = [&](int domains, auto inDomain) {
+        for (int domain = 0; domain < domains; ++domain) {
+            const auto member = [&](const WorkerState &worker) { return inDomain(worker, domain); };
+            if (!search.tryDomain(member, layout))
+                continue;
+            const int occupied = search.occupied(layout);
+            release(layout);
+            if (best < 0 || occupied < bestOccupied) {
+                best = domain;
+                bestOccupied = occupied;
+            }
+            if (occupied == 0)
+                break;
+        }
+        if (best < 0)
+            return false;
+        const int chosen = best;
+        return search.tryDomain([&](const WorkerState &worker) { return inDomain(worker, chosen); },
+                                layout);
+    };
+    const WorkerState *first = m_workers.data();
+    if (shape.adjacency == Adjacency::Worker) {
+        const auto member = [first](const WorkerState &worker, int domain) {
+            return &worker - first == domain;
+        };
+        if (tryEach(static_cast<int>(m_workers.size()), member))
+            return layout;
+        if (shape.hard)
+            return std::nullopt;
+    }
+    if (shape.adjacency != Adjacency::DataCentre) {
+        const auto member = [](const WorkerState &worker, int domain) {
+            return worker.rack == domain;
+        };
+        if (tryEach(rackCount(), member))
+            return layout;
+        if (shape.hard)
+            return std::nullopt;
+    }
+    const auto everywhere = [](const WorkerState &, int) { return true; };
+    if (tryEach(1, everywhere))
+        return layout;
+    return std::nullopt;
+}
+
+} // namespace oleandercross::scheduling::detail
--- /dev/null
+++ b/src/scheduling/workers.cpp
@@ -0,0 +1,278 @@
+#include "scheduler_p.h"
+
+#include <algorithm>
+
+namespace oleandercross::scheduling {
+
+using detail::Layout;
+using detail::Slots;
+
+void Scheduler::Private::updateWorker(const core::WorkerId &id, const core::RackId &rack,
+                                      const core::Resources &resources)
+{
+    const int known = cluster.workerIndex(id);
+    const bool same =
+        known >= 0 && worker(known).total == resources && worker(known).rackId == rack;
+    if (known >= 0 && !same)
+        retireCells(known);
+    const int index = cluster.setWorker(id, rack, resources);
+    health.resize(cluster.workers().size());
+    worker(index).present = true;
+    m_passNeeded = true;
+    m_shortfallStale = true;
+    m_viewStale = true;
+    if (same)
+        return;
+    m_fits.clear();
+    // Work that the smaller worker cannot hold any more is lost.
+    const std::vector<Job *> reservations = worker(index).reservations;
+    for (Job *job : reservations)
+        dropReservation(*job);
+    const std::vector<Job *> gangs = worker(index).gangs;
+    for (Job *job : gangs) {
+        const auto &state = worker(index);
+        const bool outside =
+            std::any_of(job->layout.begin(), job->layout.end(), [&](const auto &task) {
+                return task.worker == index && (task.accelerators & ~state.all) != 0;
+            });
+        if (outside || state.freeCores < 0 || state.freeMemory < 0)
+            loseGang(*job);
+    }
+}
+
+void Scheduler::Private::handle(const WorkerJoined &event)
+{
+    updateWorker(event.worker, event.rack, event.resources);
+}
+
+void Scheduler::Private::handle(const WorkerChanged &event)
+{
+    if (cluster.workerIndex(event.worker) >= 0)
+        updateWorker(event.worker, event.rack, event.resources);
+}
+
+void Scheduler::Private::handle(const WorkerDraining &event)
+{
+    const int index = cluster.workerIndex(event.worker);
+    if (index < 0 || worker(index).draining == event.draining)
+        return;
+    worker(index).draining = event.draining;
+    m_passNeeded = true;
+    m_shortfallStale = true;
+    m_viewStale = true;
+    if (!event.draining)
+        return;
+    retireCells(index);
+    const std::vector<Job *> reservations = worker(index).reservations;
+    for (Job *job : reservations)
+        dropReservation(*job);
+    moveDrained();
+}
+
+// Work that cannot be repeated stays until it ends.
+void Scheduler::Private::moveDrained()
+{
+    std::vector<Job *> moving;
+    for (const detail::WorkerState &state : cluster.workers()) {
+        if (!state.draining)
+            continue;
+        for (Job *job : state.gangs) {
+            if (job->spec.repeatable && job->state != JobState::Stopping)
+                moving.push_back(job);
+        }
+    }
+    for (Job *job : moving) {
+        if (job->state != JobState::Stopping)
+            beginStop(*job, detail::After::Requeue, policy.grace);
+    }
+}
+
+void Scheduler::Private::handle(const WorkerLost &event)
+{
+    const int index = cluster.workerIndex(event.worker);
+    if (index < 0 || !worker(index).present)
+        return;
+    worker(index).present = false;
+    m_passNeeded = true;
+    m_shortfallStale = true;
+    m_viewStale = true;
+    const std::vector<Job *> reservations = worker(index).reservations;
+    for (Job *job : reservations)
+        dropReservation(*job);
+    const std::vector<Job *> gangs = worker(index).gangs;
+    for (Job *job : gangs)
+        loseGang(*job);
+    retireCells(index);
+}
+
+void Scheduler::Private::handle(const WorkerReturned &event)
+{
+    const int index = cluster.workerIndex(event.worker);
+    if (index < 0)
+        return;
+    worker(index).present = true;
+    m_passNeeded = true;
+    m_shortfallStale = true;
+    m_viewStale = true;
+}
+
+// Unbinds all cells that lie on a worker that is no longer usable.
+void Scheduler::Private::retireCells(int index)
+{
+    for (std::size_t i = 0; i < cluster.cells().size(); ++i) {
+        const std::vector<detail::CellPart> &parts = cluster.cells()[i].parts;
+        if (std::any_of(parts.begin(), parts.end(),
+                        [index](const auto &part) { return part.worker == index; }))
+            retireCell(static_cast<int>(i));
+    }
+}
+
+void Scheduler::Private::retireCell(int cell)
+{
+    std::vector<Job *> holders;
+    for (const detail::CellPart &part : cluster.cells()[static_cast<std::size_t>(cell)].parts) {
+        const detail::WorkerState &state = worker(part.worker);
+        for (const auto *jobs : {&state.gangs, &state.reservations}) {
+            for (Job *job : *jobs) {
+                const bool holds =
+                    std::any_of(job->layout.begin(), job->layout.end(),
+                                [cell](const auto &task) { return task.cell == cell; });
+                if (holds && std::find(holders.begin(), holders.end(), job) == holders.end())
+                    holders.push_back(job);
+            }
+        }
+    }
+    for (Job *job : holders) {
+        if (job->reserved)
+            dropReservation(*job);
+        else
+            demote(*job);
+    }
+    cluster.unbind(cell);
+    m_cellsFreed = true;
+    m_shortfallStale = true;
+}
+
+// Takes a running job's guarantee away; work that cannot be stopped becomes surplus work.
+void Scheduler::Private::demote(Job &job)
+{
+    cluster.release(job.layout);
+    m_cellsFreed = true;
+    if (job.spec.repeatable || job.state == JobState::Stopping) {
+        job.hold = Hold::Borrowed;
+        return;
+    }
+    job.hold = Hold::Surplus;
+    if (!cluster.takeSurplus(job.perTask, job.layout))
+        cluster.forceSurplus(job.perTask, job.layout);
+    m_shortfallStale = true;
+}
+
+void Scheduler::Private::handle(const ManifestChanged &event)
+{
+    if (event.manifest == nullptr)
+        return;
+    m_manifest = event.manifest;
+    const std::vector<int> removed = cluster.excessCells(*m_manifest, dataCentre);
+    for (const int cell : removed)
+        retireCell(cell);
+    cluster.setGuarantees(*m_manifest, dataCentre, removed);
+    m_fits.clear();
+    m_quota.clear();
+    for (const config::Account &account : m_manifest->accounts) {
+        for (const config::Team &team : account.teams)
+            m_quota[{account.name, team.name}] = team.acceleratorQuota;
+    }
+    m_passNeeded = true;
+    m_cellsFreed = true;
+    m_shortfallStale = true;
+}
+
+std::optional<Layout> Scheduler::Private::layoutOf(const Placement &placement,
+                                                   const core::Resources &perTask) const
+{
+    Layout layout;
+    absl::flat_hash_map<int, Slots> taken;
+    for (const TaskPlacement &task : placement.tasks) {
+        detail::TaskHold hold;
+        hold.worker = cluster.workerIndex(task.worker);
+        if (hold.worker < 0)
+            return std::nullopt;
+        for (const int index : task.accelerators) {
+            if (index >= 0 && index < detail::MaxSlots)
+                hold.accelerators |= Slots{1} << index;
+        }
+        const detail::WorkerState &state = cluster.workers()[static_cast<std::size_t>(hold.worker)];
+        Slots &here = taken[hold.worker];
+        const bool valid = state.present
+            && (hold.accelerators & (~state.all | state.used | here)) == 0
+            && detail::count(hold.accelerators) == perTask.accelerators;
+        if (!valid)
+            return std::nullopt;
+        here |= hold.accelerators;
+        layout.push_back(hold);
+    }
+    return layout;
+}
+
+// Takes over a running gang. One that does not match the workers is stopped.
+void Scheduler::Private::adopt(Job &job, const Placement &placement)
+{
+    const std::optional<Layout> layout = layoutOf(placement, job.perTask);
+    const bool complete = layout && static_cast<int>(layout->size()) == job.spec.tasks;
+    dequeue(job);
+    job.startedAt = m_now;
+    job.finished.assign(static_cast<std::size_t>(job.spec.tasks), false);
+    job.state = JobState::Running;
+    if (!complete) {
+        loseGang(job);
+        return;
+    }
+    job.layout = *layout;
+    hold(job, true);
+    const int account = cluster.accountIndex(job.spec.account);
+    if (cluster.claimInPlace(account, job.perTask, job.layout)) {
+        job.hold = Hold::Guaranteed;
+    } else if (job.spec.repeatable) {
+        job.hold = Hold::Borrowed;
+    } else {
+        job.hold = Hold::Surplus;
+        if (!cluster.takeSurplus(job.perTask, job.layout))
+            cluster.forceSurplus(job.perTask, job.layout);
+    }
+}
+
+void Scheduler::Private::handle(const StateRestored &event)
+{
+    m_restored = true;
+    m_passNeeded = true;
+    m_shortfallStale = true;
+    cluster.refreshShortfall();
+    std::vector<std::pair<Job *, const RestoredJob *>> runningJobs;
+    for (const RestoredJob &restored : event.jobs) {
+        if (jobs.contains(restored.spec.id))
+            continue;
+        auto job = std::make_unique<Job>();
+        job->spec = restored.spec;
+        job->perTask =
+            restored.perTask == core::Resources{} ? restored.spec.perTask : restored.perTask;
+        job->attempt = restored.attempt;
+        job->attained = restored.attained;
+        job->failures = restored.failures;
+        job->enlargements = restored.enlargements;
+        job->hasCheckpoint = restored.hasCheckpoint;
+        job->sequence = m_nextSequence++;
+        job->waitingSince = m_now;
+        Job &stored = *jobs.emplace(restored.spec.id, std::move(job)).first->second;
+        enqueue(stored);
+        if (restored.state != JobState::Waiting)
+            runningJobs.emplace_back(&stored, &restored);
+    }
+    // Work that cannot be stopped takes its guarantee first.
+    std::stable_partition(runningJobs.begin(), runningJobs.end(),
+                          [](const auto &entry) { return !entry.first->spec.repeatable; });
+    for (const auto &[job, restored] : runningJobs)
+        adopt(*job, restored->placement);
+}
+
+} // namespace oleandercross::scheduling
