Route by class, account and load; grant slots to entries

Admission keeps slots for short work and treats a request that outruns the limit as long. DispatchUnknown tells a running request from a lost one, because only the latter is a failure of the target.

--- a/include/oleandercross/dispatch/admission.h
+++ b/include/oleandercross/dispatch/admission.h
@@ -13,6 +13,8 @@
     std::int64_t incarnation = 0;
     // Slots of each minion kept for short work.
     int shortSlots = 2;
+    // A request that runs for longer is long work, whatever it was classified as.
+    absl::Duration shortLimit = absl::Milliseconds(100);
     // No new work when the configuration was not confirmed for this long.
     absl::Duration configurationLimit = absl::Seconds(5);
     // Dispatches that were sent on older announcements than this are refused.
@@ -51,9 +53,10 @@
     // Takes a slot and returns Ok, or returns why the request does not run (3xx).
     core::ResultCode start(const DispatchMessage &message, core::Instant now);
     // Frees the slot of a request that ended.
-    void release(const core::RequestId &id, core::Instant now);
+    void release(const core::RequestId &id);
 
-    // Records how many requests an entry has waiting for a minion; zero withdraws the demand.
+    // Records how many slots an entry wants, `shortSlots` of them for short work. Replaces its
+    // earlier demand; zero also takes back its unused grants. Demands lapse after 200 ms.
     void demand(const core::EntryId &entry, const core::MinionId &minion, int slots, int shortSlots,
                 core::Instant now);
     // Grants free slots to entries with demand, in turn. Call after demand() and release().
--- a/include/oleandercross/dispatch/dispatcher.h
+++ b/include/oleandercross/dispatch/dispatcher.h
@@ -78,11 +78,14 @@
     std::optional<TargetLoad> load;
 };
 
-// The attempt may or may not have run: connection lost, time-out, BadAnswer, or accepted earlier.
+// The attempt may or may not have run: connection lost, time-out, BadAnswer, or the agent accepted
+// it and does not know the answer yet.
 struct DispatchUnknown
 {
     core::RequestId id;
     int attempt = 0;
+    // The agent said that the request is running. Otherwise this counts as a failure of the target.
+    bool running = false;
 };
 
 // Reply to AskFate.
@@ -102,7 +105,7 @@
     double requestsPerSecond = 0;
 };
 
-// Reply to AskSlots, or slots granted later on the same demand.
+// Slots that the agent granted on an AskSlots, at once or later.
 struct SlotsGranted
 {
     TargetId target;
@@ -153,11 +156,13 @@
     Outcome outcome;
 };
 
-// Only with Routing::LateBinding: tell the agent how many requests wait here for the target.
+// Only with Routing::LateBinding: tell the agent how many slots the waiting requests need, for
+// Admission::demand(). Zero also gives back unused grants.
 struct AskSlots
 {
     TargetId target;
     int slots = 0;
+    // Of `slots`, those wanted by short requests.
     int shortSlots = 0;
 };
 
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -1,9 +1,12 @@
 #include <oleandercross/dispatch/admission.h>
 
+#include "remainingtime.h"
+
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 
 #include <algorithm>
+#include <deque>
 
 namespace oleandercross::dispatch {
 
@@ -11,14 +14,24 @@
 
 using core::ResultCode;
 
-struct Minion
+// Covers a round trip between data centres and a busy entry. An unused grant wastes its slot.
+constexpr absl::Duration GrantValidity = absl::Milliseconds(50);
+// Entries repeat their demand every 50 ms while requests wait.
+constexpr absl::Duration DemandValidity = absl::Milliseconds(200);
+
+struct Grant
 {
-    core::ServiceId service;
-    int slots = 0;
-    bool draining = false;
-    int running = 0;
-    // Requests not classified as short.
-    int longRunning = 0;
+    core::EntryId entry;
+    bool shortOnly = false;
+    core::Instant until;
+};
+
+struct Demand
+{
+    core::EntryId entry;
+    int longSlots = 0;
+    int shortSlots = 0;
+    core::Instant until;
 };
 
 struct RunningRequest
@@ -29,6 +42,20 @@
     absl::Duration expectedTime;
 };
 
+struct Minion
+{
+    core::ServiceId service;
+    int slots = 0;
+    bool draining = false;
+    absl::flat_hash_map<core::RequestId, RunningRequest> running;
+    std::vector<Grant> grants;
+    // The entry in front is served next.
+    std::deque<Demand> demands;
+
+    int busy() const { return static_cast<int>(running.size() + grants.size()); }
+    int freeSlots() const { return std::max(0, slots - busy()); }
+};
+
 } // namespace
 
 class Admission::Private
@@ -40,20 +67,36 @@
     { }
 
     ResultCode check(const DispatchMessage &message, core::Instant now) const;
-    int longLimit(const Minion &minion) const;
+    int freeLongSlots(const Minion &minion, core::Instant now) const;
+    bool accepting(const Minion &minion, core::Instant now) const;
+    bool takeGrant(Minion &minion, const DispatchMessage &message) const;
+    std::optional<SlotGrant> grantNext(Minion &minion, core::Instant now) const;
+    static void expire(Minion &minion, core::Instant now);
 
     AdmissionSettings settings;
     core::Instant started;
     core::Instant confirmed = absl::InfinitePast();
     bool draining = false;
     absl::btree_map<core::MinionId, Minion> minions;
-    absl::flat_hash_map<core::RequestId, RunningRequest> requests;
+    absl::flat_hash_map<core::RequestId, core::MinionId> places;
 };
 
-int Admission::Private::longLimit(const Minion &minion) const
+// Slots that long work may still take: the kept ones are never among them. A minion with few slots
+// has at least one for long work.
+int Admission::Private::freeLongSlots(const Minion &minion, core::Instant now) const
+{
+    int used = 0;
+    for (const auto &[id, request] : minion.running)
+        used += !request.shortWork || now - request.started > settings.shortLimit ? 1 : 0;
+    for (const Grant &grant : minion.grants)
+        used += grant.shortOnly ? 0 : 1;
+    const int limit = std::max(1, minion.slots - settings.shortSlots);
+    return std::clamp(limit - used, 0, minion.freeSlots());
+}
+
+bool Admission::Private::accepting(const Minion &minion, core::Instant now) const
 {
-    // A minion with few slots keeps at least one for either kind.
-    return std::max(1, minion.slots - settings.shortSlots);
+    return !draining && !minion.draining && now - confirmed <= settings.configurationLimit;
 }
 
 ResultCode Admission::Private::check(const DispatchMessage &message, core::Instant now) const
@@ -64,22 +107,62 @@
     const auto it = minions.find(message.target.minion);
     if (it == minions.end() || it->second.service != message.service)
         return ResultCode::NoTarget;
-    const Minion &minion = it->second;
-    if (draining || minion.draining)
+    if (draining || it->second.draining)
         return ResultCode::Draining;
-    if (now - confirmed > settings.configurationLimit)
+    if (!accepting(it->second, now))
         return ResultCode::StaleConfiguration;
     if (now - started - message.agentUptime > settings.maxMessageAge)
         return ResultCode::DeadlineExpired;
     if (message.timeLeft <= absl::ZeroDuration())
         return ResultCode::DeadlineExpired;
-    if (minion.running >= minion.slots)
-        return ResultCode::TargetBusy;
-    if (!message.shortWork && minion.longRunning >= longLimit(minion))
-        return ResultCode::TargetBusy;
     return ResultCode::Ok;
 }
 
+void Admission::Private::expire(Minion &minion, core::Instant now)
+{
+    std::erase_if(minion.grants, [&](const Grant &grant) { return now >= grant.until; });
+    std::erase_if(minion.demands, [&](const Demand &demand) { return now >= demand.until; });
+}
+
+// Uses up a grant of the entry that fits the request; short work takes a short one first.
+bool Admission::Private::takeGrant(Minion &minion, const DispatchMessage &message) const
+{
+    auto best = minion.grants.end();
+    for (auto it = minion.grants.begin(); it != minion.grants.end(); ++it) {
+        if (it->entry != message.entry || (it->shortOnly && !message.shortWork))
+            continue;
+        if (best == minion.grants.end() || it->shortOnly)
+            best = it;
+    }
+    if (best == minion.grants.end())
+        return false;
+    minion.grants.erase(best);
+    return true;
+}
+
+// Grants one slot to the entry whose turn it is.
+std::optional<SlotGrant> Admission::Private::grantNext(Minion &minion, core::Instant now) const
+{
+    if (!accepting(minion, now) || minion.freeSlots() == 0)
+        return std::nullopt;
+    const bool longFree = freeLongSlots(minion, now) > 0;
+    const auto it =
+        std::find_if(minion.demands.begin(), minion.demands.end(), [&](const Demand &demand) {
+            return demand.shortSlots > 0 || (longFree && demand.longSlots > 0);
+        });
+    if (it == minion.demands.end())
+        return std::nullopt;
+    Demand demand = std::move(*it);
+    minion.demands.erase(it);
+    const bool shortOnly = demand.shortSlots > 0;
+    --(shortOnly ? demand.shortSlots : demand.longSlots);
+    minion.grants.push_back({demand.entry, shortOnly, now + GrantValidity});
+    SlotGrant grant = {demand.entry, {}, 1, shortOnly ? 1 : 0, GrantValidity};
+    if (demand.shortSlots + demand.longSlots > 0)
+        minion.demands.push_back(std::move(demand));
+    return grant;
+}
+
 Admission::Admission(AdmissionSettings settings, core::Instant started)
     : d(std::make_unique<Private>(std::move(settings), started))
 { }
@@ -116,29 +199,60 @@
     if (code != ResultCode::Ok)
         return code;
     Minion &minion = d->minions[message.target.minion];
-    ++minion.running;
-    minion.longRunning += message.shortWork ? 0 : 1;
-    d->requests[message.id] = {message.target.minion, message.shortWork, now, message.expectedTime};
+    Private::expire(minion, now);
+    if (!(message.granted && d->takeGrant(minion, message))) {
+        const int free = message.shortWork ? minion.freeSlots() : d->freeLongSlots(minion, now);
+        if (free == 0)
+            return ResultCode::TargetBusy;
+    }
+    minion.running[message.id] = {message.target.minion, message.shortWork, now,
+                                  message.expectedTime};
+    d->places[message.id] = message.target.minion;
     return ResultCode::Ok;
 }
 
-void Admission::release(const core::RequestId &id, core::Instant now)
+void Admission::release(const core::RequestId &id)
 {
-    (void)now;
-    const auto it = d->requests.find(id);
-    if (it == d->requests.end())
+    const auto it = d->places.find(id);
+    if (it == d->places.end())
         return;
-    Minion &minion = d->minions[it->second.minion];
-    --minion.running;
-    minion.longRunning -= it->second.shortWork ? 0 : 1;
-    d->requests.erase(it);
+    d->minions[it->second].running.erase(id);
+    d->places.erase(it);
 }
 
-void Admission::demand(const core::EntryId &, const core::MinionId &, int, int, core::Instant) { }
+void Admission::demand(const core::EntryId &entry, const core::MinionId &minion, int slots,
+                       int shortSlots, core::Instant now)
+{
+    const auto it = d->minions.find(minion);
+    if (it == d->minions.end())
+        return;
+    Minion &target = it->second;
+    if (slots <= 0) {
+        std::erase_if(target.demands, [&](const Demand &demand) { return demand.entry == entry; });
+        std::erase_if(target.grants, [&](const Grant &grant) { return grant.entry == entry; });
+        return;
+    }
+    const Demand wanted = {entry, slots - shortSlots, shortSlots, now + DemandValidity};
+    const auto known = std::find_if(target.demands.begin(), target.demands.end(),
+                                    [&](const Demand &demand) { return demand.entry == entry; });
+    // An entry keeps its turn when it repeats its demand.
+    if (known != target.demands.end())
+        *known = wanted;
+    else
+        target.demands.push_back(wanted);
+}
 
-std::vector<SlotGrant> Admission::grant(core::Instant)
+std::vector<SlotGrant> Admission::grant(core::Instant now)
 {
-    return {};
+    std::vector<SlotGrant> grants;
+    for (auto &[id, minion] : d->minions) {
+        Private::expire(minion, now);
+        while (std::optional<SlotGrant> grant = d->grantNext(minion, now)) {
+            grant->minion = id;
+            grants.push_back(*std::move(grant));
+        }
+    }
+    return grants;
 }
 
 TargetLoad Admission::load(const core::MinionId &minion, core::Instant now) const
@@ -146,23 +260,18 @@
     const auto it = d->minions.find(minion);
     if (it == d->minions.end())
         return {};
-    const Minion &entry = it->second;
     TargetLoad load;
-    load.freeSlots = std::max(0, entry.slots - entry.running);
-    const int freeLong = std::max(0, d->longLimit(entry) - entry.longRunning);
-    load.freeShortSlots = std::max(0, load.freeSlots - freeLong);
-    for (const auto &[id, request] : d->requests) {
-        if (request.minion == minion)
-            load.expectedWork +=
-                std::max(absl::ZeroDuration(), request.started + request.expectedTime - now);
-    }
+    load.freeSlots = it->second.freeSlots();
+    load.freeShortSlots = load.freeSlots - d->freeLongSlots(it->second, now);
+    for (const auto &[id, request] : it->second.running)
+        load.expectedWork += detail::remainingTime(request.expectedTime, now - request.started);
     return load;
 }
 
 int Admission::running(const core::MinionId &minion) const
 {
     const auto it = d->minions.find(minion);
-    return it == d->minions.end() ? 0 : it->second.running;
+    return it == d->minions.end() ? 0 : static_cast<int>(it->second.running.size());
 }
 
 absl::Duration Admission::uptime(core::Instant now) const
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -1,116 +1,142 @@
-#include <oleandercross/dispatch/dispatcher.h>
+#include "dispatcherprivate.h"
 
-#include <absl/container/btree_map.h>
-
-#include <deque>
+#include <algorithm>
 
 namespace oleandercross::dispatch {
 
 namespace {
 
 using core::ResultCode;
+using detail::Phase;
 
-enum class Phase { Waiting, Sent, Asking };
+constexpr absl::Duration FirstQuestionPeriod = absl::Milliseconds(20);
+constexpr absl::Duration LongestQuestionPeriod = absl::Milliseconds(500);
+// A target that refused because of its own state is left alone for this long.
+constexpr absl::Duration RefusalPause = absl::Milliseconds(500);
+// Long enough for one slot to become free, short enough to notice it.
+constexpr absl::Duration BusyPause = absl::Milliseconds(2);
 
-struct Request
-{
-    RequestArrived arrival;
-    Phase phase = Phase::Waiting;
-    int attempt = 0;
-    TargetId target;
-    absl::Duration agentUptime;
-    core::Instant nextQuestion;
-};
-
-struct Target
-{
-    TargetAnnounced info;
-    int inFlight = 0;
-};
+const Outcome UnknownOutcome = {OutcomeKind::Unknown, ResultCode::OutcomeUnknown, {}, {}};
 
-constexpr absl::Duration FatePollPeriod = absl::Milliseconds(50);
+// Refusals that say something about the target, so that another one may accept the request.
+bool isTargetRefusal(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::Draining:
+    case ResultCode::NoTarget:
+    case ResultCode::TargetBusy:
+    case ResultCode::StaleIncarnation:
+    case ResultCode::StaleConfiguration:
+    case ResultCode::NotReady:
+    case ResultCode::TooManyConnections:
+    case ResultCode::ConnectionFailed:
+    // Reported for a request that the agent had not seen and now blocks.
+    case ResultCode::Cancelled:
+        return true;
+    default:
+        return false;
+    }
+}
 
 } // namespace
 
-// First come, first served; the first target with a free slot.
-class Dispatcher::Private
-{
-public:
-    explicit Private(DispatcherSettings settings)
-        : m_settings(std::move(settings))
-    { }
-
-    std::vector<Action> apply(const Event &event, core::Instant now)
-    {
-        m_now = now;
-        std::visit([this](const auto &e) { on(e); }, event);
-        dispatchWaiting();
-        return std::exchange(m_actions, {});
-    }
+Dispatcher::Private::Private(DispatcherSettings settings, std::mt19937_64 generator)
+    : m_settings(std::move(settings))
+    , m_router(detail::makeRouter(m_settings.routing, generator))
+    , m_targets(m_settings.slowStart)
+    , m_retryBudget(m_settings.retryBudget)
+{ }
 
-    DispatcherStatus status() const
-    {
-        DispatcherStatus status = m_status;
-        status.waiting = static_cast<int>(m_queue.size());
-        status.inFlight = static_cast<int>(m_requests.size() - m_queue.size());
-        status.targets = static_cast<int>(m_targets.size());
-        return status;
-    }
+std::vector<Action> Dispatcher::Private::apply(const Event &event, core::Instant now)
+{
+    m_now = now;
+    std::visit([this](const auto &e) { on(e); }, event);
+    dispatchWaiting();
+    askForSlots();
+    return std::exchange(m_actions, {});
+}
 
-private:
-    void on(const RequestArrived &event);
-    void on(const RequestCancelled &event);
-    void on(const TargetAnnounced &event) { m_targets[event.target].info = event; }
-    void on(const TargetGone &event) { m_targets.erase(event.target); }
-    void on(const DispatchAnswered &event);
-    void on(const DispatchRefused &event);
-    void on(const DispatchUnknown &event);
-    void on(const FateLearned &event);
-    void on(const LimitsChanged &) { }
-    void on(const SlotsGranted &) { }
-    void on(const Tick &);
-
-    Request *current(const core::RequestId &id, int attempt);
-    void dispatchWaiting();
-    void send(Request &request, Target &target);
-    void ask(Request &request);
-    void leaveTarget(const Request &request);
-    void finish(const core::RequestId &id, Outcome outcome);
-    void answer(Request &request, const Answer &answer);
-    void notRun(const core::RequestId &id, ResultCode code);
-    void retryOrFinish(Request &request, ResultCode code);
-
-    DispatcherSettings m_settings;
-    DispatcherStatus m_status;
-    core::Instant m_now;
-    std::vector<Action> m_actions;
-    absl::btree_map<core::RequestId, Request> m_requests;
-    absl::btree_map<TargetId, Target> m_targets;
-    std::deque<core::RequestId> m_queue;
-};
+DispatcherStatus Dispatcher::Private::status() const
+{
+    DispatcherStatus status = m_status;
+    for (const auto &[service, queues] : m_queues)
+        status.waiting += static_cast<int>(queues.shortWork.size() + queues.longWork.size());
+    status.inFlight = static_cast<int>(m_requests.size()) - status.waiting;
+    status.targets = m_targets.size();
+    status.targetsOut = m_targets.out();
+    return status;
+}
 
 void Dispatcher::Private::on(const RequestArrived &event)
 {
-    if (m_requests.contains(event.id))
+    const auto [it, isNew] = m_requests.try_emplace(event.id);
+    if (!isNew)
         return;
-    Request request;
+    Request &request = it->second;
     request.arrival = event;
-    m_requests.emplace(event.id, request);
-    m_queue.push_back(event.id);
+    request.expected = m_serviceTimes.expected(event.service, event.account, event.bodyBytes);
+    request.shortWork = request.expected.typical <= m_settings.shortLimit;
+    m_deadlines.insert({event.deadline, event.id});
+    if (std::optional<Outcome> outcome = shed(request)) {
+        ++m_status.shed;
+        finish(event.id, *std::move(outcome));
+        return;
+    }
+    enqueue(request, false);
 }
 
 void Dispatcher::Private::on(const RequestCancelled &event)
 {
     const auto it = m_requests.find(event.id);
-    if (it == m_requests.end())
+    if (it == m_requests.end() || it->second.cancelled)
         return;
-    if (it->second.phase == Phase::Waiting)
-        notRun(event.id, ResultCode::Cancelled);
+    Request &request = it->second;
+    request.cancelled = true;
+    if (request.phase == Phase::Waiting)
+        notRun(request, ResultCode::Cancelled);
     else
-        m_actions.push_back(CancelAtTarget{event.id, it->second.attempt, it->second.target});
+        m_actions.push_back(CancelAtTarget{event.id, request.attempt, request.target});
 }
 
-Request *Dispatcher::Private::current(const core::RequestId &id, int attempt)
+void Dispatcher::Private::on(const TargetAnnounced &event)
+{
+    m_targets.announce(event, m_now);
+}
+
+void Dispatcher::Private::on(const TargetGone &event)
+{
+    const Target *target = m_targets.find(event.target);
+    if (!target)
+        return;
+    const std::vector<detail::InFlight> attempts = target->inFlight();
+    m_targets.remove(event.target);
+    for (const detail::InFlight &attempt : attempts) {
+        m_attempts.erase({attempt.id, attempt.attempt});
+        Request *request = current(attempt.id, attempt.attempt);
+        // Others wait for their report: the target may only be out of reach of its home entry.
+        if (request && request->arrival.idempotent)
+            retry(*request, true, true);
+    }
+}
+
+void Dispatcher::Private::on(const LimitsChanged &event)
+{
+    detail::AccountLimits &limits = m_limits[event.account];
+    limits.weight = event.weight;
+    limits.rate.setRate(event.requestsPerSecond, m_now);
+    for (auto &[service, queues] : m_queues) {
+        queues.shortWork.setWeight(event.account, event.weight);
+        queues.longWork.setWeight(event.account, event.weight);
+    }
+}
+
+void Dispatcher::Private::on(const SlotsGranted &event)
+{
+    if (Target *target = m_targets.find(event.target))
+        target->grant(event, m_now);
+}
+
+detail::Request *Dispatcher::Private::current(const core::RequestId &id, int attempt)
 {
     const auto it = m_requests.find(id);
     if (it == m_requests.end() || it->second.attempt != attempt
@@ -119,162 +145,237 @@
     return &it->second;
 }
 
-void Dispatcher::Private::answer(Request &request, const Answer &answer)
+detail::Target *Dispatcher::Private::endAttempt(const core::RequestId &id, int attempt)
 {
-    const ResultCode code = answer.succeeded ? ResultCode::Ok : ResultCode::MinionFailed;
-    leaveTarget(request);
-    finish(request.arrival.id, {OutcomeKind::Answered, code, answer, {}});
+    const auto it = m_attempts.find({id, attempt});
+    if (it == m_attempts.end())
+        return nullptr;
+    Target *target = m_targets.find(it->second);
+    m_attempts.erase(it);
+    if (target)
+        target->ended(id, attempt);
+    return target;
 }
 
 void Dispatcher::Private::on(const DispatchAnswered &event)
 {
-    if (Request *request = current(event.id, event.attempt))
-        answer(*request, event.answer);
+    Target *target = endAttempt(event.id, event.attempt);
+    if (target && event.load)
+        target->replied(*event.load, m_now);
+    Request *request = current(event.id, event.attempt);
+    if (!request)
+        return;
+    if (target)
+        learnFromAnswer(*request, *target, event.answer);
+    answered(*request, event.answer);
+}
+
+void Dispatcher::Private::learnFromAnswer(const Request &request, Target &target,
+                                          const Answer &answer)
+{
+    const absl::Duration time = m_now - request.sent - 2 * target.distance();
+    const RequestArrived &arrival = request.arrival;
+    target.observe(time, request.expected.mean, m_now);
+    m_serviceTimes.observe(arrival.service, arrival.account, arrival.bodyBytes, time);
+    queues(arrival.service)
+        .of(request.shortWork)
+        .charge(arrival.account, absl::ToDoubleSeconds(time - request.expected.mean));
+    if (answer.succeeded)
+        target.breaker().succeeded();
+    else
+        m_targets.minionFailed(target, m_now);
 }
 
 void Dispatcher::Private::on(const DispatchRefused &event)
 {
+    if (Target *target = endAttempt(event.id, event.attempt)) {
+        if (event.load)
+            target->replied(*event.load, m_now);
+        learnFromRefusal(*target, event.code);
+    }
     if (Request *request = current(event.id, event.attempt))
-        retryOrFinish(*request, event.code);
+        refused(*request, event.code);
+}
+
+void Dispatcher::Private::learnFromRefusal(Target &target, ResultCode code)
+{
+    switch (code) {
+    // The minion cannot be reached, or its agent cannot.
+    case ResultCode::NoTarget:
+    case ResultCode::ConnectionFailed:
+        m_targets.failed(target, m_now);
+        break;
+    case ResultCode::Draining:
+        target.drain();
+        break;
+    case ResultCode::TargetBusy:
+        target.avoidUntil(m_now + BusyPause);
+        break;
+    case ResultCode::StaleIncarnation:
+    case ResultCode::StaleConfiguration:
+    case ResultCode::NotReady:
+    case ResultCode::TooManyConnections:
+        target.avoidUntil(m_now + RefusalPause);
+        break;
+    default:
+        break;
+    }
 }
 
 void Dispatcher::Private::on(const DispatchUnknown &event)
 {
-    if (Request *request = current(event.id, event.attempt))
-        ask(*request);
+    Request *request = current(event.id, event.attempt);
+    if (event.running && request) {
+        unknown(*request);
+        return;
+    }
+    if (Target *target = endAttempt(event.id, event.attempt))
+        m_targets.failed(*target, m_now);
+    if (request && !(request->arrival.idempotent && retry(*request, true, true)))
+        unknown(*request);
 }
 
 void Dispatcher::Private::on(const FateLearned &event)
 {
     Request *request = current(event.id, event.attempt);
-    if (!request)
+    if (!request || request->phase != Phase::Asking)
+        return;
+    const Fate fate = event.report.fate;
+    if (fate == Fate::Running || fate == Fate::Unreachable) {
+        request->nextQuestion = m_now + request->questionPeriod;
         return;
-    switch (event.report.fate) {
+    }
+    Target *target = endAttempt(event.id, event.attempt);
+    switch (fate) {
     case Fate::Answered:
-        answer(*request, event.report.answer);
+        if (target)
+            learnFromAnswer(*request, *target, event.report.answer);
+        answered(*request, event.report.answer);
         break;
     case Fate::Refused:
     case Fate::NeverSeen:
-        retryOrFinish(*request, ResultCode::Cancelled);
-        break;
-    case Fate::Unknown:
-        leaveTarget(*request);
-        finish(event.id, {OutcomeKind::Unknown, ResultCode::OutcomeUnknown, {}, {}});
+        refused(*request, ResultCode::Cancelled);
         break;
-    case Fate::Running:
-    case Fate::Unreachable:
-        request->nextQuestion = m_now + FatePollPeriod;
+    default:
+        if (!request->arrival.idempotent || !retry(*request, true, true))
+            finish(event.id, UnknownOutcome);
         break;
     }
 }
 
 void Dispatcher::Private::on(const Tick &)
 {
-    std::vector<core::RequestId> late;
-    for (auto &[id, request] : m_requests) {
-        if (m_now >= request.arrival.deadline)
-            late.push_back(id);
-        else if (request.phase == Phase::Asking && m_now >= request.nextQuestion)
-            ask(request);
-    }
-    for (const core::RequestId &id : late) {
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= m_now)
+        passDeadline(m_requests.at(m_deadlines.begin()->second));
+    for (const core::RequestId &id : m_asking) {
         Request &request = m_requests.at(id);
-        if (request.phase == Phase::Waiting) {
-            notRun(id, ResultCode::DeadlineExpired);
-            continue;
-        }
-        leaveTarget(request);
-        m_actions.push_back(CancelAtTarget{id, request.attempt, request.target});
-        finish(id, {OutcomeKind::Unknown, ResultCode::OutcomeUnknown, {}, {}});
+        if (m_now >= request.nextQuestion)
+            ask(request);
     }
+    for (const detail::InFlight &attempt : m_targets.expire(m_now))
+        m_attempts.erase({attempt.id, attempt.attempt});
 }
 
-void Dispatcher::Private::retryOrFinish(Request &request, ResultCode code)
+void Dispatcher::Private::passDeadline(Request &request)
 {
-    leaveTarget(request);
-    const bool retryable = core::provablyNotRun(code) || code == ResultCode::ConnectionFailed;
-    if (retryable && request.attempt < m_settings.maxAttempts
-        && !request.arrival.pinToFirstTarget) {
-        request.phase = Phase::Waiting;
-        m_queue.push_back(request.arrival.id);
+    if (request.phase == Phase::Waiting) {
+        notRun(request, ResultCode::DeadlineExpired);
         return;
     }
-    notRun(request.arrival.id, core::provablyNotRun(code) ? code : ResultCode::NoTarget);
+    const RequestArrived &arrival = request.arrival;
+    // A running attempt keeps its slot until its end is reported; after a question nothing more is.
+    if (request.phase == Phase::Asking)
+        endAttempt(arrival.id, request.attempt);
+    // Otherwise requests that always miss their deadline would still be taken for short ones.
+    m_serviceTimes.observe(arrival.service, arrival.account, arrival.bodyBytes,
+                           m_now - request.sent);
+    m_actions.push_back(CancelAtTarget{arrival.id, request.attempt, request.target});
+    finish(arrival.id, UnknownOutcome);
 }
 
-void Dispatcher::Private::dispatchWaiting()
+void Dispatcher::Private::answered(Request &request, const Answer &answer)
 {
-    std::deque<core::RequestId> remaining;
-    for (const core::RequestId &id : m_queue) {
-        Request &request = m_requests.at(id);
-        bool sent = false;
-        for (auto &[targetId, target] : m_targets) {
-            if (target.info.service != request.arrival.service || target.info.draining
-                || target.inFlight >= target.info.slots)
-                continue;
-            send(request, target);
-            sent = true;
-            break;
-        }
-        if (!sent)
-            remaining.push_back(id);
+    const ResultCode code = answer.succeeded ? ResultCode::Ok : ResultCode::MinionFailed;
+    finish(request.arrival.id, {OutcomeKind::Answered, code, answer, {}});
+}
+
+void Dispatcher::Private::refused(Request &request, ResultCode code)
+{
+    if (request.cancelled) {
+        notRun(request, ResultCode::Cancelled);
+        return;
     }
-    m_queue = std::move(remaining);
+    if (isTargetRefusal(code) && retry(request, false, code != ResultCode::TargetBusy))
+        return;
+    if (static_cast<int>(code) / 100 == 4) {
+        finish(request.arrival.id, {OutcomeKind::Unknown, code, {}, {}});
+        return;
+    }
+    // Codes of other classes name a fault on the way to the target.
+    const bool callerCode = core::provablyNotRun(code) || static_cast<int>(code) / 100 == 2;
+    notRun(request, callerCode ? code : ResultCode::NoTarget, BusyPause);
+}
+
+void Dispatcher::Private::unknown(Request &request)
+{
+    request.questionPeriod = FirstQuestionPeriod;
+    ask(request);
 }
 
-void Dispatcher::Private::send(Request &request, Target &target)
+bool Dispatcher::Private::mayRetry(const Request &request) const
 {
-    ++target.inFlight;
-    ++m_status.dispatched;
-    ++request.attempt;
-    request.phase = Phase::Sent;
-    request.target = target.info.target;
-    request.agentUptime = target.info.agentUptime;
-    DispatchMessage message;
-    message.id = request.arrival.id;
-    message.attempt = request.attempt;
-    message.entry = m_settings.entry;
-    message.account = request.arrival.account;
-    message.service = request.arrival.service;
-    message.target = request.target;
-    message.timeLeft = request.arrival.deadline - m_now;
-    message.idempotent = request.arrival.idempotent;
-    message.agentUptime = request.agentUptime;
-    m_actions.push_back(DispatchRequest{message});
+    return !request.cancelled && !request.arrival.pinToFirstTarget
+        && request.attempt < m_settings.maxAttempts && m_now < request.arrival.deadline;
+}
+
+// Queues the request for another attempt, if it may have one. The caller knows that the latest
+// attempt did not run, or that it may have run and the request is idempotent.
+bool Dispatcher::Private::retry(Request &request, bool mayHaveRun, bool avoidTarget)
+{
+    if (!mayRetry(request) || !m_retryBudget.take())
+        return false;
+    request.mayHaveRun = request.mayHaveRun || mayHaveRun;
+    request.avoidTarget = avoidTarget;
+    ++m_status.retried;
+    m_asking.erase(request.arrival.id);
+    enqueue(request, true);
+    return true;
 }
 
 void Dispatcher::Private::ask(Request &request)
 {
     request.phase = Phase::Asking;
     request.nextQuestion = absl::InfiniteFuture();
+    request.questionPeriod = std::min(2 * request.questionPeriod, LongestQuestionPeriod);
+    m_asking.insert(request.arrival.id);
     m_actions.push_back(
         AskFate{{request.arrival.id, request.target, request.agentUptime}, request.attempt});
 }
 
-void Dispatcher::Private::leaveTarget(const Request &request)
-{
-    const auto it = m_targets.find(request.target);
-    if (it != m_targets.end())
-        --it->second.inFlight;
-}
-
-void Dispatcher::Private::notRun(const core::RequestId &id, ResultCode code)
+void Dispatcher::Private::notRun(const Request &request, ResultCode code, absl::Duration retryAfter)
 {
-    finish(id, {OutcomeKind::NotRun, code, {}, {}});
+    if (request.mayHaveRun)
+        finish(request.arrival.id, UnknownOutcome);
+    else
+        finish(request.arrival.id, {OutcomeKind::NotRun, code, {}, retryAfter});
 }
 
+// `id` may be part of the request, which this destroys last.
 void Dispatcher::Private::finish(const core::RequestId &id, Outcome outcome)
 {
+    const auto it = m_requests.find(id);
+    const Request &request = it->second;
+    if (request.phase == Phase::Waiting)
+        queues(request.arrival.service).of(request.shortWork).remove(request.arrival.account, id);
+    m_deadlines.erase({request.arrival.deadline, id});
+    m_asking.erase(id);
     m_actions.push_back(FinishRequest{id, std::move(outcome)});
-    std::erase(m_queue, id);
-    m_requests.erase(id);
+    m_requests.erase(it);
 }
 
 Dispatcher::Dispatcher(DispatcherSettings settings, std::mt19937_64 generator)
-    : d(std::make_unique<Private>(std::move(settings)))
-{
-    (void)generator;
-}
+    : d(std::make_unique<Private>(std::move(settings), generator))
+{ }
 
 Dispatcher::~Dispatcher() = default;
 Dispatcher::Dispatcher(Dispatcher &&) noexcept = default;
--- /dev/null
+++ b/src/dispatch/dispatcherqueue.cpp
@@ -0,0 +1,196 @@
+#include "dispatcherprivate.h"
+
+#include <algorithm>
+
+namespace oleandercross::dispatch {
+
+namespace {
+
+using core::ResultCode;
+
+// A request is shed when its expected wait and service take more than this share of its time left;
+// the rest covers the error of the estimate.
+constexpr double UsableShareOfDeadline = 0.8;
+// After this many short requests in a row, a waiting long request goes first, so that long work is
+// not starved.
+constexpr int ShortRequestsInARow = 8;
+constexpr absl::Duration ShortestRetryHint = absl::Milliseconds(10);
+constexpr absl::Duration NoTargetRetryHint = absl::Seconds(1);
+
+Outcome refusal(ResultCode code, absl::Duration retryAfter)
+{
+    return {OutcomeKind::NotRun, code, {}, std::max(ShortestRetryHint, retryAfter)};
+}
+
+} // namespace
+
+detail::ServiceQueues &Dispatcher::Private::queues(const core::ServiceId &service)
+{
+    const auto [it, isNew] = m_queues.try_emplace(service);
+    if (isNew) {
+        for (const auto &[account, limits] : m_limits) {
+            it->second.shortWork.setWeight(account, limits.weight);
+            it->second.longWork.setWeight(account, limits.weight);
+        }
+    }
+    return it->second;
+}
+
+// Requests in flight divided by their mean service time is the rate at which slots become free
+// (Little's law); the account gets its share of them.
+absl::Duration Dispatcher::Private::expectedWait(const Request &request)
+{
+    const RequestArrived &arrival = request.arrival;
+    const detail::FairQueue &queue = queues(arrival.service).of(request.shortWork);
+    int inFlight = 0;
+    for (const Target *target : m_targets.serving(arrival.service)) {
+        for (const detail::InFlight &attempt : target->inFlight())
+            inFlight += attempt.shortWork == request.shortWork ? 1 : 0;
+    }
+    const double seconds =
+        queue.work(arrival.account) + absl::ToDoubleSeconds(request.expected.mean);
+    return absl::Seconds(seconds / (std::max(1, inFlight) * queue.share(arrival.account)));
+}
+
+bool Dispatcher::Private::canStartNow(const Request &request)
+{
+    const RequestArrived &arrival = request.arrival;
+    if (!queues(arrival.service).of(request.shortWork).empty())
+        return false;
+    const detail::Need need = {request.shortWork, arrival.idempotent, nullptr};
+    const detail::Targets &targets = m_targets.serving(arrival.service);
+    return std::any_of(targets.begin(), targets.end(),
+                       [&](const Target *target) { return target->room(need, m_now) > 0; });
+}
+
+// The outcome of a request that is not worth queueing.
+std::optional<Outcome> Dispatcher::Private::shed(const Request &request)
+{
+    const RequestArrived &arrival = request.arrival;
+    const absl::Duration timeLeft = arrival.deadline - m_now;
+    if (timeLeft <= absl::ZeroDuration())
+        return refusal(ResultCode::DeadlineExpired, {});
+    if (m_targets.serving(arrival.service).empty())
+        return refusal(ResultCode::NoTarget, NoTargetRetryHint);
+    detail::TokenBucket &rate = m_limits[arrival.account].rate;
+    if (!rate.take(m_now))
+        return refusal(ResultCode::RateLimited, rate.untilNext());
+    if (canStartNow(request))
+        return std::nullopt;
+    const absl::Duration wait = expectedWait(request);
+    const detail::ServiceQueues &waiting = queues(arrival.service);
+    if (static_cast<int>(waiting.shortWork.size(arrival.account)
+                         + waiting.longWork.size(arrival.account))
+        >= m_settings.queueLimit)
+        return refusal(ResultCode::QueueFull, wait / 2);
+    const absl::Duration usable = UsableShareOfDeadline * timeLeft;
+    if (wait + request.expected.mean > usable)
+        return refusal(ResultCode::DeadlineTooClose, wait + request.expected.mean - usable);
+    return std::nullopt;
+}
+
+void Dispatcher::Private::enqueue(Request &request, bool front)
+{
+    const RequestArrived &arrival = request.arrival;
+    request.phase = detail::Phase::Waiting;
+    detail::FairQueue &queue = queues(arrival.service).of(request.shortWork);
+    detail::QueuedRequest queued = {arrival.id, arrival.account,
+                                    absl::ToDoubleSeconds(request.expected.mean)};
+    if (front)
+        queue.pushFront(std::move(queued));
+    else
+        queue.push(std::move(queued));
+}
+
+void Dispatcher::Private::dispatchWaiting()
+{
+    for (auto &[service, queues] : m_queues)
+        dispatchService(service, queues);
+}
+
+void Dispatcher::Private::dispatchService(const core::ServiceId &service,
+                                          detail::ServiceQueues &queues)
+{
+    bool progress = true;
+    while (progress && !queues.empty()) {
+        const bool longFirst =
+            !queues.longWork.empty() && queues.shortInARow >= ShortRequestsInARow;
+        if (longFirst && dispatchNext(service, queues.longWork)) {
+            queues.shortInARow = 0;
+            continue;
+        }
+        progress = dispatchNext(service, queues.shortWork);
+        if (progress) {
+            queues.shortInARow += queues.longWork.empty() ? 0 : 1;
+            continue;
+        }
+        progress = dispatchNext(service, queues.longWork);
+        if (progress)
+            queues.shortInARow = 0;
+    }
+}
+
+// Sends or drops the queue's next request. Returns false if it has to wait.
+bool Dispatcher::Private::dispatchNext(const core::ServiceId &service, detail::FairQueue &queue)
+{
+    const detail::QueuedRequest *next = queue.front();
+    if (!next)
+        return false;
+    Request &request = m_requests.at(next->id);
+    if (m_now + request.expected.typical >= request.arrival.deadline) {
+        queue.pop();
+        notRun(request, ResultCode::DeadlineTooClose, expectedWait(request));
+        return true;
+    }
+    const TargetId previous = request.target;
+    const detail::Need need = {request.shortWork, request.arrival.idempotent,
+                               request.avoidTarget ? &previous : nullptr};
+    Target *target = m_router->choose(m_targets.serving(service), need, m_now);
+    if (!target)
+        return false;
+    queue.pop();
+    send(request, *target);
+    return true;
+}
+
+void Dispatcher::Private::send(Request &request, Target &target)
+{
+    const RequestArrived &arrival = request.arrival;
+    ++request.attempt;
+    ++m_status.dispatched;
+    if (request.attempt == 1)
+        m_retryBudget.firstAttempt();
+    request.phase = detail::Phase::Sent;
+    request.target = target.id();
+    request.agentUptime = target.info().agentUptime;
+    request.sent = m_now;
+    target.sent({arrival.id, request.attempt, m_now, arrival.deadline, request.expected.mean,
+                 request.shortWork});
+    m_attempts[{arrival.id, request.attempt}] = target.id();
+    DispatchMessage message;
+    message.id = arrival.id;
+    message.attempt = request.attempt;
+    message.entry = m_settings.entry;
+    message.account = arrival.account;
+    message.service = arrival.service;
+    message.target = target.id();
+    message.timeLeft = arrival.deadline - m_now;
+    message.idempotent = arrival.idempotent;
+    message.shortWork = request.shortWork;
+    message.expectedTime = request.expected.mean;
+    message.agentUptime = request.agentUptime;
+    message.granted = m_router->lastChoiceGranted();
+    m_actions.push_back(DispatchRequest{std::move(message)});
+}
+
+void Dispatcher::Private::askForSlots()
+{
+    for (const auto &[service, queues] : m_queues) {
+        const detail::Waiting waiting = {static_cast<int>(queues.shortWork.size()),
+                                         static_cast<int>(queues.longWork.size())};
+        for (AskSlots &ask : m_router->waiting(service, m_targets.serving(service), waiting, m_now))
+            m_actions.push_back(std::move(ask));
+    }
+}
+
+} // namespace oleandercross::dispatch
--- a/src/dispatch/requesttable.cpp
+++ b/src/dispatch/requesttable.cpp
@@ -138,7 +138,7 @@
         return;
     it->second.state = state;
     it->second.code = code;
-    m_admission.release(id, now);
+    m_admission.release(id);
     changed(id, now);
 }
 
