--- a/include/oleandercross/gang/protocol.h
+++ b/include/oleandercross/gang/protocol.h
@@ -28,6 +28,13 @@
 constexpr absl::Duration WatchPeriod = absl::Milliseconds(500);
 // A member without a sign of life for this long stops the gang.
 constexpr absl::Duration SilenceLimit = absl::Seconds(2);
+// The same for a sign of life that another member passed on, which takes one more poll.
+constexpr absl::Duration RelayedSilenceLimit = absl::Seconds(3);
+// Members of a gang up to this size watch each other directly. Larger gangs are divided into
+// groups; a member watches its own group and one member of every other group.
+constexpr int DirectWatchLimit = 8;
+// Leases of gangs with one member, which nobody else depends on, outlast an agent's restart.
+constexpr absl::Duration SoloLease = absl::Seconds(10);
 // A task's lease ends at most this long after the oldest sign of life among the members, so that
 // the gang ends within GangStopBound even if no stop call gets through.
 constexpr absl::Duration LeaseAfterSignOfLife = absl::Milliseconds(3500);
@@ -156,11 +163,13 @@
     friend bool operator==(const Answer &, const Answer &) = default;
 };
 
-// Member to member. Carries the member list because a restarted agent has lost it.
+// Member to member.
 struct Watch
 {
     GangKey key;
+    Epoch epoch = 0;
     core::AgentId from;
+    // Only if the peer's last answer wanted it, otherwise empty.
     std::vector<Peer> members;
 
     friend bool operator==(const Watch &, const Watch &) = default;
@@ -189,6 +198,12 @@
     MemberState state = MemberState::Unknown;
     // Age of the worker's answer that showed the tasks running or finished.
     absl::Duration evidenceAge = absl::ZeroDuration();
+    // The same over the watch group of the answering member: Running or Finished if that holds for
+    // all of its members, otherwise Starting, with the oldest evidence among them.
+    MemberState groupState = MemberState::Starting;
+    absl::Duration groupEvidenceAge = absl::ZeroDuration();
+    // The agent restarted and does not know the other members.
+    bool membersWanted = false;
 
     friend bool operator==(const WatchAnswer &, const WatchAnswer &) = default;
 };
--- /dev/null
+++ b/src/gang/protocol.cpp
@@ -0,0 +1,52 @@
+#include <oleandercross/gang/protocol.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <array>
+
+namespace oleandercross::gang {
+
+namespace {
+
+constexpr std::size_t NumberCount = 6;
+
+} // namespace
+
+// JOB/ATTEMPT/EPOCH/MEMBER/MEMBERS/TASK/TASKS; the job id may contain slashes.
+std::string formatTaskId(const TaskIdentity &identity)
+{
+    return absl::StrCat(identity.key.job.str(), "/", identity.key.attempt, "/", identity.epoch, "/",
+                        identity.member, "/", identity.memberCount, "/", identity.task, "/",
+                        identity.taskCount);
+}
+
+std::optional<TaskIdentity> parseTaskId(const std::string &taskId)
+{
+    const auto refuse = [&taskId] {
+        return core::fail(core::ResultCode::BadField, "not a task id of a gang: " + taskId);
+    };
+    std::array<std::int64_t, NumberCount> numbers = {};
+    std::string rest = taskId;
+    for (std::size_t i = NumberCount; i-- > 0;) {
+        const auto slash = rest.rfind('/');
+        if (slash == std::string::npos || !absl::SimpleAtoi(rest.substr(slash + 1), &numbers[i]))
+            return refuse();
+        rest.resize(slash);
+    }
+    TaskIdentity identity;
+    identity.key = {core::JobId(rest), static_cast<int>(numbers[0])};
+    identity.epoch = numbers[1];
+    identity.member = static_cast<int>(numbers[2]);
+    identity.memberCount = static_cast<int>(numbers[3]);
+    identity.task = static_cast<int>(numbers[4]);
+    identity.taskCount = static_cast<int>(numbers[5]);
+    const bool memberOk = identity.member >= 0 && identity.member < identity.memberCount;
+    const bool taskOk = identity.task >= 0 && identity.task < identity.taskCount;
+    if (rest.empty() || !memberOk || !taskOk || formatTaskId(identity) != taskId)
+        return refuse();
+    return identity;
+}
+
+} // namespace oleandercross::gang
