Add the gang coordinator

Reserves on all agents, records the decision, commits on all, otherwise aborts. Unknown writes are settled by read-back and repetition under the same conditions. Reservations are renewed while the store is slow.

--- a/include/oleandercross/gang/coordinator.h
+++ b/include/oleandercross/gang/coordinator.h
@@ -128,10 +128,12 @@
     friend bool operator==(const GangNotStarted &, const GangNotStarted &) = default;
 };
 
-// No member runs any more, or will within GangStopBound.
+// No member runs any more, or will within GangStopBound. With the reason StaleEpoch, nothing is
+// known: another leader took over.
 struct GangStopped
 {
     GangKey key;
+    core::Reason reason;
 
     friend bool operator==(const GangStopped &, const GangStopped &) = default;
 };
--- a/include/oleandercross/gang/protocol.h
+++ b/include/oleandercross/gang/protocol.h
@@ -12,7 +12,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <utility>
 #include <vector>
 
 // Messages and figures of the gang protocol; docs/design/gang-protocol.md derives the bounds.
@@ -48,12 +47,6 @@
     int attempt = 0;
 
     friend auto operator<=>(const GangKey &, const GangKey &) = default;
-
-    template <typename H>
-    friend H AbslHashValue(H state, const GangKey &key)
-    {
-        return H::combine(std::move(state), key.job, key.attempt);
-    }
 };
 
 // Identity of a task, carried in its task id so that a restarted agent can rebuild its ledger.
--- /dev/null
+++ b/src/gang/coordinator.cpp
@@ -0,0 +1,432 @@
+#include <oleandercross/gang/coordinator.h>
+
+#include <absl/container/btree_map.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace oleandercross::gang {
+
+namespace {
+
+constexpr absl::Duration RetryPeriod = absl::Milliseconds(250);
+// Longest wait for the members' first reservations.
+constexpr absl::Duration ReserveLimit = absl::Seconds(2);
+// Longest wait for the store; reservations are renewed meanwhile.
+constexpr absl::Duration DecisionLimit = absl::Seconds(5);
+constexpr absl::Duration RenewReservationsPeriod = absl::Seconds(1);
+// Reservations older than this are renewed before the commit, because the members count the time
+// for starting from their reservation.
+constexpr absl::Duration CommitAge = absl::Milliseconds(500);
+
+struct MemberProgress
+{
+    Incarnation incarnation = 0;
+    int reservedRound = 0;
+    bool committed = false;
+    bool ended = false;
+};
+
+enum class Phase { Idle, Reserving, Deciding, Renewing, Committing, Aborting, Stopping, Done };
+
+} // namespace
+
+class Coordinator::Private
+{
+public:
+    explicit Private(GangOperation given)
+        : operation(std::move(given))
+    {
+        for (std::size_t i = 0; i < operation.members.size(); ++i) {
+            setTaskIds(i);
+            progress[operation.members[i].peer.agent] = {};
+        }
+    }
+
+    void on(const BeginOperation &);
+    void on(const MemberAnswered &event);
+    void on(const DecisionWritten &event);
+    void on(const DecisionChecked &event);
+    void on(const CancelOperation &event);
+    void on(const CoordinatorTick &);
+
+    GangOperation operation;
+    Phase phase = Phase::Idle;
+    core::Instant now;
+    std::vector<CoordinatorAction> actions;
+
+private:
+    void setTaskIds(std::size_t index);
+    template <typename Predicate>
+    bool all(Predicate predicate) const
+    {
+        return std::all_of(progress.begin(), progress.end(),
+                           [&predicate](const auto &entry) { return predicate(entry.second); });
+    }
+
+    void reserve();
+    void onReserved(const MemberAnswered &event, MemberProgress &member);
+    void onCommitted(const MemberAnswered &event, MemberProgress &member);
+    void onEnded(const MemberAnswered &event, MemberProgress &member);
+    bool reservedByAll() const;
+    void decide();
+    void proceed(bool written);
+    void commit();
+    void abort(core::Reason reason, const core::AgentId &culprit = {});
+    void deposed();
+    void finishStart();
+    void sendPending();
+    void send(const Member &member, LeaderMessage message);
+    core::AgentId firstMissing(Phase during) const;
+
+    absl::btree_map<core::AgentId, MemberProgress> progress;
+    int round = 0;
+    core::Instant beganAt;
+    core::Instant roundSentAt;
+    core::Instant lastSent;
+    core::Instant firstEndedAt = absl::InfiniteFuture();
+    bool writeUnknown = false;
+    bool checkPending = false;
+    bool recorded = false;
+    bool mayBeRecorded = false;
+    bool commitSent = false;
+    core::Reason reason;
+    core::AgentId culprit;
+};
+
+void Coordinator::Private::setTaskIds(std::size_t index)
+{
+    Member &member = operation.members[index];
+    TaskIdentity identity;
+    identity.key = operation.key;
+    identity.epoch = operation.epoch;
+    identity.member = static_cast<int>(index);
+    identity.memberCount = static_cast<int>(operation.members.size());
+    identity.taskCount = static_cast<int>(member.tasks.size());
+    for (platform::TaskStart &task : member.tasks) {
+        task.taskId = formatTaskId(identity);
+        task.job = operation.key.job;
+        task.lease = absl::ZeroDuration();
+        ++identity.task;
+    }
+}
+
+void Coordinator::Private::on(const BeginOperation &)
+{
+    if (phase != Phase::Idle)
+        return;
+    beganAt = now;
+    if (operation.kind == GangOperation::Kind::Stop) {
+        phase = Phase::Stopping;
+        return sendPending();
+    }
+    phase = Phase::Reserving;
+    reserve();
+}
+
+void Coordinator::Private::reserve()
+{
+    ++round;
+    roundSentAt = now;
+    sendPending();
+}
+
+void Coordinator::Private::send(const Member &member, LeaderMessage message)
+{
+    actions.push_back(SendToMember{member.peer, std::move(message)});
+}
+
+// Sends or repeats the current phase's message to every member that has not answered it.
+void Coordinator::Private::sendPending()
+{
+    lastSent = now;
+    std::vector<Peer> peers;
+    for (const Member &member : operation.members)
+        peers.push_back(member.peer);
+    for (const Member &member : operation.members) {
+        const MemberProgress &state = progress[member.peer.agent];
+        switch (phase) {
+        case Phase::Reserving:
+        case Phase::Deciding:
+        case Phase::Renewing:
+            if (state.reservedRound < round)
+                send(member, Reserve{operation.epoch, operation.key, round, member.tasks});
+            break;
+        case Phase::Committing:
+            if (!state.committed)
+                send(member, Commit{operation.epoch, operation.key, state.incarnation, peers});
+            break;
+        case Phase::Aborting:
+            if (!state.ended)
+                send(member, Abort{operation.epoch, operation.key});
+            break;
+        case Phase::Stopping:
+            if (!state.ended)
+                send(member, StopTask{operation.epoch, operation.key});
+            break;
+        case Phase::Idle:
+        case Phase::Done:
+            break;
+        }
+    }
+}
+
+void Coordinator::Private::on(const MemberAnswered &event)
+{
+    const auto it = progress.find(event.agent);
+    if (it == progress.end() || phase == Phase::Idle)
+        return;
+    if (event.answer.code == core::ResultCode::StaleEpoch)
+        return deposed();
+    switch (event.kind) {
+    case MessageKind::Reserve:
+        return onReserved(event, it->second);
+    case MessageKind::Commit:
+        return onCommitted(event, it->second);
+    case MessageKind::Abort:
+    case MessageKind::StopTask:
+        return onEnded(event, it->second);
+    }
+}
+
+void Coordinator::Private::onReserved(const MemberAnswered &event, MemberProgress &member)
+{
+    const bool reserving =
+        phase == Phase::Reserving || phase == Phase::Deciding || phase == Phase::Renewing;
+    if (!reserving || event.round != round)
+        return;
+    if (event.answer.code != core::ResultCode::Ok)
+        return abort({event.answer.code, event.answer.message}, event.agent);
+    member.reservedRound = round;
+    member.incarnation = event.answer.incarnation;
+    if (!reservedByAll())
+        return;
+    if (phase == Phase::Reserving)
+        decide();
+    else if (phase == Phase::Renewing)
+        commit();
+}
+
+bool Coordinator::Private::reservedByAll() const
+{
+    return all([this](const MemberProgress &member) { return member.reservedRound == round; });
+}
+
+void Coordinator::Private::decide()
+{
+    phase = Phase::Deciding;
+    mayBeRecorded = true;
+    actions.push_back(WriteDecision{operation.decision});
+}
+
+void Coordinator::Private::on(const DecisionWritten &event)
+{
+    if (phase != Phase::Deciding)
+        return;
+    switch (event.outcome) {
+    case WriteOutcome::Applied:
+        return proceed(true);
+    case WriteOutcome::Unknown:
+        writeUnknown = true;
+        checkPending = false;
+        actions.push_back(CheckDecision{operation.decision});
+        return;
+    case WriteOutcome::Conflict:
+        // After an unknown outcome, the conflict may be with the own earlier write.
+        if (writeUnknown) {
+            actions.push_back(CheckDecision{operation.decision});
+            return;
+        }
+        mayBeRecorded = false;
+        return abort({core::ResultCode::VersionConflict, "the job row or the epoch changed"});
+    case WriteOutcome::NotApplied:
+        mayBeRecorded = writeUnknown;
+        if (!operation.recordRequired)
+            return proceed(false);
+        return abort({core::ResultCode::StoreUnavailable, "the decision cannot be recorded"});
+    }
+}
+
+void Coordinator::Private::on(const DecisionChecked &event)
+{
+    if (phase != Phase::Deciding)
+        return;
+    if (event.applied == true)
+        return proceed(true);
+    if (event.applied == false) {
+        // An earlier write may still be on its way. It and the repetition exclude each other by
+        // their conditions.
+        actions.push_back(WriteDecision{operation.decision});
+        return;
+    }
+    if (!operation.recordRequired)
+        return proceed(false);
+    checkPending = true;
+}
+
+void Coordinator::Private::proceed(bool written)
+{
+    recorded = written;
+    if (now - roundSentAt <= CommitAge && reservedByAll())
+        return commit();
+    phase = Phase::Renewing;
+    reserve();
+}
+
+void Coordinator::Private::commit()
+{
+    phase = Phase::Committing;
+    commitSent = true;
+    sendPending();
+}
+
+void Coordinator::Private::onCommitted(const MemberAnswered &event, MemberProgress &member)
+{
+    if (phase != Phase::Committing)
+        return;
+    if (event.answer.code != core::ResultCode::Ok)
+        return abort({event.answer.code, event.answer.message}, event.agent);
+    member.committed = true;
+    if (!all([](const MemberProgress &each) { return each.committed; }))
+        return;
+    phase = Phase::Done;
+    actions.push_back(GangStarted{operation.key, recorded});
+}
+
+void Coordinator::Private::abort(core::Reason why, const core::AgentId &who)
+{
+    reason = std::move(why);
+    culprit = who;
+    phase = Phase::Aborting;
+    sendPending();
+    // Without a commit nothing runs, and the reservations expire.
+    if (!commitSent)
+        finishStart();
+}
+
+// Another leader took over and finds the gang in the agents' reports.
+void Coordinator::Private::deposed()
+{
+    if (phase == Phase::Done)
+        return;
+    const core::Reason why{core::ResultCode::StaleEpoch, "another leader took over"};
+    if (operation.kind == GangOperation::Kind::Stop) {
+        phase = Phase::Done;
+        actions.push_back(GangStopped{operation.key, why});
+        return;
+    }
+    if (phase != Phase::Aborting)
+        abort(why);
+    reason = why;
+    if (phase != Phase::Done)
+        finishStart();
+}
+
+void Coordinator::Private::finishStart()
+{
+    phase = Phase::Done;
+    actions.push_back(GangNotStarted{operation.key, reason, culprit, commitSent, mayBeRecorded});
+}
+
+void Coordinator::Private::onEnded(const MemberAnswered &event, MemberProgress &member)
+{
+    if (event.answer.code != core::ResultCode::Ok)
+        return;
+    member.ended = true;
+    firstEndedAt = std::min(firstEndedAt, now);
+    // One member that will not run is enough: the others stop by themselves.
+    if (phase == Phase::Aborting)
+        return finishStart();
+    if (phase == Phase::Stopping && all([](const MemberProgress &each) { return each.ended; })) {
+        phase = Phase::Done;
+        actions.push_back(GangStopped{operation.key, {}});
+    }
+}
+
+void Coordinator::Private::on(const CancelOperation &event)
+{
+    const bool starting = phase == Phase::Reserving || phase == Phase::Deciding
+        || phase == Phase::Renewing || phase == Phase::Committing;
+    if (starting)
+        abort(event.reason);
+}
+
+core::AgentId Coordinator::Private::firstMissing(Phase during) const
+{
+    for (const Member &member : operation.members) {
+        const MemberProgress &state = progress.at(member.peer.agent);
+        const bool missing =
+            during == Phase::Committing ? !state.committed : state.reservedRound < round;
+        if (missing)
+            return member.peer.agent;
+    }
+    return {};
+}
+
+void Coordinator::Private::on(const CoordinatorTick &)
+{
+    const core::Reason late{core::ResultCode::Timeout, "a member did not answer in time"};
+    switch (phase) {
+    case Phase::Idle:
+    case Phase::Done:
+        return;
+    case Phase::Reserving:
+    case Phase::Renewing:
+        if (now - roundSentAt >= ReserveLimit)
+            return abort(late, firstMissing(phase));
+        break;
+    case Phase::Deciding:
+        if (now - beganAt >= DecisionLimit)
+            return abort({core::ResultCode::StoreUnavailable, "the decision is not settled"});
+        if (now - roundSentAt >= RenewReservationsPeriod && reservedByAll())
+            reserve();
+        if (checkPending && now - lastSent >= RetryPeriod) {
+            checkPending = false;
+            actions.push_back(CheckDecision{operation.decision});
+        }
+        break;
+    case Phase::Committing:
+        if (now - roundSentAt >= ReservationLifetime)
+            return abort(late, firstMissing(phase));
+        break;
+    case Phase::Stopping:
+        if (now - firstEndedAt >= GangStopBound) {
+            phase = Phase::Done;
+            actions.push_back(GangStopped{operation.key, {}});
+            return;
+        }
+        break;
+    case Phase::Aborting:
+        break;
+    }
+    if (now - lastSent >= RetryPeriod)
+        sendPending();
+}
+
+Coordinator::Coordinator(GangOperation operation)
+    : d(std::make_unique<Private>(std::move(operation)))
+{ }
+
+Coordinator::~Coordinator() = default;
+Coordinator::Coordinator(Coordinator &&) noexcept = default;
+Coordinator &Coordinator::operator=(Coordinator &&) noexcept = default;
+
+std::vector<CoordinatorAction> Coordinator::apply(const CoordinatorEvent &event, core::Instant now)
+{
+    d->now = now;
+    d->actions.clear();
+    std::visit([this](const auto &concrete) { d->on(concrete); }, event);
+    return std::move(d->actions);
+}
+
+const GangOperation &Coordinator::operation() const
+{
+    return d->operation;
+}
+
+bool Coordinator::finished() const
+{
+    return d->phase == Phase::Done;
+}
+
+} // namespace oleandercross::gang
