Settle a decision conflict after an unknown write

A conflict after an unknown outcome is read back; if the write was not applied, the changed versions exclude it for good and the start ends.

--- a/src/gang/coordinator.cpp
+++ b/src/gang/coordinator.cpp
@@ -39,7 +39,7 @@
     {
         for (std::size_t i = 0; i < operation.members.size(); ++i) {
             setTaskIds(i);
-            progress[operation.members[i].peer.agent] = {};
+            m_progress[operation.members[i].peer.agent] = {};
         }
     }
 
@@ -60,7 +60,7 @@
     template <typename Predicate>
     bool all(Predicate predicate) const
     {
-        return std::all_of(progress.begin(), progress.end(),
+        return std::all_of(m_progress.begin(), m_progress.end(),
                            [&predicate](const auto &entry) { return predicate(entry.second); });
     }
 
@@ -72,26 +72,27 @@
     void decide();
     void proceed(bool written);
     void commit();
-    void abort(core::Reason reason, const core::AgentId &culprit = {});
+    void abort(core::Reason m_reason, const core::AgentId &m_culprit = {});
     void deposed();
     void finishStart();
     void sendPending();
     void send(const Member &member, LeaderMessage message);
     core::AgentId firstMissing(Phase during) const;
 
-    absl::btree_map<core::AgentId, MemberProgress> progress;
-    int round = 0;
-    core::Instant beganAt;
-    core::Instant roundSentAt;
-    core::Instant lastSent;
-    core::Instant firstEndedAt = absl::InfiniteFuture();
-    bool writeUnknown = false;
-    bool checkPending = false;
-    bool recorded = false;
-    bool mayBeRecorded = false;
-    bool commitSent = false;
-    core::Reason reason;
-    core::AgentId culprit;
+    absl::btree_map<core::AgentId, MemberProgress> m_progress;
+    int m_round = 0;
+    core::Instant m_beganAt;
+    core::Instant m_roundSentAt;
+    core::Instant m_lastSent;
+    core::Instant m_firstEndedAt = absl::InfiniteFuture();
+    bool m_writeUnknown = false;
+    bool m_conflicted = false;
+    bool m_checkPending = false;
+    bool m_recorded = false;
+    bool m_mayBeRecorded = false;
+    bool m_commitSent = false;
+    core::Reason m_reason;
+    core::AgentId m_culprit;
 };
 
 void Coordinator::Private::setTaskIds(std::size_t index)
@@ -115,7 +116,7 @@
 {
     if (phase != Phase::Idle)
         return;
-    beganAt = now;
+    m_beganAt = now;
     if (operation.kind == GangOperation::Kind::Stop) {
         phase = Phase::Stopping;
         return sendPending();
@@ -126,8 +127,8 @@
 
 void Coordinator::Private::reserve()
 {
-    ++round;
-    roundSentAt = now;
+    ++m_round;
+    m_roundSentAt = now;
     sendPending();
 }
 
@@ -139,18 +140,18 @@
 // Sends or repeats the current phase's message to every member that has not answered it.
 void Coordinator::Private::sendPending()
 {
-    lastSent = now;
+    m_lastSent = now;
     std::vector<Peer> peers;
     for (const Member &member : operation.members)
         peers.push_back(member.peer);
     for (const Member &member : operation.members) {
-        const MemberProgress &state = progress[member.peer.agent];
+        const MemberProgress &state = m_progress[member.peer.agent];
         switch (phase) {
         case Phase::Reserving:
         case Phase::Deciding:
         case Phase::Renewing:
-            if (state.reservedRound < round)
-                send(member, Reserve{operation.epoch, operation.key, round, member.tasks});
+            if (state.reservedRound < m_round)
+                send(member, Reserve{operation.epoch, operation.key, m_round, member.tasks});
             break;
         case Phase::Committing:
             if (!state.committed)
@@ -173,8 +174,8 @@
 
 void Coordinator::Private::on(const MemberAnswered &event)
 {
-    const auto it = progress.find(event.agent);
-    if (it == progress.end() || phase == Phase::Idle)
+    const auto it = m_progress.find(event.agent);
+    if (it == m_progress.end() || phase == Phase::Idle)
         return;
     if (event.answer.code == core::ResultCode::StaleEpoch)
         return deposed();
@@ -193,11 +194,11 @@
 {
     const bool reserving =
         phase == Phase::Reserving || phase == Phase::Deciding || phase == Phase::Renewing;
-    if (!reserving || event.round != round)
+    if (!reserving || event.round != m_round)
         return;
     if (event.answer.code != core::ResultCode::Ok)
         return abort({event.answer.code, event.answer.message}, event.agent);
-    member.reservedRound = round;
+    member.reservedRound = m_round;
     member.incarnation = event.answer.incarnation;
     if (!reservedByAll())
         return;
@@ -209,13 +210,13 @@
 
 bool Coordinator::Private::reservedByAll() const
 {
-    return all([this](const MemberProgress &member) { return member.reservedRound == round; });
+    return all([this](const MemberProgress &member) { return member.reservedRound == m_round; });
 }
 
 void Coordinator::Private::decide()
 {
     phase = Phase::Deciding;
-    mayBeRecorded = true;
+    m_mayBeRecorded = true;
     actions.push_back(WriteDecision{operation.decision});
 }
 
@@ -227,23 +228,24 @@
     case WriteOutcome::Applied:
         return proceed(true);
     case WriteOutcome::Unknown:
-        writeUnknown = true;
-        checkPending = false;
+        m_writeUnknown = true;
+        m_checkPending = false;
         actions.push_back(CheckDecision{operation.decision});
         return;
     case WriteOutcome::Conflict:
         // After an unknown outcome, the conflict may be with the own earlier write.
-        if (writeUnknown) {
+        if (m_writeUnknown) {
+            m_conflicted = true;
             actions.push_back(CheckDecision{operation.decision});
             return;
         }
-        mayBeRecorded = false;
+        m_mayBeRecorded = false;
         return abort({core::ResultCode::VersionConflict, "the job row or the epoch changed"});
     case WriteOutcome::NotApplied:
-        mayBeRecorded = writeUnknown;
+        m_mayBeRecorded = m_writeUnknown;
         if (!operation.recordRequired)
             return proceed(false);
-        return abort({core::ResultCode::StoreUnavailable, "the decision cannot be recorded"});
+        return abort({core::ResultCode::StoreUnavailable, "the decision cannot be m_recorded"});
     }
 }
 
@@ -253,6 +255,11 @@
         return;
     if (event.applied == true)
         return proceed(true);
+    if (event.applied == false && m_conflicted) {
+        // The conditions can never hold again, so no earlier write can take effect any more.
+        m_mayBeRecorded = false;
+        return abort({core::ResultCode::VersionConflict, "the job row or the epoch changed"});
+    }
     if (event.applied == false) {
         // An earlier write may still be on its way. It and the repetition exclude each other by
         // their conditions.
@@ -261,13 +268,13 @@
     }
     if (!operation.recordRequired)
         return proceed(false);
-    checkPending = true;
+    m_checkPending = true;
 }
 
 void Coordinator::Private::proceed(bool written)
 {
-    recorded = written;
-    if (now - roundSentAt <= CommitAge && reservedByAll())
+    m_recorded = written;
+    if (now - m_roundSentAt <= CommitAge && reservedByAll())
         return commit();
     phase = Phase::Renewing;
     reserve();
@@ -276,7 +283,7 @@
 void Coordinator::Private::commit()
 {
     phase = Phase::Committing;
-    commitSent = true;
+    m_commitSent = true;
     sendPending();
 }
 
@@ -290,17 +297,17 @@
     if (!all([](const MemberProgress &each) { return each.committed; }))
         return;
     phase = Phase::Done;
-    actions.push_back(GangStarted{operation.key, recorded});
+    actions.push_back(GangStarted{operation.key, m_recorded});
 }
 
 void Coordinator::Private::abort(core::Reason why, const core::AgentId &who)
 {
-    reason = std::move(why);
-    culprit = who;
+    m_reason = std::move(why);
+    m_culprit = who;
     phase = Phase::Aborting;
     sendPending();
     // Without a commit nothing runs, and the reservations expire.
-    if (!commitSent)
+    if (!m_commitSent)
         finishStart();
 }
 
@@ -317,7 +324,7 @@
     }
     if (phase != Phase::Aborting)
         abort(why);
-    reason = why;
+    m_reason = why;
     if (phase != Phase::Done)
         finishStart();
 }
@@ -325,7 +332,8 @@
 void Coordinator::Private::finishStart()
 {
     phase = Phase::Done;
-    actions.push_back(GangNotStarted{operation.key, reason, culprit, commitSent, mayBeRecorded});
+    actions.push_back(
+        GangNotStarted{operation.key, m_reason, m_culprit, m_commitSent, m_mayBeRecorded});
 }
 
 void Coordinator::Private::onEnded(const MemberAnswered &event, MemberProgress &member)
@@ -333,7 +341,7 @@
     if (event.answer.code != core::ResultCode::Ok)
         return;
     member.ended = true;
-    firstEndedAt = std::min(firstEndedAt, now);
+    m_firstEndedAt = std::min(m_firstEndedAt, now);
     // One member that will not run is enough: the others stop by themselves.
     if (phase == Phase::Aborting)
         return finishStart();
@@ -354,9 +362,9 @@
 core::AgentId Coordinator::Private::firstMissing(Phase during) const
 {
     for (const Member &member : operation.members) {
-        const MemberProgress &state = progress.at(member.peer.agent);
+        const MemberProgress &state = m_progress.at(member.peer.agent);
         const bool missing =
-            during == Phase::Committing ? !state.committed : state.reservedRound < round;
+            during == Phase::Committing ? !state.committed : state.reservedRound < m_round;
         if (missing)
             return member.peer.agent;
     }
@@ -372,25 +380,25 @@
         return;
     case Phase::Reserving:
     case Phase::Renewing:
-        if (now - roundSentAt >= ReserveLimit)
+        if (now - m_roundSentAt >= ReserveLimit)
             return abort(late, firstMissing(phase));
         break;
     case Phase::Deciding:
-        if (now - beganAt >= DecisionLimit)
+        if (now - m_beganAt >= DecisionLimit)
             return abort({core::ResultCode::StoreUnavailable, "the decision is not settled"});
-        if (now - roundSentAt >= RenewReservationsPeriod && reservedByAll())
+        if (now - m_roundSentAt >= RenewReservationsPeriod && reservedByAll())
             reserve();
-        if (checkPending && now - lastSent >= RetryPeriod) {
-            checkPending = false;
+        if (m_checkPending && now - m_lastSent >= RetryPeriod) {
+            m_checkPending = false;
             actions.push_back(CheckDecision{operation.decision});
         }
         break;
     case Phase::Committing:
-        if (now - roundSentAt >= ReservationLifetime)
+        if (now - m_roundSentAt >= ReservationLifetime)
             return abort(late, firstMissing(phase));
         break;
     case Phase::Stopping:
-        if (now - firstEndedAt >= GangStopBound) {
+        if (now - m_firstEndedAt >= GangStopBound) {
             phase = Phase::Done;
             actions.push_back(GangStopped{operation.key, {}});
             return;
@@ -399,7 +407,7 @@
     case Phase::Aborting:
         break;
     }
-    if (now - lastSent >= RetryPeriod)
+    if (now - m_lastSent >= RetryPeriod)
         sendPending();
 }
 
