--- a/src/cli/apiclient.cpp
+++ b/src/cli/apiclient.cpp
@@ -88,9 +88,9 @@
         return core::fail(reasonOf(*response));
     if (response)
         return response;
-    const core::Reason reason = core::lastReason();
+    const core::Reason &reason = core::lastReason();
     if (reason.code == ResultCode::ConnectionFailed || !changesSomething(call))
-        return core::fail(reason);
+        return std::nullopt;
     return core::fail(ResultCode::OutcomeUnknown,
                       absl::StrCat(reason.message, "; the call may have taken effect"));
 }
--- a/src/cli/jobcommands.cpp
+++ b/src/cli/jobcommands.cpp
@@ -155,7 +155,7 @@
     call.headers["idempotency-key"] = key;
     const std::optional<Json::Value> answer = session.api.json(call);
     if (!answer) {
-        const core::Reason reason = core::lastReason();
+        const core::Reason &reason = core::lastReason();
         if (reason.code == ResultCode::OutcomeUnknown)
             core::fail(reason.code,
                        absl::StrCat(reason.message, "; run it again with --key ", key));
@@ -226,7 +226,7 @@
     }
     const std::optional<http::Response> response = session.api.send(call);
     if (!response) {
-        const core::Reason reason = core::lastReason();
+        const core::Reason &reason = core::lastReason();
         if (reason.code == ResultCode::OutcomeUnknown && !key.empty())
             core::fail(reason.code, absl::StrCat(reason.message, "; ask again with --key ", key));
         return false;
