Add the entry and agent daemons and the callers' API

Cause: the parts need processes. Change: oleandercrossd with both roles, heartbeats, the HTTP API, job submission and leadership; graceful stop on a signal.

--- a/include/oleandercross/daemon/clusterview.h
+++ b/include/oleandercross/daemon/clusterview.h
@@ -91,6 +91,15 @@
     // This entry took the lead of its data centre.
     void setOwnEpoch(std::int64_t epoch);
 
+    // The table service answered, or did not answer, a read of the newest revision.
+    void storeAnswered(bool answered);
+    // True if this entry can be sure to learn of a new revision: it read the store lately, or heard
+    // from an entry that did, or the store is unavailable to most entries, so that nobody commits.
+    bool configurationConfirmed() const;
+
+    // True if this entry read the store lately.
+    bool storeAvailable() const;
+
     struct EntryInfo
     {
         core::EntryId id;
@@ -110,6 +119,9 @@
     void exchangeWith(const config::EntryAddress &peer);
     Json::Value news(const config::EntryAddress &peer) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void learnNews(const Json::Value &news);
+    bool storeFresh() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void heardFrom(const core::EntryId &peer, bool storeFresh)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void learnLeader(const Json::Value &encoded) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void update(const membership::AgentRecord &record, const Json::Value &loads);
     void tick();
@@ -131,6 +143,10 @@
     std::map<core::DataCentreId, LeaderInfo> m_leaders ABSL_GUARDED_BY(m_mutex);
     std::map<core::DataCentreId, absl::Duration> m_roundTrips ABSL_GUARDED_BY(m_mutex);
     std::map<core::EntryId, std::int64_t> m_entryRevisions ABSL_GUARDED_BY(m_mutex);
+    core::Instant m_storeAnsweredAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
+    // When each peer was last heard, and whether it had read the store lately.
+    std::map<core::EntryId, core::Instant> m_heardAt ABSL_GUARDED_BY(m_mutex);
+    std::map<core::EntryId, core::Instant> m_freshPeerAt ABSL_GUARDED_BY(m_mutex);
     core::Executor m_executor;
 };
 
--- a/include/oleandercross/daemon/jobrecord.h
+++ b/include/oleandercross/daemon/jobrecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <oleandercross/core/resultcode.h>
 #include <oleandercross/scheduling/job.h>
 
 #include <json/value.h>
--- /dev/null
+++ b/include/oleandercross/daemon/tracing.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <oleandercross/config/settings.h>
+#include <oleandercross/http/clientpool.h>
+#include <oleandercross/telemetry/tracer.h>
+
+namespace oleandercross::daemon {
+
+// A tracer that sends spans to the Zipkin collector of the settings, if there is one.
+std::unique_ptr<telemetry::Tracer> makeTracer(const config::Settings &settings,
+                                              http::ClientPool &pool);
+
+} // namespace oleandercross::daemon
--- /dev/null
+++ b/src/daemon/agentdaemon.cpp
@@ -0,0 +1,135 @@
+#include <oleandercross/daemon/clusterview.h>
+#include <oleandercross/daemon/heartbeater.h>
+#include <oleandercross/daemon/process.h>
+#include <oleandercross/daemon/requestrunner.h>
+#include <oleandercross/daemon/taskrunner.h>
+#include <oleandercross/daemon/tracing.h>
+#include <oleandercross/platform/httpadapters.h>
+#include <oleandercross/telemetry/log.h>
+
+#include <absl/time/clock.h>
+
+namespace oleandercross::daemon {
+
+namespace {
+
+constexpr absl::Duration DrainPoll = absl::Milliseconds(50);
+// Entries see the drain with the next heartbeat; new work stops within 2 s.
+constexpr absl::Duration AnnounceDrain = absl::Milliseconds(1500);
+
+http::ServerOptions rpcOptions(const config::Settings &settings)
+{
+    http::ServerOptions options;
+    options.listen = settings.rpcListen;
+    options.maxConnections = settings.maxConnections;
+    // A message wraps a caller's body.
+    options.maxBodyBytes = settings.maxBodyBytes * 2;
+    options.tls = settings.tls;
+    return options;
+}
+
+http::ClientOptions clientOptions(const config::Settings &settings)
+{
+    http::ClientOptions options;
+    options.tls = settings.tls;
+    return options;
+}
+
+RequestRunner::MinionClients minionClients(const config::Settings &settings, http::ClientPool &pool)
+{
+    RequestRunner::MinionClients clients;
+    for (const config::MinionSettings &minion : settings.minions)
+        clients[minion.id] = std::make_shared<platform::HttpMinionClient>(pool, minion.endpoint);
+    return clients;
+}
+
+std::shared_ptr<platform::WorkerControl> workerControl(const config::Settings &settings,
+                                                       http::ClientPool &pool)
+{
+    if (!settings.worker)
+        return nullptr;
+    return std::make_shared<platform::HttpWorkerControl>(pool, settings.worker->control);
+}
+
+class AgentDaemon : public Process
+{
+public:
+    explicit AgentDaemon(const config::Settings &settings)
+        : m_incarnation(core::wallClockMicros())
+        , m_platformPool(http::ClientOptions{})
+        , m_tracer(makeTracer(settings, m_platformPool))
+        , m_client(clientOptions(settings), settings.sharedKey)
+        , m_server(rpcOptions(settings), settings.sharedKey)
+        , m_requests(settings, m_incarnation, minionClients(settings, m_platformPool), m_metrics,
+                     *m_tracer)
+        , m_tasks(settings, m_incarnation, workerControl(settings, m_platformPool), m_client,
+                  m_metrics)
+        , m_heartbeater(settings, m_incarnation, m_client, m_requests, m_tasks, m_metrics)
+    { }
+
+    bool start() override
+    {
+        addHandlers();
+        if (!m_server.start())
+            return false;
+        m_tasks.start();
+        m_heartbeater.start();
+        return true;
+    }
+
+    void stop(const std::function<bool()> &hurry) override
+    {
+        m_requests.drain();
+        m_tasks.drain();
+        m_heartbeater.drain();
+        const core::Instant announced = m_clock.now() + AnnounceDrain;
+        while (!hurry()
+               && (m_clock.now() < announced || m_requests.running() > 0 || !m_tasks.drained()))
+            absl::SleepFor(DrainPoll);
+        m_heartbeater.leave();
+        m_heartbeater.stop();
+        m_server.stop();
+        m_tasks.stop();
+    }
+
+private:
+    void addHandlers()
+    {
+        m_server.add("dispatch", [this](const Json::Value &p) { return m_requests.dispatch(p); });
+        m_server.add("fate", [this](const Json::Value &p) { return m_requests.fate(p); });
+        m_server.add("cancelRequest",
+                     [this](const Json::Value &p) { return m_requests.cancel(p); });
+        m_tasks.addHandlers(m_server);
+        http::Server &http = m_server.httpServer();
+        http.route("GET", "/healthz", [](const http::Request &) {
+            return http::Response{200, "{\"status\":\"running\"}\n"};
+        });
+        http.route("GET", "/readyz", [this](const http::Request &) {
+            return m_heartbeater.ready() ? http::Response{200, "{\"status\":\"ready\"}\n"}
+                                         : http::Response{503, "{\"status\":\"not ready\"}\n"};
+        });
+        http.route("GET", "/metrics", [this](const http::Request &) {
+            return http::Response{200, m_metrics.text(), "text/plain"};
+        });
+    }
+
+    const core::SteadyClock m_clock;
+    const std::int64_t m_incarnation;
+    telemetry::Metrics m_metrics;
+    http::ClientPool m_platformPool;
+    const std::unique_ptr<telemetry::Tracer> m_tracer;
+    rpc::Client m_client;
+    rpc::Server m_server;
+    RequestRunner m_requests;
+    TaskRunner m_tasks;
+    Heartbeater m_heartbeater;
+};
+
+} // namespace
+
+std::unique_ptr<Process> makeAgent(const config::Settings &settings)
+{
+    return std::make_unique<AgentDaemon>(settings);
+}
+
+} // namespace oleandercross::daemon
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -19,6 +19,8 @@
 constexpr int Threads = 8;
 constexpr absl::Duration TickPeriod = absl::Milliseconds(250);
 constexpr absl::Duration ExchangeTimeout = absl::Milliseconds(900);
+// Age of a read of the store, or of a message, up to which it counts as recent.
+constexpr absl::Duration RecentLimit = absl::Seconds(3);
 // A peer's round trip is smoothed over about this many exchanges.
 constexpr double RoundTripWeight = 0.125;
 
@@ -276,6 +278,7 @@
 {
     Json::Value reply;
     reply["needState"] = needState;
+    reply["confirmed"] = configurationConfirmed();
     const std::shared_ptr<const Revision> current = m_manifests.current();
     reply["revision"] = static_cast<Json::Int64>(current ? current->number : 0);
     if (current && current->number > intMember(params, "revision"))
@@ -309,6 +312,7 @@
     const std::int64_t known = peerRevision == m_entryRevisions.end() ? 0 : peerRevision->second;
     if (current && current->number > known)
         message["manifest"] = encode(*current);
+    message["storeFresh"] = storeFresh();
     const auto leader = m_leaders.find(m_settings.dataCentre);
     if (leader != m_leaders.end())
         message["leader"] = encode(leader->second);
@@ -342,6 +346,7 @@
     else
         m_directory.forgetAcknowledged(peer.id);
     m_entryRevisions[peer.id] = intMember(*reply, "revision");
+    heardFrom(peer.id, boolMember(*reply, "storeFresh"));
     absl::Duration &smoothed = m_roundTrips.emplace(peer.dataCentre, roundTrip).first->second;
     smoothed += (roundTrip - smoothed) * RoundTripWeight;
 }
@@ -355,6 +360,7 @@
         accepted = m_directory.receive(summary, m_clock.now());
         m_entryRevisions[summary.sender.entry] = intMember(params, "revision");
         learnLeader(member(params, "leader"));
+        heardFrom(summary.sender.entry, boolMember(params, "storeFresh"));
     }
     if (accepted) {
         for (const membership::AgentRecord &record : summary.changed)
@@ -365,9 +371,50 @@
     reply["accepted"] = accepted;
     const std::shared_ptr<const Revision> current = m_manifests.current();
     reply["revision"] = static_cast<Json::Int64>(current ? current->number : 0);
+    absl::MutexLock lock(&m_mutex);
+    reply["storeFresh"] = storeFresh();
     return reply;
 }
 
+void ClusterView::storeAnswered(bool answered)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (answered)
+        m_storeAnsweredAt = m_clock.now();
+}
+
+bool ClusterView::storeAvailable() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return storeFresh();
+}
+
+bool ClusterView::storeFresh() const
+{
+    return m_clock.now() - m_storeAnsweredAt <= RecentLimit;
+}
+
+void ClusterView::heardFrom(const core::EntryId &peer, bool storeFresh)
+{
+    m_heardAt[peer] = m_clock.now();
+    if (storeFresh)
+        m_freshPeerAt[peer] = m_clock.now();
+}
+
+bool ClusterView::configurationConfirmed() const
+{
+    absl::MutexLock lock(&m_mutex);
+    if (storeFresh())
+        return true;
+    const core::Instant oldest = m_clock.now() - RecentLimit;
+    const auto recent = [oldest](const auto &entry) { return entry.second >= oldest; };
+    if (std::any_of(m_freshPeerAt.begin(), m_freshPeerAt.end(), recent))
+        return true;
+    // The own entry counts as heard.
+    const auto heard = 1 + std::count_if(m_heardAt.begin(), m_heardAt.end(), recent);
+    return 2 * heard > static_cast<std::ptrdiff_t>(m_settings.entries.size());
+}
+
 void ClusterView::learnNews(const Json::Value &news)
 {
     const Json::Value &manifest = member(news, "manifest");
--- a/src/daemon/gangmessages.cpp
+++ b/src/daemon/gangmessages.cpp
@@ -306,16 +306,16 @@
 
 Json::Value encode(const gang::Watch &value)
 {
-    Json::Value out;
-    out["key"] = encode(value.key);
+    Json::Value out = leaderMessage(value.epoch, value.key);
     out["from"] = value.from.str();
-    out["members"] = encodeList(value.members, &encode);
+    if (!value.members.empty())
+        out["members"] = encodeList(value.members, &encode);
     return out;
 }
 
 gang::Watch decodeWatch(const Json::Value &value)
 {
-    return {decodeKey(value), core::AgentId(stringMember(value, "from")),
+    return {decodeKey(value), intMember(value, "epoch"), core::AgentId(stringMember(value, "from")),
             decodeList(member(value, "members"), decodePeer)};
 }
 
@@ -324,13 +324,18 @@
     Json::Value out;
     out["state"] = static_cast<int>(value.state);
     out["evidenceAgeUs"] = encodeDuration(value.evidenceAge);
+    out["groupState"] = static_cast<int>(value.groupState);
+    out["groupEvidenceAgeUs"] = encodeDuration(value.groupEvidenceAge);
+    out["membersWanted"] = value.membersWanted;
     return out;
 }
 
 gang::WatchAnswer decodeWatchAnswer(const Json::Value &value)
 {
     return {decodeEnum(value, "state", gang::MemberState::Stopped),
-            decodeDuration(value, "evidenceAgeUs")};
+            decodeDuration(value, "evidenceAgeUs"),
+            decodeEnum(value, "groupState", gang::MemberState::Stopped),
+            decodeDuration(value, "groupEvidenceAgeUs"), boolMember(value, "membersWanted")};
 }
 
 Json::Value encode(const gang::TaskEvent &value)
--- /dev/null
+++ b/src/daemon/heartbeater.cpp
@@ -0,0 +1,234 @@
+#include <oleandercross/daemon/heartbeater.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/daemon/manifestservice.h>
+#include <oleandercross/telemetry/log.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace oleandercross::daemon {
+
+namespace {
+
+constexpr absl::Duration CallTimeout = absl::Milliseconds(800);
+constexpr absl::Duration AvoidTime = absl::Seconds(5);
+constexpr absl::Duration GatePeriod = absl::Milliseconds(200);
+
+} // namespace
+
+Heartbeater::Heartbeater(const config::Settings &settings, std::int64_t incarnation,
+                         rpc::Client &client, RequestRunner &requests, TaskRunner &tasks,
+                         telemetry::Metrics &metrics)
+    : m_settings(settings)
+    , m_incarnation(incarnation)
+    , m_client(client)
+    , m_requests(requests)
+    , m_tasks(tasks)
+    , m_metrics(metrics)
+    , m_executor(2)
+{
+    absl::MutexLock lock(&m_mutex);
+    for (const config::EntryAddress &entry : m_settings.entries)
+        m_liveEntries.push_back(entry.id);
+}
+
+Heartbeater::~Heartbeater()
+{
+    stop();
+}
+
+void Heartbeater::start()
+{
+    m_executor.repeat([this] { return beat(); });
+    m_executor.every(GatePeriod, [this] { gate(); });
+}
+
+void Heartbeater::stop()
+{
+    m_executor.stop();
+}
+
+void Heartbeater::drain()
+{
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_draining = true;
+    }
+    m_executor.post([this] { beat(); });
+}
+
+void Heartbeater::leave()
+{
+    Json::Value params;
+    params["agent"] = m_settings.id;
+    params["incarnation"] = static_cast<Json::Int64>(m_incarnation);
+    for (const config::EntryAddress &entry : m_settings.entries)
+        m_client.call(entry.rpc, "leave", params, CallTimeout);
+}
+
+bool Heartbeater::ready() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return !m_draining && m_revision > 0 && m_contact.mayTakeWork(m_clock.now());
+}
+
+std::int64_t Heartbeater::revision() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_revision;
+}
+
+// Closes and opens the agent for new tasks; requests are gated by RequestRunner itself.
+void Heartbeater::gate()
+{
+    core::ResultCode code = core::ResultCode::Ok;
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_revision == 0)
+            code = core::ResultCode::NotReady;
+        else if (!m_contact.mayTakeWork(m_clock.now()))
+            code = core::ResultCode::StaleConfiguration;
+        else if (m_draining || m_drainedByManifest)
+            code = core::ResultCode::Draining;
+    }
+    m_tasks.setGate(code);
+}
+
+std::optional<config::EntryAddress> Heartbeater::home() const
+{
+    absl::MutexLock lock(&m_mutex);
+    const core::Instant now = m_clock.now();
+    std::vector<core::EntryId> candidates;
+    for (const core::EntryId &entry : m_liveEntries) {
+        const auto avoid = m_avoid.find(entry);
+        if (avoid == m_avoid.end() || avoid->second <= now)
+            candidates.push_back(entry);
+    }
+    // Entries that were not listed as live may be back.
+    if (candidates.empty()) {
+        for (const config::EntryAddress &entry : m_settings.entries)
+            candidates.push_back(entry.id);
+    }
+    const core::EntryId chosen = membership::homeEntry(core::AgentId(m_settings.id), candidates);
+    for (const config::EntryAddress &entry : m_settings.entries) {
+        if (entry.id == chosen)
+            return entry;
+    }
+    return std::nullopt;
+}
+
+AgentInfo Heartbeater::describe() const
+{
+    AgentInfo info;
+    info.id = core::AgentId(m_settings.id);
+    info.dataCentre = m_settings.dataCentre;
+    info.rpc = m_settings.rpcListen;
+    info.incarnation = m_incarnation;
+    if (m_settings.worker) {
+        info.worker = WorkerState{m_settings.worker->id, m_settings.worker->rack,
+                                  m_settings.worker->resources};
+    }
+    info.minions = m_requests.minions();
+    info.uptime = m_requests.uptime();
+    absl::MutexLock lock(&m_mutex);
+    info.draining = m_draining || m_drainedByManifest;
+    info.revision = m_revision;
+    return info;
+}
+
+Json::Value Heartbeater::message(const core::EntryId &entry)
+{
+    const AgentInfo info = describe();
+    Json::Value params;
+    params["agent"] = m_settings.id;
+    params["dataCentre"] = m_settings.dataCentre.str();
+    params["address"] = http::toString(m_settings.rpcListen);
+    params["incarnation"] = static_cast<Json::Int64>(m_incarnation);
+    params["revision"] = static_cast<Json::Int64>(info.revision);
+    params["loads"] = encodeLoads(info);
+    Json::Value state = encodeStatic(info);
+    absl::MutexLock lock(&m_mutex);
+    params["sequence"] = static_cast<Json::Int64>(++m_sequence);
+    if (m_toldEntry != entry || m_toldState != state)
+        params["static"] = state;
+    m_toldEntry = entry;
+    m_toldState = std::move(state);
+    return params;
+}
+
+absl::Duration Heartbeater::beat()
+{
+    absl::MutexLock beatLock(&m_beatMutex);
+    const auto entry = home();
+    if (!entry)
+        return membership::MinHeartbeatPeriod;
+    const core::Instant sentAt = m_clock.now();
+    const auto reply = m_client.call(entry->rpc, "heartbeat", message(entry->id), CallTimeout);
+    if (!reply) {
+        m_metrics.add("heartbeats_failed");
+        absl::MutexLock lock(&m_mutex);
+        m_avoid[entry->id] = m_clock.now() + AvoidTime;
+        m_toldEntry = {};
+        // Another entry is tried at once, unless all have failed.
+        const bool others = m_avoid.size() < m_settings.entries.size();
+        return others ? absl::Milliseconds(10) : membership::MinHeartbeatPeriod;
+    }
+    if (core::boolMember(*reply, "needState")) {
+        absl::MutexLock lock(&m_mutex);
+        m_toldEntry = {};
+        return absl::ZeroDuration();
+    }
+    m_metrics.add("heartbeats_answered");
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_avoid.erase(entry->id);
+        // An entry that cannot know the newest revision does not count as contact.
+        if (core::boolMember(*reply, "confirmed"))
+            m_contact.heard(sentAt);
+    }
+    learn(*reply);
+    const absl::Duration period = decodeDuration(*reply, "periodUs");
+    return std::clamp(period, membership::MinHeartbeatPeriod, membership::MaxHeartbeatPeriod);
+}
+
+void Heartbeater::learn(const Json::Value &reply)
+{
+    const Json::Value &manifest = core::member(reply, "manifest");
+    if (manifest.isObject())
+        learnManifest(manifest);
+    if (core::boolMember(reply, "confirmed") && revision() > 0)
+        m_requests.configurationConfirmed();
+    const Json::Value &leader = core::member(reply, "leader");
+    if (leader.isObject()) {
+        m_tasks.setLeader(http::parseEndpoint(core::stringMember(leader, "address")),
+                          core::intMember(leader, "epoch"));
+    }
+    absl::MutexLock lock(&m_mutex);
+    m_liveEntries.clear();
+    for (const Json::Value &entry : core::member(reply, "entries"))
+        m_liveEntries.emplace_back(entry.asString());
+}
+
+void Heartbeater::learnManifest(const Json::Value &encoded)
+{
+    const std::optional<Revision> newer = decodeRevision(encoded);
+    if (!newer || newer->number <= revision())
+        return;
+    const auto manifest =
+        config::parseManifest(newer->yaml, absl::StrCat("revision ", newer->number));
+    if (!manifest)
+        return;
+    m_requests.drainMinions(manifest->drainMinions);
+    const std::vector<core::WorkerId> &workers = manifest->drainWorkers;
+    const bool drained = m_settings.worker
+        && std::find(workers.begin(), workers.end(), m_settings.worker->id) != workers.end();
+    telemetry::logState("configuration", absl::StrCat("revision ", newer->number, " in force"));
+    absl::MutexLock lock(&m_mutex);
+    m_revision = newer->number;
+    m_drainedByManifest = drained;
+}
+
+} // namespace oleandercross::daemon
--- a/src/daemon/jobrecord.cpp
+++ b/src/daemon/jobrecord.cpp
@@ -28,8 +28,8 @@
 constexpr std::int64_t MaxMemoryMbPerTask = 16 * 1024 * 1024;
 constexpr std::int64_t MaxRunTimeSeconds = 365LL * 24 * 3600;
 
-const std::array<std::string, 7> StateNames
-    = {"waiting", "starting", "running", "stopping", "succeeded", "failed", "cancelled"};
+const std::array<std::string, 7> StateNames = {"waiting",   "starting", "running",  "stopping",
+                                               "succeeded", "failed",   "cancelled"};
 const std::array<std::string, 3> AdjacencyNames = {"worker", "rack", "datacentre"};
 
 template <typename Names>
@@ -111,8 +111,7 @@
         : m_object(object)
     { }
 
-    std::int64_t integer(const char *key, std::int64_t fallback, std::int64_t min,
-                         std::int64_t max)
+    std::int64_t integer(const char *key, std::int64_t fallback, std::int64_t min, std::int64_t max)
     {
         m_known.insert(key);
         const Json::Value &value = m_object[key];
@@ -298,8 +297,8 @@
     record.spec.urgent = fields.flag("urgent");
     record.spec.repeatable = fields.flag("repeatable");
     record.spec.checkpointable = fields.flag("checkpointable");
-    record.spec.declaredRunTime
-        = absl::Seconds(fields.integer("runTimeSeconds", 0, 0, MaxRunTimeSeconds));
+    record.spec.declaredRunTime =
+        absl::Seconds(fields.integer("runTimeSeconds", 0, 0, MaxRunTimeSeconds));
     record.command = fields.text("command");
     if (record.command.size() > MaxCommandBytes)
         fields.refuse(ResultCode::BadSize, "'command' is too long");
--- /dev/null
+++ b/src/daemon/jobservice.cpp
@@ -0,0 +1,276 @@
+#include <oleandercross/daemon/jobservice.h>
+
+#include <oleandercross/core/digest.h>
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace oleandercross::daemon {
+
+namespace {
+
+using core::fail;
+using core::ResultCode;
+
+constexpr absl::Duration WriteTimeout = absl::Seconds(5);
+constexpr absl::Duration ReadTimeout = absl::Seconds(2);
+constexpr absl::Duration LeaderTimeout = absl::Seconds(2);
+constexpr int CancelAttempts = 5;
+constexpr std::size_t MaxKeyLength = 128;
+
+// A guarantee names the data centre of a job that does not.
+std::optional<core::DataCentreId> defaultDataCentre(const config::Manifest &manifest,
+                                                    const config::Account &account)
+{
+    std::vector<core::DataCentreId> candidates;
+    for (const config::Guarantee &guarantee : account.guarantees)
+        candidates.push_back(guarantee.dataCentre);
+    if (candidates.empty()) {
+        for (const config::PlannedDataCentre &dataCentre : manifest.dataCentres)
+            candidates.push_back(dataCentre.name);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    candidates.erase(std::unique(candidates.begin(), candidates.end()), candidates.end());
+    if (candidates.size() != 1)
+        return fail(ResultCode::BadField, "'dataCentre' is required for this client account");
+    return candidates.front();
+}
+
+// Refuses at once what can never be placed on the planned capacity.
+bool canEverFit(const scheduling::JobSpec &spec, const config::PlannedDataCentre &planned)
+{
+    if (!core::fits(spec.perTask, planned.perWorker))
+        return false;
+    const core::Resources total = spec.perTask * spec.tasks;
+    int workers = planned.racks * planned.workersPerRack;
+    if (spec.adjacencyHard && spec.adjacency == scheduling::Adjacency::Worker)
+        workers = 1;
+    else if (spec.adjacencyHard && spec.adjacency == scheduling::Adjacency::Rack)
+        workers = planned.workersPerRack;
+    return core::fits(total, planned.perWorker * workers);
+}
+
+bool checkPlacement(const JobRecord &record, const config::Manifest &manifest,
+                    const config::Account &account)
+{
+    const auto planned =
+        std::find_if(manifest.dataCentres.begin(), manifest.dataCentres.end(),
+                     [&record](const auto &d) { return d.name == record.dataCentre; });
+    if (planned == manifest.dataCentres.end()) {
+        fail(ResultCode::BadField, "unknown data centre '" + record.dataCentre.str() + "'");
+        return false;
+    }
+    const core::TeamId &team = record.spec.team;
+    const auto member =
+        std::find_if(account.teams.begin(), account.teams.end(),
+                     [&team](const config::Team &candidate) { return candidate.name == team; });
+    if (!team.empty() && member == account.teams.end()) {
+        fail(ResultCode::UnknownTeam, "no team '" + team.str() + "' in the client account");
+        return false;
+    }
+    const int accelerators = record.spec.perTask.accelerators * record.spec.tasks;
+    if (!team.empty() && accelerators > member->acceleratorQuota) {
+        fail(ResultCode::NeverFits,
+             absl::StrCat("the job needs ", accelerators, " accelerators and the quota of team '",
+                          team.str(), "' is ", member->acceleratorQuota));
+        return false;
+    }
+    if (!canEverFit(record.spec, *planned)) {
+        fail(ResultCode::NeverFits,
+             "the job can never be placed in data centre '" + record.dataCentre.str() + "'");
+        return false;
+    }
+    return true;
+}
+
+} // namespace
+
+JobService::JobService(ClusterView &cluster, ManifestService &manifests,
+                       platform::StoreWriter &store, rpc::Client &client)
+    : m_cluster(cluster)
+    , m_manifests(manifests)
+    , m_store(store)
+    , m_client(client)
+{ }
+
+std::optional<JobRecord> JobService::submit(const config::Account &account, const std::string &key,
+                                            const std::string &body)
+{
+    const auto revision = m_manifests.current();
+    if (!revision)
+        return fail(ResultCode::NotReady, "the configuration is not known yet");
+    if (key.size() > MaxKeyLength)
+        return fail(ResultCode::BadSize, "the Idempotency-Key is too long");
+    std::optional<JobRecord> record = parseSubmission(body);
+    if (!record)
+        return std::nullopt;
+    if (record->dataCentre.empty()) {
+        const auto dataCentre = defaultDataCentre(*revision->manifest, account);
+        if (!dataCentre)
+            return std::nullopt;
+        record->dataCentre = *dataCentre;
+    }
+    if (!checkPlacement(*record, *revision->manifest, account))
+        return std::nullopt;
+    const std::string number = key.empty()
+        ? core::randomHexId()
+        : core::sha256Hex(account.name.str() + "\n" + key).substr(0, 32);
+    record->spec.id = core::JobId(record->dataCentre.str() + "." + number);
+    record->spec.account = account.name;
+    record->submittedAtMicros = core::wallClockMicros();
+
+    platform::Transaction transaction;
+    // A job under the same key may have ended already.
+    transaction.conditions = {{jobKey(record->dataCentre, record->spec.id), 0},
+                              {doneKey(record->dataCentre, record->spec.id), 0}};
+    transaction.puts = {
+        {jobKey(record->dataCentre, record->spec.id), core::writeJson(encode(*record))}};
+    const platform::WriteResult result =
+        m_store.write(std::move(transaction), platform::WritePriority::Job, WriteTimeout);
+    switch (result.outcome) {
+    case platform::WriteOutcome::Applied:
+        notifyLeader(*record);
+        return record;
+    case platform::WriteOutcome::Conflict:
+        return settleDuplicate(*record);
+    case platform::WriteOutcome::NotApplied:
+        return fail(ResultCode::StoreUnavailable, "the job could not be stored and does not run");
+    case platform::WriteOutcome::Unknown:
+        break;
+    }
+    return fail(ResultCode::OutcomeUnknown,
+                "the job may have been stored as " + record->spec.id.str());
+}
+
+std::optional<JobRecord> JobService::settleDuplicate(const JobRecord &record)
+{
+    std::optional<JobRecord> first = readRow(record.spec.id);
+    if (!first)
+        return std::nullopt;
+    if (first->digest != record.digest || first->spec.account != record.spec.account)
+        return fail(ResultCode::DuplicateKey, "the Idempotency-Key was used for another job");
+    return first;
+}
+
+void JobService::notifyLeader(const JobRecord &record)
+{
+    const auto leader = m_cluster.leader(record.dataCentre);
+    if (!leader)
+        return;
+    // Best effort: the leader also scans the rows.
+    Json::Value params;
+    params["job"] = record.spec.id.str();
+    m_client.call(leader->rpc, "jobAdded", std::move(params), LeaderTimeout);
+}
+
+std::optional<JobRecord> JobService::askLeader(const std::string &method, const core::JobId &id,
+                                               const std::string &known, absl::Duration wait)
+{
+    const auto dataCentre = dataCentreOf(id);
+    if (!dataCentre)
+        return std::nullopt;
+    const auto leader = m_cluster.leader(*dataCentre);
+    if (!leader)
+        return fail(ResultCode::NotLeader, "the data centre has no leader at present");
+    Json::Value params;
+    params["job"] = id.str();
+    params["known"] = known;
+    params["waitMs"] = static_cast<Json::Int64>(absl::ToInt64Milliseconds(wait));
+    const auto reply = m_client.call(leader->rpc, method, std::move(params), LeaderTimeout + wait);
+    if (!reply)
+        return std::nullopt;
+    return decodeJobRecord(core::writeJson(*reply));
+}
+
+std::optional<JobRecord> JobService::readRow(const core::JobId &id)
+{
+    const auto dataCentre = dataCentreOf(id);
+    if (!dataCentre)
+        return std::nullopt;
+    for (const std::string &key : {jobKey(*dataCentre, id), doneKey(*dataCentre, id)}) {
+        const auto row = m_store.read(key, ReadTimeout);
+        if (!row)
+            return std::nullopt;
+        if (*row)
+            return decodeJobRecord((*row)->value);
+    }
+    return fail(ResultCode::UnknownJob, "no job '" + id.str() + "'");
+}
+
+std::optional<JobRecord> JobService::job(const core::AccountId &account, const core::JobId &id,
+                                         const std::string &known, absl::Duration wait)
+{
+    std::optional<JobRecord> record = askLeader("jobStatus", id, known, wait);
+    if (!record)
+        record = readRow(id);
+    if (record && record->spec.account != account)
+        return fail(ResultCode::UnknownJob, "no job '" + id.str() + "'");
+    return record;
+}
+
+std::optional<JobRecord> JobService::cancel(const core::AccountId &account, const core::JobId &id)
+{
+    const std::optional<JobRecord> before = job(account, id, {}, absl::ZeroDuration());
+    if (!before || scheduling::ended(before->state))
+        return before;
+    if (std::optional<JobRecord> record = askLeader("jobCancel", id, {}, absl::ZeroDuration()))
+        return record;
+    return requestCancelInRow(id);
+}
+
+// Without a leader the request waits in the row for the next one.
+std::optional<JobRecord> JobService::requestCancelInRow(const core::JobId &id)
+{
+    const auto dataCentre = dataCentreOf(id);
+    if (!dataCentre)
+        return std::nullopt;
+    const std::string key = jobKey(*dataCentre, id);
+    for (int i = 0; i < CancelAttempts; ++i) {
+        const auto row = m_store.read(key, ReadTimeout);
+        if (!row)
+            return std::nullopt;
+        if (!*row)
+            return readRow(id);
+        std::optional<JobRecord> record = decodeJobRecord((*row)->value);
+        if (!record)
+            return std::nullopt;
+        record->cancelRequested = true;
+        platform::Transaction transaction;
+        transaction.conditions = {{key, (*row)->version}};
+        transaction.puts = {{key, core::writeJson(encode(*record))}};
+        const platform::WriteResult result =
+            m_store.write(std::move(transaction), platform::WritePriority::Job, WriteTimeout);
+        if (result.outcome == platform::WriteOutcome::Applied)
+            return record;
+        if (result.outcome != platform::WriteOutcome::Conflict)
+            break;
+    }
+    return fail(ResultCode::OutcomeUnknown, "the cancellation may not have been stored");
+}
+
+std::optional<Json::Value> JobService::explain(const core::AccountId &account,
+                                               const core::JobId &id)
+{
+    const std::optional<JobRecord> record = job(account, id, {}, absl::ZeroDuration());
+    if (!record)
+        return std::nullopt;
+    Json::Value out = describe(*record);
+    if (scheduling::ended(record->state))
+        return out;
+    const auto leader = m_cluster.leader(record->dataCentre);
+    if (!leader)
+        return fail(ResultCode::NotLeader, "the data centre has no leader at present");
+    Json::Value params;
+    params["job"] = id.str();
+    const auto reply = m_client.call(leader->rpc, "explain", std::move(params), LeaderTimeout);
+    if (!reply)
+        return std::nullopt;
+    out["reason"] = core::stringMember(*reply, "reason");
+    out["remedy"] = core::stringMember(*reply, "remedy");
+    return out;
+}
+
+} // namespace oleandercross::daemon
--- a/src/daemon/leasedriver.cpp
+++ b/src/daemon/leasedriver.cpp
@@ -108,8 +108,9 @@
 void LeaseDriver::tell(const ownership::LeaseAction &action)
 {
     if (const auto *lead = std::get_if<ownership::Lead>(&action)) {
-        telemetry::logState("ownership", absl::StrCat("leading ", m_settings.dataCentre.str(),
-                                                      " with epoch ", lead->epoch));
+        telemetry::logState(
+            "ownership",
+            absl::StrCat("leading ", m_settings.dataCentre.str(), " with epoch ", lead->epoch));
         m_callbacks.lead(*lead);
     } else if (std::holds_alternative<ownership::Resign>(action)) {
         telemetry::logState("ownership", "no longer leading " + m_settings.dataCentre.str());
@@ -125,9 +126,8 @@
 {
     const core::Instant sentAt = m_clock.now();
     const auto lease = m_store.read("lease/" + m_settings.dataCentre.str(), ReadTimeout);
-    const auto epoch = lease
-        ? m_store.read("epoch/" + m_settings.dataCentre.str(), ReadTimeout)
-        : std::nullopt;
+    const auto epoch =
+        lease ? m_store.read("epoch/" + m_settings.dataCentre.str(), ReadTimeout) : std::nullopt;
     if (lease && epoch)
         apply(ownership::RowsRead{sentAt, *lease, *epoch});
     else
@@ -136,10 +136,10 @@
 
 void LeaseDriver::run(const ownership::WriteRows &action)
 {
-    const platform::WriteResult result
-        = m_store.write(action.transaction, platform::WritePriority::Lease, WriteTimeout);
-    apply(ownership::RowsWritten{action.transaction.writeId, codeOf(result.outcome),
-                                 result.version});
+    const platform::WriteResult result =
+        m_store.write(action.transaction, platform::WritePriority::Lease, WriteTimeout);
+    apply(
+        ownership::RowsWritten{action.transaction.writeId, codeOf(result.outcome), result.version});
 }
 
 void LeaseDriver::run(const ownership::AskWitnesses &)
@@ -149,8 +149,8 @@
             continue;
         m_executor.post([this, entry] {
             const core::Instant askedAt = m_clock.now();
-            const auto reply = m_client.call(entry.rpc, "storeView",
-                                             Json::Value(Json::objectValue), WitnessTimeout);
+            const auto reply = m_client.call(entry.rpc, "storeView", Json::Value(Json::objectValue),
+                                             WitnessTimeout);
             if (reply) {
                 apply(ownership::WitnessAnswered{
                     entry.id, askedAt, {core::boolMember(*reply, "unavailable")}});
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -22,7 +22,7 @@
 constexpr int ScanPage = 500;
 constexpr absl::Duration ReportTimeout = absl::Seconds(1);
 // A gang whose agent stays away for longer than this has stopped itself.
-constexpr absl::Duration RestoreLimit = gang::GangStopBound + absl::Seconds(1);
+const absl::Duration RestoreLimit = gang::GangStopBound + absl::Seconds(1);
 
 } // namespace
 
@@ -138,8 +138,7 @@
         calls.emplace_back([this, agent] {
             Json::Value params;
             params["epoch"] = static_cast<Json::Int64>(m_epoch);
-            const auto reply
-                = m_context.client.call(agent->rpc, "report", params, ReportTimeout);
+            const auto reply = m_context.client.call(agent->rpc, "report", params, ReportTimeout);
             if (!reply)
                 return;
             const gang::Answer answer = decodeGangAnswer(*reply);
@@ -178,8 +177,9 @@
             if (job.record.cancelRequested)
                 apply(scheduling::JobCancelled{id});
         }
-        telemetry::logState("scheduling", absl::StrCat("restored ", m_jobs.size(), " jobs and ",
-                                                       m_workers.size(), " workers"));
+        telemetry::logState(
+            "scheduling",
+            absl::StrCat("restored ", m_jobs.size(), " jobs and ", m_workers.size(), " workers"));
     }
     for (const auto &agent : m_context.cluster.agents()) {
         std::optional<gang::LedgerReport> report;
@@ -211,9 +211,9 @@
     restored.attained = job.record.attained;
     restored.failures = job.record.failures;
     restored.enlargements = job.record.enlargements;
-    restored.hasCheckpoint
-        = std::any_of(job.record.checkpoints.begin(), job.record.checkpoints.end(),
-                      [](const std::string &checkpoint) { return !checkpoint.empty(); });
+    restored.hasCheckpoint =
+        std::any_of(job.record.checkpoints.begin(), job.record.checkpoints.end(),
+                    [](const std::string &checkpoint) { return !checkpoint.empty(); });
     return restored;
 }
 
@@ -224,12 +224,11 @@
     const auto known = m_workers.find(info.worker->id);
     const bool changed = known == m_workers.end() || known->second.worker != info.worker;
     const bool draining = info.draining;
-    const bool drainChanged
-        = known == m_workers.end() ? draining : known->second.draining != draining;
+    const bool drainChanged =
+        known == m_workers.end() ? draining : known->second.draining != draining;
     m_workers[info.worker->id] = info;
     if (changed) {
-        apply(scheduling::WorkerJoined{info.worker->id, info.worker->rack,
-                                       info.worker->resources});
+        apply(scheduling::WorkerJoined{info.worker->id, info.worker->rack, info.worker->resources});
     }
     if (drainChanged)
         apply(scheduling::WorkerDraining{info.worker->id, draining});
--- a/src/daemon/termgangs.cpp
+++ b/src/daemon/termgangs.cpp
@@ -162,9 +162,8 @@
         const int attempt = m_jobs.at(id).record.attempt;
         m_executor.post([this, id, attempt, send = *send] { sendToMember(id, attempt, send); });
     } else if (const auto *write = std::get_if<gang::WriteDecision>(&action)) {
-        m_executor.post([this, id, transaction = write->transaction] {
-            writeDecision(id, transaction);
-        });
+        m_executor.post(
+            [this, id, transaction = write->transaction] { writeDecision(id, transaction); });
     } else if (std::holds_alternative<gang::CheckDecision>(action)) {
         // The store writer has already tried to settle it by reading back.
         m_executor.after(MessageTimeout, [this, id] {
@@ -184,10 +183,10 @@
     const std::optional<http::Endpoint> endpoint = http::parseEndpoint(send.peer.address);
     if (!endpoint)
         return;
-    const std::string method
-        = std::visit([](const auto &message) { return methodOf(message); }, send.message);
-    const Json::Value params
-        = std::visit([](const auto &message) { return encode(message); }, send.message);
+    const std::string method =
+        std::visit([](const auto &message) { return methodOf(message); }, send.message);
+    const Json::Value params =
+        std::visit([](const auto &message) { return encode(message); }, send.message);
     const auto reply = m_context.client.call(*endpoint, method, params, MessageTimeout);
     if (!reply)
         return;
@@ -198,14 +197,15 @@
     const auto job = m_jobs.find(id);
     if (m_stopping || job == m_jobs.end() || job->second.record.attempt != attempt)
         return;
-    coordinate(id, gang::MemberAnswered{send.peer.agent, kindOf(send.message),
-                                        roundOf(send.message), answer});
+    coordinate(
+        id,
+        gang::MemberAnswered{send.peer.agent, kindOf(send.message), roundOf(send.message), answer});
 }
 
 void Term::writeDecision(const core::JobId &id, const platform::Transaction &transaction)
 {
-    const platform::WriteResult result = m_context.store.write(
-        transaction, platform::WritePriority::GangDecision, DecisionTimeout);
+    const platform::WriteResult result =
+        m_context.store.write(transaction, platform::WritePriority::GangDecision, DecisionTimeout);
     absl::MutexLock lock(&m_mutex);
     const auto job = m_jobs.find(id);
     if (m_stopping || job == m_jobs.end())
@@ -412,8 +412,8 @@
     std::set<core::JobId> present;
     for (const gang::GangStatus &gang : report.gangs) {
         const auto found = m_jobs.find(gang.key.job);
-        const bool current = found != m_jobs.end()
-            && found->second.record.attempt == gang.key.attempt;
+        const bool current =
+            found != m_jobs.end() && found->second.record.attempt == gang.key.attempt;
         const bool runs = gang.state == gang::MemberState::Running
             || gang.state == gang::MemberState::Starting
             || gang.state == gang::MemberState::Finished;
@@ -433,9 +433,9 @@
     for (const auto &[id, job] : m_jobs) {
         const bool settled = !job.coordinator && job.record.state == scheduling::JobState::Running
             && m_clock.now() - job.changedAt > SettleTime;
-        const bool member = std::any_of(
-            job.members.begin(), job.members.end(),
-            [&agent](const auto &entry) { return entry.first.agent == agent.id; });
+        const bool member =
+            std::any_of(job.members.begin(), job.members.end(),
+                        [&agent](const auto &entry) { return entry.first.agent == agent.id; });
         if (settled && member && present.count(id) == 0)
             lost.push_back(id);
     }
--- a/src/daemon/termrows.cpp
+++ b/src/daemon/termrows.cpp
@@ -37,9 +37,8 @@
     }
     m_context.store.submit(std::move(transaction), platform::WritePriority::Job, WriteTimeout,
                            [this, id, ended](const platform::WriteResult &result) {
-                               m_executor.post([this, id, ended, result] {
-                                   persisted(id, ended, result);
-                               });
+                               m_executor.post(
+                                   [this, id, ended, result] { persisted(id, ended, result); });
                            });
 }
 
