Add the scheduler lease

The holder renews lease/<dc> and stops 2 s after its last renewal; contenders take over after 3 s of uninterrupted observation. Testimony of other entries lets the holder go on during a store outage.

--- a/include/oleandercross/ownership/leaseholder.h
+++ b/include/oleandercross/ownership/leaseholder.h
@@ -24,7 +24,10 @@
 constexpr absl::Duration HoldLimit = absl::Seconds(2);
 // Others take over after they saw no renewal for this long, by their own clocks.
 constexpr absl::Duration TakeoverDelay = absl::Seconds(3);
-// Longest gap between successful reads that still count as continuous observation.
+// An answer of the store that took longer does not count as a sign that it is available.
+constexpr absl::Duration FastAnswer = absl::Seconds(1);
+// Longest gap between such answers in an uninterrupted observation of the lease row. An entry with
+// a longer gap says that the store is unavailable, and starts its observation again.
 constexpr absl::Duration ObservationGap = absl::Milliseconds(1500);
 // Validity of another entry's statement that the store is unavailable.
 constexpr absl::Duration WitnessLifetime = absl::Seconds(1);
@@ -44,7 +47,7 @@
 // An entry's own experience with the store, sent to a holder that asks for it.
 struct StoreView
 {
-    // The latest attempt failed and none succeeded within WitnessLifetime.
+    // No fast answer within ObservationGap, or the latest write failed.
     bool unavailable = false;
 
     friend bool operator==(const StoreView &, const StoreView &) = default;
@@ -54,7 +57,7 @@
 { };
 
 // Rows lease/<dc> and epoch/<dc>, read in this order. `sentAt` is the time directly before the
-// first call.
+// first call. At most one ReadRows or WriteRows is outstanding.
 struct RowsRead
 {
     core::Instant sentAt;
--- a/src/gang/coordinator.cpp
+++ b/src/gang/coordinator.cpp
@@ -72,7 +72,7 @@
     void decide();
     void proceed(bool written);
     void commit();
-    void abort(core::Reason m_reason, const core::AgentId &m_culprit = {});
+    void abort(core::Reason why, const core::AgentId &who = {});
     void deposed();
     void finishStart();
     void sendPending();
--- /dev/null
+++ b/src/ownership/leaserows.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <oleandercross/ownership/leaseholder.h>
+
+#include <string>
+
+namespace oleandercross::ownership {
+
+// Value of the row lease/<dc>.
+struct LeaseValue
+{
+    std::string holder;
+    std::int64_t incarnation = 0;
+    Epoch epoch = 0;
+    // The write that put the row.
+    std::string write;
+    bool released = false;
+};
+
+std::string leaseKey(const core::DataCentreId &dataCentre);
+std::string epochKey(const core::DataCentreId &dataCentre);
+
+std::string formatLease(const LeaseValue &value);
+// Empty for a value of another form.
+std::optional<LeaseValue> parseLease(const std::string &text);
+
+std::string formatEpoch(Epoch epoch);
+std::optional<Epoch> parseEpoch(const std::string &text);
+
+} // namespace oleandercross::ownership
