--- a/include/oleandercross/membership/directory.h
+++ b/include/oleandercross/membership/directory.h
@@ -18,15 +18,18 @@
 using Incarnation = std::int64_t;
 
 constexpr absl::Duration MinHeartbeatPeriod = absl::Milliseconds(500);
-constexpr absl::Duration MaxHeartbeatPeriod = absl::Milliseconds(1500);
+// Leaves an agent a second to be answered before EntryContactLimit.
+constexpr absl::Duration MaxHeartbeatPeriod = absl::Seconds(4);
 // Periods without a heartbeat after which an agent counts as silent.
 constexpr int MissedPeriods = 3;
+// Period of exchanges between entries of one data centre.
 constexpr absl::Duration ExchangePeriod = absl::Seconds(1);
-constexpr absl::Duration EntryDeadline = absl::Seconds(3);
+constexpr absl::Duration MaxExchangePeriod = absl::Seconds(10);
 // An agent that heard from no entry for this long takes no new work.
 constexpr absl::Duration EntryContactLimit = absl::Seconds(5);
-// Share of the network limit of 24 KB/s that heartbeats of an entry may use, bytes a second.
-constexpr double HeartbeatBytesPerSecond = 12000;
+// Shares of the network limit of 24 KB/s of an entry, in bytes a second.
+constexpr double HeartbeatBytesPerSecond = 16000;
+constexpr double ExchangeBytesPerSecond = 6000;
 
 enum class Liveness {
     Alive,
@@ -108,6 +111,10 @@
 // `meanBytes` is the measured mean size of a heartbeat and its reply.
 absl::Duration heartbeatPeriod(int agents, double meanBytes);
 
+// The period of exchanges with entries of other data centres that keeps all exchanges of an entry
+// within ExchangeBytesPerSecond. `meanBytes` is the mean size of an exchange and its reply.
+absl::Duration remoteExchangePeriod(int localPeers, int remotePeers, double meanBytes);
+
 // What one entry knows about agents and entries. Pure and not thread safe.
 class Directory
 {
@@ -125,8 +132,8 @@
     // A peer's exchange. False if the sender must send a complete summary, because a delta does not
     // follow the version known here.
     bool receive(const Summary &summary, core::Instant now);
-    // What `peer` has not acknowledged yet.
-    Summary summaryFor(const core::EntryId &peer) const;
+    // What `peer` has not acknowledged yet. Numbers the messages, so each is sent once.
+    Summary summaryFor(const core::EntryId &peer);
     void acknowledged(const core::EntryId &peer, std::int64_t version);
     // The peer lost its copy; the next summary for it is complete.
     void forgetAcknowledged(const core::EntryId &peer);
@@ -137,7 +144,12 @@
 
     // The period that heartbeat replies tell the agents.
     absl::Duration period() const;
-    // True while more than half of this entry's agents fell silent within one period.
+    // The size of an exchange and its reply, for exchangePeriod().
+    void exchanged(int bytes);
+    // How often to send summaries to entries of a data centre.
+    absl::Duration exchangePeriod(const core::DataCentreId &dataCentre) const;
+    // True while more than half of this entry's agents are silent at once. They are not declared
+    // dead until the suspicion has lasted as long as their deadline.
     bool suspectsItself() const;
 
     std::optional<AgentView> agent(const core::AgentId &agent) const;
--- /dev/null
+++ b/src/membership/hashing.cpp
@@ -0,0 +1,58 @@
+#include <oleandercross/membership/directory.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace oleandercross::membership {
+
+namespace {
+
+constexpr std::uint64_t HomeSeed = 0;
+
+std::uint64_t weight(const core::AgentId &agent, const core::EntryId &entry)
+{
+    // The separator keeps ("ab", "c") and ("a", "bc") apart.
+    const std::string text = agent.str() + '\n' + entry.str();
+    return XXH64(text.data(), text.size(), HomeSeed);
+}
+
+absl::Duration clamp(absl::Duration value, absl::Duration least, absl::Duration most)
+{
+    return std::min(std::max(value, least), most);
+}
+
+} // namespace
+
+core::EntryId homeEntry(const core::AgentId &agent, const std::vector<core::EntryId> &entries)
+{
+    core::EntryId best;
+    std::uint64_t bestWeight = 0;
+    for (const core::EntryId &entry : entries) {
+        const std::uint64_t candidate = weight(agent, entry);
+        const bool better =
+            best.empty() || candidate > bestWeight || (candidate == bestWeight && entry < best);
+        if (!better)
+            continue;
+        best = entry;
+        bestWeight = candidate;
+    }
+    return best;
+}
+
+absl::Duration heartbeatPeriod(int agents, double meanBytes)
+{
+    return clamp(absl::Seconds(agents * meanBytes / HeartbeatBytesPerSecond), MinHeartbeatPeriod,
+                 MaxHeartbeatPeriod);
+}
+
+absl::Duration remoteExchangePeriod(int localPeers, int remotePeers, double meanBytes)
+{
+    // Both directions: this entry sends to each peer and each peer sends to it.
+    const double local = 2 * localPeers * meanBytes / absl::ToDoubleSeconds(ExchangePeriod);
+    const double left = std::max(ExchangeBytesPerSecond - local, 1.0);
+    return clamp(absl::Seconds(2 * remotePeers * meanBytes / left), ExchangePeriod,
+                 MaxExchangePeriod);
+}
+
+} // namespace oleandercross::membership
