--- a/src/config/yamlnode.cpp
+++ b/src/config/yamlnode.cpp
@@ -145,6 +145,9 @@
 
     static void addMember(Level &level, YamlNode value)
     {
+        // The parser notices a missing value only at the next token, which may be lines below.
+        if (value.kind == YamlNode::Kind::Null)
+            value.line = level.key->line;
         level.node.members.push_back(
             {.key = level.key->text, .line = level.key->line, .value = std::move(value)});
         level.key.reset();
