--- a/src/config/mapreader.cpp
+++ b/src/config/mapreader.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/string_view.h>
 
 #include <algorithm>
@@ -87,7 +88,8 @@
                                        [&](const char *key) { return member.key == key; });
         if (!known)
             m_errors.report(ResultCode::ConfigUnknownKey, member.line,
-                            absl::StrCat("unknown key '", member.key, "'"));
+                            absl::StrCat("unknown key '", member.key, "', expected one of ",
+                                         absl::StrJoin(keys, ", ")));
     }
 }
 
--- a/test/cli/tst_cli.cpp
+++ b/test/cli/tst_cli.cpp
@@ -386,3 +386,42 @@
     CHECK(std::count(text.begin(), text.end(), '\n') <= 40);
     CHECK(contains(text, "and 476 more nodes"));
 }
+
+// Guards against options that are missing from the page.
+TEST_CASE("docs/CLI.md names all subcommands and options")
+{
+    const auto command = GENERATE(values<std::vector<std::string>>({
+        {},
+        {"manifest", "check"},
+        {"manifest", "diff"},
+        {"manifest", "show"},
+        {"manifest", "history"},
+        {"manifest", "commit"},
+        {"submit"},
+        {"job"},
+        {"cancel"},
+        {"explain"},
+        {"request"},
+        {"status"},
+        {"report"},
+        {"trace"},
+    }));
+    std::ifstream file(SOURCE_DIR "/docs/CLI.md");
+    const std::string page{std::istreambuf_iterator<char>(file), {}};
+    std::string name;
+    for (const std::string &word : command)
+        name += (name.empty() ? "" : " ") + word;
+    CHECK(contains(page, "`" + name));
+
+    std::vector<std::string> arguments = command;
+    arguments.push_back("--help");
+    std::istringstream help(run(arguments).out);
+    for (std::string line; std::getline(help, line);) {
+        const auto at = line.find("--");
+        if (at == std::string::npos || at > 5)
+            continue;
+        const std::string option = line.substr(at, line.find_first_of(" ,", at) - at);
+        CAPTURE(name, option);
+        CHECK(contains(page, "`" + option));
+    }
+}
