Test and fix http and telemetry

New tests found these faults, all fixed here:

- http::ClientPool reported a response that was cut in its body as ConnectionLost instead of BadAnswer.
- A peer that sent its headers byte by byte held a caller beyond the deadline, since the library's timeouts apply to each read.
A thread now ends exchanges at their deadline.
- A second answer that arrived on an idle connection was taken for that of the next request.
Connections with unread data are not reused.
- A caller that sent its request byte by byte held a thread for ever.
The timeouts now apply to a whole request and a whole response.
- Metrics printed quantiles of 0 for fewer than 9 values.
The first 32 values are now kept and used exactly.
- Tracer accepted malformed traceparents: zero span id, version ff, bad flags, further fields in version 00.

--- a/include/oleandercross/http/server.h
+++ b/include/oleandercross/http/server.h
@@ -28,6 +28,7 @@
     // Connections accepted beyond that wait here; further ones are answered 503.
     int maxWaitingConnections = 64;
     std::size_t maxBodyBytes = 1 << 20;
+    // For a whole request from its first byte, and for a whole response.
     absl::Duration readTimeout = absl::Seconds(10);
     absl::Duration writeTimeout = absl::Seconds(10);
     // Must exceed the time that clients keep idle connections, see ClientOptions::maxIdle.
--- a/src/http/clientpool.cpp
+++ b/src/http/clientpool.cpp
@@ -8,8 +8,12 @@
 #include <absl/synchronization/mutex.h>
 #include <httplib.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <map>
+#include <thread>
+
 namespace oleandercross::http {
 
 namespace {
@@ -58,6 +62,94 @@
     return response;
 }
 
+// An idle connection has nothing to say: data on it is a second answer or the end of the stream.
+bool quiet(const httplib::Client &client)
+{
+    pollfd fd{client.socket(), POLLIN, 0};
+    return fd.fd >= 0 && poll(&fd, 1, 0) == 0;
+}
+
+// Ends exchanges at their deadline. The library's timeouts apply to each read or write, which a
+// peer that sends a byte now and then would extend for ever.
+class Watchdog
+{
+public:
+    Watchdog()
+        : m_thread([this] { run(); })
+    { }
+
+    ~Watchdog()
+    {
+        {
+            absl::MutexLock lock(&m_mutex);
+            m_stopping = true;
+            m_changed.Signal();
+        }
+        m_thread.join();
+    }
+
+    void add(httplib::Client *client, core::Instant deadline)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_deadlines.emplace(deadline, client);
+        // Most exchanges end long before the thread wakes, so that few of them have to wake it.
+        if (deadline < m_wakeAt)
+            m_changed.Signal();
+    }
+
+    void remove(const httplib::Client *client, core::Instant deadline)
+    {
+        absl::MutexLock lock(&m_mutex);
+        auto [it, end] = m_deadlines.equal_range(deadline);
+        while (it != end && it->second != client)
+            ++it;
+        if (it != end)
+            m_deadlines.erase(it);
+        else
+            removeExpired(client);
+    }
+
+private:
+    // Stopping has no effect on a connection that is being opened, so it is repeated.
+    static constexpr absl::Duration Repeat = absl::Milliseconds(20);
+
+    void removeExpired(const httplib::Client *client) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        for (auto it = m_deadlines.begin(); it != m_deadlines.end(); ++it) {
+            if (it->second == client) {
+                m_deadlines.erase(it);
+                return;
+            }
+        }
+    }
+
+    void run()
+    {
+        absl::MutexLock lock(&m_mutex);
+        while (!m_stopping) {
+            const auto first = m_deadlines.begin();
+            const core::Instant now = m_clock.now();
+            m_wakeAt = first == m_deadlines.end() ? absl::InfiniteFuture() : first->first;
+            if (m_wakeAt > now) {
+                m_changed.WaitWithTimeout(&m_mutex, m_wakeAt - now);
+                continue;
+            }
+            httplib::Client *client = first->second;
+            m_deadlines.erase(first);
+            m_deadlines.emplace(now + Repeat, client);
+            client->stop();
+        }
+    }
+
+    const core::SteadyClock m_clock;
+    absl::Mutex m_mutex;
+    absl::CondVar m_changed;
+    std::multimap<core::Instant, httplib::Client *> m_deadlines ABSL_GUARDED_BY(m_mutex);
+    core::Instant m_wakeAt ABSL_GUARDED_BY(m_mutex) = absl::InfiniteFuture();
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    std::thread m_thread;
+};
+
 } // namespace
 
 class ClientPool::Private
@@ -71,7 +163,7 @@
         while (!clients.empty()) {
             IdleClient last = std::move(clients.back());
             clients.pop_back();
-            if (last.since >= oldest)
+            if (last.since >= oldest && quiet(*last.client))
                 return std::move(last.client);
         }
         return nullptr;
@@ -100,12 +192,12 @@
         }
         client->set_keep_alive(true);
         client->set_socket_options(setSocketOptions);
-        client->set_connection_timeout(absl::ToChronoMilliseconds(options.connectTimeout));
         return client;
     }
 
     ClientOptions options;
     core::SteadyClock clock;
+    Watchdog watchdog;
     absl::Mutex mutex;
     absl::btree_map<Endpoint, std::vector<IdleClient>> idle ABSL_GUARDED_BY(mutex);
 };
@@ -126,6 +218,8 @@
     std::unique_ptr<httplib::Client> client = d->take(endpoint);
     if (!client)
         client = d->create(endpoint);
+    client->set_connection_timeout(
+        absl::ToChronoMilliseconds(std::min(timeout, d->options.connectTimeout)));
     client->set_read_timeout(absl::ToChronoMilliseconds(timeout));
     client->set_write_timeout(absl::ToChronoMilliseconds(timeout));
 
@@ -138,20 +232,25 @@
     if (!request.body.empty() && request.headers.count("content-type") == 0)
         message.headers.emplace("Content-Type", "application/json");
 
-    // The library's timeouts apply to each read, so a slow response is limited here.
-    const core::Instant deadline = d->clock.now() + timeout;
     bool tooLarge = false;
+    bool answered = false;
+    message.response_handler = [&answered](const httplib::Response &) { return answered = true; };
     message.progress = [&](std::uint64_t current, std::uint64_t total) {
         tooLarge = std::max(current, total) > d->options.maxBodyBytes;
-        return !tooLarge && d->clock.now() < deadline;
+        return !tooLarge;
     };
+    const core::Instant deadline = d->clock.now() + timeout;
+    d->watchdog.add(client.get(), deadline);
     const httplib::Result result = client->send(message);
+    d->watchdog.remove(client.get(), deadline);
     if (!result) {
         core::ResultCode code = codeOf(result.error());
-        if (tooLarge)
-            code = core::ResultCode::BadAnswer;
-        else if (code == core::ResultCode::ConnectionLost && d->clock.now() >= deadline)
+        const bool lost = code == core::ResultCode::ConnectionLost;
+        const bool late = lost && d->clock.now() >= deadline;
+        if (late && !tooLarge)
             code = core::ResultCode::Timeout;
+        else if (tooLarge || (lost && answered))
+            code = core::ResultCode::BadAnswer;
         return core::fail(code, toString(endpoint) + ": " + httplib::to_string(result.error()));
     }
     Response response = toResponse(*result);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "connectionthreads.h"
 
+#include <oleandercross/core/clock.h>
 #include <oleandercross/core/resultcode.h>
 
 #include <absl/strings/ascii.h>
@@ -21,6 +22,8 @@
 // Unacknowledged data closes a connection after this time.
 constexpr int TcpUserTimeoutMs = 2000;
 constexpr int ListenBacklog = 1024;
+// All refused connections share one thread, which waits this long for each step of a slow peer.
+constexpr absl::Duration RefusalWait = absl::Milliseconds(50);
 
 thread_local const Connection *currentConnection = nullptr;
 
@@ -58,8 +61,16 @@
         , m_writeTimeout(writeTimeout)
     { }
 
-    bool is_readable() const override { return waitFor(m_socket, POLLIN, m_readTimeout); }
-    bool is_writable() const override { return waitFor(m_socket, POLLOUT, m_writeTimeout); }
+    // The timeouts apply to a whole request and to a whole response, so that a peer cannot hold the
+    // thread by sending or receiving a byte now and then.
+    void beginRequest()
+    {
+        m_readUntil = m_clock.now() + m_readTimeout;
+        m_writeUntil = absl::InfiniteFuture();
+    }
+
+    bool is_readable() const override { return waitUntil(POLLIN, m_readUntil); }
+    bool is_writable() const override { return waitUntil(POLLOUT, m_writeUntil); }
 
     ssize_t read(char *data, std::size_t size) override
     {
@@ -80,6 +91,8 @@
 
     ssize_t write(const char *data, std::size_t size) override
     {
+        if (m_writeUntil == absl::InfiniteFuture())
+            m_writeUntil = m_clock.now() + m_writeTimeout;
         if (!is_writable())
             return -1;
         return ::send(m_socket, data, size, MSG_NOSIGNAL);
@@ -119,9 +132,19 @@
         port = std::atoi(service);
     }
 
+    bool waitUntil(short events, core::Instant until) const
+    {
+        const absl::Duration left = until - m_clock.now();
+        return left > absl::ZeroDuration()
+            && waitFor(m_socket, events, std::min(left, absl::Hours(1)));
+    }
+
+    const core::SteadyClock m_clock;
     const int m_socket;
     const absl::Duration m_readTimeout;
     const absl::Duration m_writeTimeout;
+    core::Instant m_readUntil = absl::InfiniteFuture();
+    core::Instant m_writeUntil = absl::InfiniteFuture();
     char m_buffer[4096];
     std::size_t m_offset = 0;
     std::size_t m_filled = 0;
@@ -170,6 +193,7 @@
         currentConnection = &connection;
         bool closed = false;
         while (!closed && nextRequest(stream, socket)) {
+            stream.beginRequest();
             if (!process_request(stream, m_stopping, closed, nullptr))
                 break;
         }
@@ -191,8 +215,12 @@
         return false;
     }
 
+    // Closing a connection with unread data resets it, which can destroy the answer on its way. So
+    // the request is read first and the peer gets a short time to close.
     static void refuse(SocketStream &stream)
     {
+        stream.beginRequest();
+        drain(stream.socket(), true);
         const std::string body =
             absl::StrCat(R"({"code":)", static_cast<int>(core::ResultCode::TooManyConnections),
                          R"(,"outcome":"not run","message":"too many connections"})");
@@ -201,6 +229,21 @@
                          "Retry-After: 1\r\nConnection: close\r\nContent-Length: ",
                          body.size(), "\r\n\r\n", body);
         stream.write(text.data(), text.size());
+        shutdown(stream.socket(), SHUT_WR);
+        drain(stream.socket(), false);
+    }
+
+    // Reads and drops data, either what is there at the same time or all until the peer closes.
+    static void drain(int socket, bool once)
+    {
+        const core::SteadyClock clock;
+        const core::Instant until = clock.now() + RefusalWait;
+        char buffer[16384];
+        while (clock.now() < until && waitFor(socket, POLLIN, until - clock.now())) {
+            const ssize_t n = recv(socket, buffer, sizeof(buffer), MSG_DONTWAIT);
+            if (n <= 0 || (once && n < static_cast<ssize_t>(sizeof(buffer))))
+                return;
+        }
     }
 
     const absl::Duration m_readTimeout;
--- a/src/platform/storewriter.cpp
+++ b/src/platform/storewriter.cpp
@@ -26,21 +26,21 @@
         , clock(c)
         , queue(options)
     {
-        threads.emplace_back([this] { run(true); });
+        m_threads.emplace_back([this] { run(true); });
         for (int i = 0; i < options.threads; ++i)
-            threads.emplace_back([this] { run(false); });
+            m_threads.emplace_back([this] { run(false); });
     }
 
     ~Private()
     {
         {
             absl::MutexLock lock(&mutex);
-            stopping = true;
+            m_stopping = true;
             queue.stop();
-            changed.SignalAll();
+            m_changed.SignalAll();
         }
         deliver();
-        for (std::thread &thread : threads)
+        for (std::thread &thread : m_threads)
             thread.join();
         deliver();
     }
@@ -50,10 +50,10 @@
         {
             absl::MutexLock lock(&mutex);
             const core::Instant deadline = clock.now() + timeout;
-            dones[queue.submit(std::move(transaction), priority, deadline)] = std::move(done);
-            if (stopping)
+            m_dones[queue.submit(std::move(transaction), priority, deadline)] = std::move(done);
+            if (m_stopping)
                 queue.stop();
-            changed.SignalAll();
+            m_changed.SignalAll();
         }
         deliver();
     }
@@ -108,7 +108,7 @@
     std::optional<detail::StoreCall> awaitCall(bool leaseOnly)
     {
         absl::MutexLock lock(&mutex);
-        while (!stopping) {
+        while (!m_stopping) {
             const core::Instant now = clock.now();
             queue.expire(now);
             std::optional<detail::StoreCall> call = queue.nextCall(now, leaseOnly);
@@ -121,7 +121,7 @@
                 continue;
             }
             const absl::Duration wait = queue.nextDue(now, leaseOnly) - now;
-            changed.WaitWithTimeout(&mutex, std::clamp(wait, absl::ZeroDuration(), MaxWait));
+            m_changed.WaitWithTimeout(&mutex, std::clamp(wait, absl::ZeroDuration(), MaxWait));
         }
         return std::nullopt;
     }
@@ -132,14 +132,14 @@
             const auto row = tables.read(call.key);
             absl::MutexLock lock(&mutex);
             queue.onRead(call.id, row, clock.now());
-            changed.SignalAll();
+            m_changed.SignalAll();
             return;
         }
         const auto version = tables.write(call.transaction);
         const core::Reason reason = version ? core::Reason() : core::lastReason();
         absl::MutexLock lock(&mutex);
         queue.onWrite(call.id, version, reason, clock.now());
-        changed.SignalAll();
+        m_changed.SignalAll();
     }
 
     // Calls back without the lock, so that callers may submit further writes.
@@ -149,7 +149,7 @@
         {
             absl::MutexLock lock(&mutex);
             for (detail::FinishedWrite &write : queue.takeFinished()) {
-                auto done = dones.extract(write.id);
+                auto done = m_dones.extract(write.id);
                 calls.emplace_back(std::move(done.mapped()), std::move(write.result));
             }
         }
@@ -157,10 +157,10 @@
             done(result);
     }
 
-    absl::CondVar changed;
-    bool stopping ABSL_GUARDED_BY(mutex) = false;
-    absl::flat_hash_map<std::uint64_t, Done> dones ABSL_GUARDED_BY(mutex);
-    std::vector<std::thread> threads;
+    absl::CondVar m_changed;
+    bool m_stopping ABSL_GUARDED_BY(mutex) = false;
+    absl::flat_hash_map<std::uint64_t, Done> m_dones ABSL_GUARDED_BY(mutex);
+    std::vector<std::thread> m_threads;
 };
 
 StoreWriter::StoreWriter(TableService &tables, const core::Clock &clock, StoreWriterOptions options)
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -11,7 +11,9 @@
 #include <boost/accumulators/statistics/mean.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 
+#include <algorithm>
 #include <array>
+#include <cmath>
 #include <functional>
 #include <thread>
 
@@ -22,6 +24,8 @@
 namespace acc = boost::accumulators;
 
 constexpr std::size_t ShardCount = 8;
+// The estimate of quantiles is only valid from 9 values on and inaccurate for a few more.
+constexpr std::size_t ExactCount = 32;
 const std::array<double, 3> Quantiles = {0.5, 0.9, 0.99};
 
 using Accumulator =
@@ -34,10 +38,34 @@
     return Accumulator(acc::tag::extended_p_square_quantile_quadratic::probabilities = Quantiles);
 }
 
+struct Distribution
+{
+    void add(double value)
+    {
+        accumulator(value);
+        if (first.size() < ExactCount)
+            first.push_back(value);
+    }
+
+    double quantile(double probability) const
+    {
+        if (acc::count(accumulator) > ExactCount)
+            return acc::quantile(accumulator, acc::quantile_probability = probability);
+        std::vector<double> sorted = first;
+        std::sort(sorted.begin(), sorted.end());
+        const double rank = std::ceil(probability * static_cast<double>(sorted.size()));
+        return sorted[static_cast<std::size_t>(rank) - 1];
+    }
+
+    Accumulator accumulator = makeAccumulator();
+    // The first values, from which quantiles are taken until there are more.
+    std::vector<double> first;
+};
+
 struct Shard
 {
     absl::Mutex mutex;
-    absl::btree_map<std::string, Accumulator> distributions ABSL_GUARDED_BY(mutex);
+    absl::btree_map<std::string, Distribution> distributions ABSL_GUARDED_BY(mutex);
 };
 
 struct Summary
@@ -49,15 +77,14 @@
 };
 
 // Quantiles of shards are averaged by their counts; threads see similar distributions.
-void merge(Summary &summary, const Accumulator &shard)
+void merge(Summary &summary, const Distribution &shard)
 {
-    const std::size_t count = acc::count(shard);
+    const std::size_t count = acc::count(shard.accumulator);
     summary.count += count;
-    summary.sum += acc::mean(shard) * static_cast<double>(count);
-    summary.max = std::max(summary.max, acc::max(shard));
+    summary.sum += acc::mean(shard.accumulator) * static_cast<double>(count);
+    summary.max = std::max(summary.max, acc::max(shard.accumulator));
     for (std::size_t i = 0; i < Quantiles.size(); ++i) {
-        const double value = acc::quantile(shard, acc::quantile_probability = Quantiles[i]);
-        summary.weightedQuantiles[i] += value * static_cast<double>(count);
+        summary.weightedQuantiles[i] += shard.quantile(Quantiles[i]) * static_cast<double>(count);
     }
 }
 
@@ -99,10 +126,7 @@
 {
     Shard &shard = d->shard();
     absl::MutexLock lock(&shard.mutex);
-    auto it = shard.distributions.find(name);
-    if (it == shard.distributions.end())
-        it = shard.distributions.emplace(name, makeAccumulator()).first;
-    it->second(absl::ToDoubleSeconds(value));
+    shard.distributions[name].add(absl::ToDoubleSeconds(value));
 }
 
 std::int64_t Metrics::value(const std::string &name) const
--- a/src/telemetry/tracer.cpp
+++ b/src/telemetry/tracer.cpp
@@ -20,12 +20,20 @@
 constexpr absl::Duration FlushInterval = absl::Milliseconds(200);
 constexpr std::size_t TraceIdDigits = 32;
 constexpr std::size_t SpanIdDigits = 16;
+constexpr std::size_t ByteDigits = 2;
+constexpr std::size_t TraceparentParts = 4;
 
 bool isHex(const std::string &text, std::size_t digits)
 {
     return text.size() == digits && text.find_first_not_of("0123456789abcdef") == std::string::npos;
 }
 
+// W3C Trace Context: an id of zeros is invalid.
+bool isId(const std::string &text, std::size_t digits)
+{
+    return isHex(text, digits) && text.find_first_not_of('0') != std::string::npos;
+}
+
 class Context : public opentracing::SpanContext
 {
 public:
@@ -53,10 +61,16 @@
     std::string m_spanId;
 };
 
+// W3C Trace Context: version 00 has four parts, later versions may have more, ff is forbidden.
 std::unique_ptr<Context> parseTraceparent(const std::string &text)
 {
     const std::vector<std::string> parts = absl::StrSplit(text, '-');
-    if (parts.size() < 4 || !isHex(parts[1], TraceIdDigits) || !isHex(parts[2], SpanIdDigits))
+    if (parts.size() < TraceparentParts || !isHex(parts[0], ByteDigits) || parts[0] == "ff")
+        return nullptr;
+    if (parts[0] == "00" && parts.size() != TraceparentParts)
+        return nullptr;
+    if (!isId(parts[1], TraceIdDigits) || !isId(parts[2], SpanIdDigits)
+        || !isHex(parts[3], ByteDigits))
         return nullptr;
     return std::make_unique<Context>(parts[1], parts[2]);
 }
--- /dev/null
+++ b/test/http/tst_clientpool.cpp
@@ -0,0 +1,158 @@
+#include <oleandercross/http/clientpool.h>
+
+#include <oleandercross/core/resultcode.h>
+
+#include <absl/synchronization/notification.h>
+#include <catch2/catch.hpp>
+#include <http/rawpeer.h>
+
+using namespace oleandercross;
+using core::ResultCode;
+
+namespace {
+
+const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+
+http::Request getRequest()
+{
+    http::Request request;
+    request.method = "GET";
+    request.path = "/";
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a failed exchange is classified by what the peer may have received")
+{
+    struct Case
+    {
+        std::string name;
+        std::string bytes;
+        ResultCode code;
+    };
+    const auto c = GENERATE(values<Case>({
+        {"closed without an answer", "", ResultCode::ConnectionLost},
+        {"cut in the headers", "HTTP/1.1 200 OK\r\nContent-Le", ResultCode::ConnectionLost},
+        {"cut in the body", Answer.substr(0, Answer.size() - 2), ResultCode::BadAnswer},
+        {"cut before the body", Answer.substr(0, Answer.size() - 5), ResultCode::BadAnswer},
+        {"too large",
+         "HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n" + std::string(200000, 'x'),
+         ResultCode::BadAnswer},
+        {"not HTTP", "hello\r\n\r\n", ResultCode::ConnectionLost},
+    }));
+    CAPTURE(c.name);
+    test::RawPeer peer([&c](test::RawConnection &connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(c.bytes);
+    });
+    http::ClientOptions options;
+    options.maxBodyBytes = 100000;
+    http::ClientPool pool(options);
+    CHECK_FALSE(pool.send(peer.endpoint(), getRequest(), absl::Seconds(5)));
+    CHECK(core::lastReason().code == c.code);
+}
+
+TEST_CASE("a request that cannot be sent fails as not sent")
+{
+    http::ClientPool pool({});
+    http::Endpoint closed;
+    {
+        test::RawPeer peer([](test::RawConnection &) {});
+        closed = peer.endpoint();
+    }
+    CHECK_FALSE(pool.send(closed, getRequest(), absl::Seconds(5)));
+    CHECK(core::lastReason().code == ResultCode::ConnectionFailed);
+    CHECK_FALSE(pool.send(closed, getRequest(), absl::ZeroDuration()));
+    CHECK(core::lastReason().code == ResultCode::ConnectionFailed);
+}
+
+// Guards against a peer that holds a caller for longer than its deadline by staying silent or by
+// sending a few bytes now and then, at any stage of the answer.
+TEST_CASE("a silent or trickling peer is given up at the deadline")
+{
+    const std::string start =
+        GENERATE(as<std::string>(), "",
+                 "HTTP/1.1 200 OK\r\nX-Long: ", "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n");
+    const bool trickle = GENERATE(false, true);
+    CAPTURE(start, trickle);
+    absl::Notification done;
+    std::atomic<bool> peerGaveUp = false;
+    test::RawPeer peer([&](test::RawConnection &connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(start);
+        for (int i = 0; i < 200 && !done.HasBeenNotified(); ++i) {
+            if (trickle && !start.empty())
+                connection.send("x");
+            absl::SleepFor(absl::Milliseconds(20));
+        }
+        peerGaveUp = !done.HasBeenNotified();
+    });
+    http::ClientPool pool({});
+    CHECK_FALSE(pool.send(peer.endpoint(), getRequest(), absl::Milliseconds(300)));
+    CHECK(core::lastReason().code == ResultCode::Timeout);
+    CHECK_FALSE(peerGaveUp);
+    done.Notify();
+}
+
+// Guards against taking the rest of one exchange for the answer to the next request.
+TEST_CASE("a connection is reused only when it is in step")
+{
+    struct Case
+    {
+        std::string name;
+        // Delay of a second answer to the first request; none if negative.
+        int secondAnswerMs;
+        bool accept;
+        int connections;
+    };
+    const auto c = GENERATE(values<Case>({
+        {"reused", -1, true, 1},
+        // The library drops what it has read beyond the first answer.
+        {"answered twice at once", 0, true, 1},
+        {"answered again while idle", 20, true, 2},
+        {"rejected by the check", -1, false, 2},
+    }));
+    CAPTURE(c.name);
+    std::atomic<int> requests = 0;
+    test::RawPeer peer([&](test::RawConnection &connection) {
+        while (!connection.receiveUntil("\r\n\r\n").empty()) {
+            const std::string answer =
+                "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(++requests);
+            const bool again = requests == 1 && c.secondAnswerMs >= 0;
+            connection.send(again && c.secondAnswerMs == 0 ? answer + answer : answer);
+            if (again && c.secondAnswerMs > 0) {
+                absl::SleepFor(absl::Milliseconds(c.secondAnswerMs));
+                connection.send(answer);
+            }
+        }
+    });
+    http::ClientPool pool({});
+    const auto check = [&c](const http::Response &) { return c.accept; };
+    const auto first = pool.send(peer.endpoint(), getRequest(), absl::Seconds(5), check);
+    CHECK(first.has_value() == c.accept);
+    if (!first)
+        CHECK(core::lastReason().code == ResultCode::BadAnswer);
+    absl::SleepFor(absl::Milliseconds(100));
+    const auto second = pool.send(peer.endpoint(), getRequest(), absl::Seconds(5));
+    REQUIRE(second);
+    CHECK(second->body == "2");
+    pool.forget(peer.endpoint());
+    CHECK(peer.accepted() == c.connections);
+}
+
+// Guards against using a connection that the peer closed while it was idle: the request would fail
+// as possibly received although it was not.
+TEST_CASE("an idle connection that the peer closed is replaced")
+{
+    test::RawPeer peer([](test::RawConnection &connection) {
+        connection.receiveUntil("\r\n\r\n");
+        connection.send(Answer);
+    });
+    http::ClientPool pool({});
+    for (int i = 0; i < 20; ++i) {
+        CAPTURE(i);
+        REQUIRE(pool.send(peer.endpoint(), getRequest(), absl::Seconds(5)));
+        absl::SleepFor(absl::Milliseconds(5));
+    }
+}
