--- a/include/oleandercross/daemon/requestgateway.h
+++ b/include/oleandercross/daemon/requestgateway.h
@@ -50,8 +50,8 @@
     // The outcome of the latest attempt under a key; UnknownRequest if there is none.
     dispatch::Outcome outcomeOfKey(const RequestKey &key, absl::Duration timeout);
 
-    // Limits of all accounts, after a manifest change.
-    void setLimits(const std::vector<config::Account> &accounts);
+    // Limits of all accounts; each live entry enforces its share of the rates.
+    void setLimits(const std::vector<config::Account> &accounts, int liveEntries);
     void agentChanged(const AgentInfo &info, bool alive);
 
     int open() const;
--- a/src/daemon/entryapi.cpp
+++ b/src/daemon/entryapi.cpp
@@ -10,6 +10,7 @@
 #include <opentracing/span.h>
 
 #include <algorithm>
+#include <array>
 
 namespace oleandercross::daemon {
 
@@ -54,11 +55,11 @@
 Json::Value encodeShortfall(const core::DataCentreId &dataCentre,
                             const scheduling::ShortfallChanged &shortfall)
 {
-    static const char *const LevelNames[] = {"accelerator", "pair", "quad", "worker", "rack"};
+    constexpr std::array LevelNames = {"accelerator", "pair", "quad", "worker", "rack"};
     std::string missing;
     for (const scheduling::MissingCells &cells : shortfall.missing) {
         absl::StrAppend(&missing, missing.empty() ? "" : ", ", cells.count, " ",
-                        LevelNames[static_cast<int>(cells.level)]);
+                        LevelNames.at(static_cast<std::size_t>(cells.level)));
     }
     Json::Value out;
     out["account"] = shortfall.account.str();
--- a/src/daemon/entrydaemon.cpp
+++ b/src/daemon/entrydaemon.cpp
@@ -127,17 +127,26 @@
     {
         m_cluster.storeAnswered(m_manifests.refresh());
         const auto current = m_manifests.current();
-        if (!current || current->number == m_revisionSeen)
+        if (!current)
             return;
+        int live = 0;
+        for (const ClusterView::EntryInfo &entry : m_cluster.entries())
+            live += entry.alive ? 1 : 0;
+        if (current->number == m_revisionSeen && live == m_liveSeen)
+            return;
+        if (current->number != m_revisionSeen) {
+            telemetry::logState("configuration",
+                                absl::StrCat("revision ", current->number, " in force"));
+        }
         m_revisionSeen = current->number;
-        telemetry::logState("configuration",
-                            absl::StrCat("revision ", current->number, " in force"));
-        m_requests.setLimits(current->manifest->accounts);
+        m_liveSeen = live;
+        m_requests.setLimits(current->manifest->accounts, live);
     }
 
     const core::SteadyClock m_clock;
     const std::int64_t m_incarnation;
     std::int64_t m_revisionSeen = 0;
+    int m_liveSeen = 0;
     telemetry::Metrics m_metrics;
     http::ClientPool m_platformPool;
     const std::unique_ptr<telemetry::Tracer> m_tracer;
--- a/src/daemon/requestgateway.cpp
+++ b/src/daemon/requestgateway.cpp
@@ -347,11 +347,15 @@
     }
 }
 
-void RequestGateway::setLimits(const std::vector<config::Account> &accounts)
+// The load balancer spreads callers evenly over the live entries.
+void RequestGateway::setLimits(const std::vector<config::Account> &accounts, int liveEntries)
 {
+    const double share = 1.0 / std::max(1, liveEntries);
     absl::MutexLock lock(&m_mutex);
-    for (const config::Account &account : accounts)
-        apply(dispatch::LimitsChanged{account.name, account.weight, account.requestsPerSecond});
+    for (const config::Account &account : accounts) {
+        apply(dispatch::LimitsChanged{account.name, account.weight,
+                                      account.requestsPerSecond * share});
+    }
 }
 
 int RequestGateway::open() const
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -134,6 +134,7 @@
         }
     }
     std::vector<std::thread> calls;
+    calls.reserve(missing.size());
     for (const auto &agent : missing) {
         calls.emplace_back([this, agent] {
             Json::Value params;
