--- a/include/oleandercross/daemon/requestgateway.h
+++ b/include/oleandercross/daemon/requestgateway.h
@@ -74,6 +74,8 @@
     void route(dispatch::Action action) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     dispatch::Action nextAction(Waiter &waiter) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
+    // True if the dispatcher decided about the request while a call was under way.
+    bool hasAction(const Waiter &waiter) const;
     std::optional<dispatch::Event> claimTarget(const dispatch::DispatchMessage &message,
                                                Waiter &waiter);
     dispatch::Event execute(const dispatch::DispatchRequest &action, Waiter &waiter);
--- a/include/oleandercross/daemon/requestrunner.h
+++ b/include/oleandercross/daemon/requestrunner.h
@@ -55,13 +55,17 @@
 
     std::vector<MinionState> minions() const;
     absl::Duration uptime() const;
-    int running() const;
+    // Requests that run or whose end no entry has learnt yet. Ends that nobody asked for count only
+    // for a bounded time.
+    int unsettled() const;
 
 private:
     void execute(const dispatch::DispatchMessage &message, const std::string &body,
                  const std::string &traceparent);
     dispatch::FateReport waitForEnd(const dispatch::FateQuery &query, absl::Duration limit)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    dispatch::FateReport delivered(const core::RequestId &id, dispatch::FateReport report)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     DispatchReply reply(const dispatch::DispatchMessage &message, dispatch::FateReport report)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
@@ -76,6 +80,8 @@
     dispatch::RequestTable m_table ABSL_GUARDED_BY(m_mutex);
     // Requests whose minion call has not returned.
     std::map<core::RequestId, core::MinionId> m_executing ABSL_GUARDED_BY(m_mutex);
+    // Ended requests of which no reply has told, with the time of the end.
+    std::map<core::RequestId, core::Instant> m_undelivered ABSL_GUARDED_BY(m_mutex);
     std::map<core::MinionId, bool> m_draining ABSL_GUARDED_BY(m_mutex);
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
     // One thread per slot, so that an admitted request starts at once.
--- a/src/daemon/agentdaemon.cpp
+++ b/src/daemon/agentdaemon.cpp
@@ -84,7 +84,7 @@
         m_heartbeater.drain();
         const core::Instant announced = m_clock.now() + AnnounceDrain;
         while (!hurry()
-               && (m_clock.now() < announced || m_requests.running() > 0 || !m_tasks.drained()))
+               && (m_clock.now() < announced || m_requests.unsettled() > 0 || !m_tasks.drained()))
             absl::SleepFor(DrainPoll);
         m_heartbeater.leave();
         m_heartbeater.stop();
--- a/src/daemon/requestgateway.cpp
+++ b/src/daemon/requestgateway.cpp
@@ -173,6 +173,12 @@
     return action;
 }
 
+bool RequestGateway::hasAction(const Waiter &waiter) const
+{
+    absl::MutexLock lock(&m_mutex);
+    return !waiter.actions.empty();
+}
+
 void RequestGateway::apply(const dispatch::Event &event)
 {
     for (dispatch::Action &action : m_dispatcher.apply(event, m_clock.now()))
@@ -248,7 +254,10 @@
             return dispatch::DispatchRefused{message.id, message.attempt, code, std::nullopt};
         return dispatch::DispatchUnknown{message.id, message.attempt};
     }
-    const DispatchReply reply = decodeDispatchReply(*answer);
+    DispatchReply reply = decodeDispatchReply(*answer);
+    const dispatch::FateQuery query{message.id, message.target, message.agentUptime};
+    while (reply.report.fate == dispatch::Fate::Running && !hasAction(waiter))
+        reply.report = askFate(query);
     switch (reply.report.fate) {
     case dispatch::Fate::Answered:
         return dispatch::DispatchAnswered{message.id, message.attempt, reply.report.answer,
--- a/src/daemon/requestrunner.cpp
+++ b/src/daemon/requestrunner.cpp
@@ -12,6 +12,8 @@
 // An agent answers every call within this time, if only with "still running", so that the caller
 // can tell a long request from a silent connection.
 constexpr absl::Duration MaxHold = absl::Seconds(1);
+// Entries ask again within 2 s of a lost reply.
+constexpr absl::Duration DeliveryLimit = absl::Seconds(4);
 // Slots of each minion that only short work may use.
 constexpr int ShortSlots = 2;
 
@@ -120,7 +122,15 @@
         return m_executing.count(query.id) == 0;
     };
     m_mutex.AwaitWithTimeout(absl::Condition(&ended), limit);
-    return m_table.fate(query, m_clock.now());
+    return delivered(query.id, m_table.fate(query, m_clock.now()));
+}
+
+dispatch::FateReport RequestRunner::delivered(const core::RequestId &id,
+                                              dispatch::FateReport report)
+{
+    if (report.fate != dispatch::Fate::Running)
+        m_undelivered.erase(id);
+    return report;
 }
 
 DispatchReply RequestRunner::reply(const dispatch::DispatchMessage &message,
@@ -150,6 +160,9 @@
     else
         m_table.finishUnknown(message.id, now);
     m_executing.erase(message.id);
+    std::erase_if(m_undelivered,
+                  [now](const auto &entry) { return now - entry.second > DeliveryLimit; });
+    m_undelivered[message.id] = now;
 }
 
 void RequestRunner::configurationConfirmed()
@@ -196,10 +209,13 @@
     return m_admission.uptime(m_clock.now());
 }
 
-int RequestRunner::running() const
+int RequestRunner::unsettled() const
 {
     absl::MutexLock lock(&m_mutex);
-    return static_cast<int>(m_executing.size());
+    const core::Instant now = m_clock.now();
+    const auto recent = [now](const auto &entry) { return now - entry.second <= DeliveryLimit; };
+    const auto undelivered = std::count_if(m_undelivered.begin(), m_undelivered.end(), recent);
+    return static_cast<int>(m_executing.size()) + static_cast<int>(undelivered);
 }
 
 } // namespace oleandercross::daemon
--- a/src/scheduling/lifecycle.cpp
+++ b/src/scheduling/lifecycle.cpp
@@ -14,6 +14,8 @@
 constexpr absl::Duration StopRepeat = absl::Seconds(5);
 constexpr absl::Duration FirstBackOff = absl::Milliseconds(250);
 constexpr int MaxBackOffDoublings = 5;
+// Refusals for want of resources up to which a job does not avoid the worker.
+constexpr int VacatingRefusals = 4;
 // Share of its processors that is left to a task that exceeds its memory.
 constexpr double ThrottleShare = 0.5;
 
@@ -275,9 +277,12 @@
         return;
     if (job->state == JobState::Starting) {
         const int refusing = cluster.workerIndex(event.worker);
-        if (refusing >= 0)
-            job->refusedBy.push_back(refusing);
         const int doublings = std::min(job->refusals++, MaxBackOffDoublings);
+        // A worker that has just been vacated may refuse until its agent has seen the tasks end.
+        const bool vacating =
+            event.code == core::ResultCode::NoResources && job->refusals <= VacatingRefusals;
+        if (refusing >= 0 && !vacating)
+            job->refusedBy.push_back(refusing);
         job->retryAt = m_now + FirstBackOff * (1 << doublings);
         job->after = After::Requeue;
     }
