--- a/src/platform/writequeue.cpp
+++ b/src/platform/writequeue.cpp
@@ -156,19 +156,24 @@
 core::Instant WriteQueue::nextDue(core::Instant now, bool leaseOnly)
 {
     core::Instant due = absl::InfiniteFuture();
+    bool firstReady = true;
     for (const auto &[key, write] : m_pending) {
         if (!write.abandoned)
             due = std::min(due, write.deadline);
-        if ((leaseOnly && write.priority != WritePriority::Lease) || write.calling)
+        if (write.calling || (leaseOnly && write.priority != WritePriority::Lease))
             continue;
-        const bool waitsForSlot = write.slot < 0 && freeSlot(write.priority) < 0;
-        if (waitsForSlot)
+        const int slot = write.slot >= 0 ? write.slot : freeSlot(write.priority);
+        if (slot < 0)
             continue;
-        // A write without a slot may have to read the marker first, so either token may start it.
-        const core::Instant token = write.slot < 0
-            ? std::min(m_reads.ready(now), m_writes.ready(now))
-            : (write.step == Step::ReadMarker ? m_reads : m_writes).ready(now);
-        due = std::min(due, std::max(write.notBefore, token));
+        if (write.notBefore > now) {
+            due = std::min(due, write.notBefore);
+            continue;
+        }
+        // The most urgent write that is ready waits for its token, and the others behind it.
+        const bool reads = write.slot >= 0 ? write.step == Step::ReadMarker
+                                           : m_slots[slot].version == Slot::Unknown;
+        if (std::exchange(firstReady, false))
+            due = std::min(due, (reads ? m_reads : m_writes).ready(now));
     }
     return due;
 }
--- /dev/null
+++ b/test/platform/faketables.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/platform/tableservice.h>
+
+#include <algorithm>
+#include <map>
+
+namespace oleandercross::test {
+
+// A table service in memory that remembers which writes took effect and how often. Not thread safe.
+class FakeTables
+{
+public:
+    std::optional<platform::Row> read(const std::string &key) const
+    {
+        const auto it = m_rows.find(key);
+        return it == m_rows.end() ? std::nullopt : std::optional(it->second);
+    }
+
+    std::int64_t versionOf(const std::string &key) const
+    {
+        const auto it = m_rows.find(key);
+        return it == m_rows.end() ? 0 : it->second.version;
+    }
+
+    // Empty if a condition does not hold.
+    std::optional<std::int64_t> write(const platform::Transaction &transaction)
+    {
+        for (const platform::Condition &condition : transaction.conditions) {
+            if (versionOf(condition.key) != condition.version)
+                return std::nullopt;
+        }
+        ++m_version;
+        for (const std::string &key : transaction.deletes)
+            m_rows.erase(key);
+        for (const platform::Put &put : transaction.puts)
+            m_rows[put.key] = {put.key, put.value, m_version};
+        ++m_effects[transaction.writeId];
+        return m_version;
+    }
+
+    int effects(const std::string &writeId) const
+    {
+        const auto it = m_effects.find(writeId);
+        return it == m_effects.end() ? 0 : it->second;
+    }
+
+    int markers() const
+    {
+        return static_cast<int>(std::count_if(m_rows.begin(), m_rows.end(), [](const auto &row) {
+            return row.first.rfind("write-marker/", 0) == 0;
+        }));
+    }
+
+private:
+    std::map<std::string, platform::Row> m_rows;
+    std::map<std::string, int> m_effects;
+    std::int64_t m_version = 0;
+};
+
+} // namespace oleandercross::test
--- /dev/null
+++ b/test/platform/tst_storewriter.cpp
@@ -0,0 +1,207 @@
+#include <oleandercross/platform/storewriter.h>
+
+#include <platform/testservers.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/blocking_counter.h>
+#include <absl/synchronization/mutex.h>
+
+#include <thread>
+
+using namespace oleandercross;
+using core::ResultCode;
+using platform::WriteOutcome;
+using platform::WritePriority;
+using platform::WriteResult;
+
+namespace {
+
+platform::StoreWriterOptions testOptions()
+{
+    platform::StoreWriterOptions options;
+    options.process = "entry-1";
+    options.writesPerSecond = 1000;
+    options.writeBurst = 50;
+    options.readsPerSecond = 2000;
+    options.readBurst = 50;
+    return options;
+}
+
+// A table service of the stand-in, its client and a writer over it.
+struct Store
+{
+    explicit Store(const platform::StoreWriterOptions &options = testOptions())
+        : client(pool, tables.server.endpoint(), absl::Milliseconds(200))
+        , writer(client, clock, options)
+    { }
+
+    // Inserts a row that must not exist, so that a second effect of the same write would show.
+    WriteResult insert(const std::string &key, absl::Duration timeout)
+    {
+        return writer.write({"", {{key, 0}}, {{key, "value of " + key}}, {}}, WritePriority::Job,
+                            timeout);
+    }
+
+    core::SteadyClock clock;
+    test::Served<standin::TableRole> tables;
+    http::ClientPool pool{http::ClientOptions()};
+    platform::HttpTableService client;
+    platform::StoreWriter writer;
+};
+
+} // namespace
+
+TEST_CASE("each write takes effect once whatever happens to answers")
+{
+    const std::string fault =
+        GENERATE(as<std::string>(), "{}", R"({"lose": 10})", R"({"cut": 10})", R"({"shorten": 10})",
+                 R"({"swap": 10})", R"({"twice": 10})", R"({"refuse": 10})", R"({"close": 10})",
+                 R"({"stall": 5})", R"({"defer": 5, "by_ms": 50})", R"({"defer": 5, "by_ms": 400})",
+                 R"({"late": 5, "by_ms": 400})", R"({"outage": "refuse", "outage_ms": 300})",
+                 R"({"outage": "silent", "outage_ms": 300})",
+                 R"({"seed": 7, "rates": {"lose": 0.1, "cut": 0.1, "twice": 0.1, "defer": 0.1,
+            "refuse": 0.1}, "by_ms": 30})");
+    CAPTURE(fault);
+    constexpr int Threads = 4;
+    constexpr int PerThread = 15;
+    Store store;
+    REQUIRE(store.insert("first", absl::Seconds(10)).outcome == WriteOutcome::Applied);
+    store.tables.fault(fault);
+    std::vector<std::thread> threads;
+    std::vector<WriteResult> results(Threads * PerThread);
+    for (int t = 0; t < Threads; ++t) {
+        threads.emplace_back([&, t] {
+            for (int i = t * PerThread; i < (t + 1) * PerThread; ++i)
+                results[i] = store.insert(absl::StrCat("row/", i), absl::Seconds(30));
+        });
+    }
+    for (std::thread &thread : threads)
+        thread.join();
+    for (int i = 0; i < Threads * PerThread; ++i) {
+        CAPTURE(i, results[i].reason.message);
+        CHECK(results[i].outcome == WriteOutcome::Applied);
+        const auto row = store.tables.role.row(absl::StrCat("row/", i));
+        REQUIRE(row);
+        CHECK(row->version == results[i].version);
+    }
+    CHECK(store.writer.statistics().applied == Threads * PerThread + 1);
+}
+
+TEST_CASE("a write that cannot be resolved in time ends by its deadline")
+{
+    struct Case
+    {
+        std::string fault;
+        WriteOutcome outcome;
+    };
+    const auto c = GENERATE(values<Case>({
+        {R"({"outage": "refuse", "outage_ms": 60000})", WriteOutcome::NotApplied},
+        {R"({"lose": 1, "refuse": 0, "delay_ms": 0})", WriteOutcome::Unknown},
+    }));
+    CAPTURE(c.fault);
+    Store store;
+    REQUIRE(store.insert("first", absl::Seconds(10)).outcome == WriteOutcome::Applied);
+    store.tables.fault(c.fault);
+    if (c.outcome == WriteOutcome::Unknown)
+        store.tables.fault(R"({"ignore": 1000})");
+    const WriteResult result = store.insert("row", absl::Milliseconds(500));
+    CHECK(result.outcome == c.outcome);
+    CHECK(result.reason.code
+          == (c.outcome == WriteOutcome::Unknown ? ResultCode::OutcomeUnknown
+                                                 : ResultCode::DeadlineExpired));
+}
+
+TEST_CASE("a conflict is reported once and nothing is written")
+{
+    Store store;
+    REQUIRE(store.insert("row", absl::Seconds(10)).outcome == WriteOutcome::Applied);
+    const WriteResult result = store.insert("row", absl::Seconds(10));
+    CHECK(result.outcome == WriteOutcome::Conflict);
+    CHECK(result.reason.code == ResultCode::VersionConflict);
+    CHECK(store.writer.statistics().conflicts == 1);
+}
+
+// Guards against a flood of retries that keeps a recovering store down.
+TEST_CASE("writes queued in an outage stay within the share afterwards")
+{
+    platform::StoreWriterOptions options = testOptions();
+    options.writesPerSecond = 100;
+    options.writeBurst = 10;
+    options.readsPerSecond = 100;
+    options.readBurst = 10;
+    Store store(options);
+    store.tables.fault(R"({"outage": "refuse", "outage_ms": 500})");
+    constexpr int Count = 100;
+    absl::BlockingCounter done(Count);
+    std::atomic<int> applied = 0;
+    const core::Instant start = store.clock.now();
+    for (int i = 0; i < Count; ++i) {
+        const std::string key = absl::StrCat("row/", i);
+        store.writer.submit({"", {{key, 0}}, {{key, "x"}}, {}}, WritePriority::Job,
+                            absl::Seconds(60), [&](const WriteResult &result) {
+                                applied += result.outcome == WriteOutcome::Applied ? 1 : 0;
+                                done.DecrementCount();
+                            });
+    }
+    done.Wait();
+    const double seconds = absl::ToDoubleSeconds(store.clock.now() - start);
+    CHECK(applied == Count);
+    CHECK(store.writer.statistics().writeCalls <= 10 + 100 * seconds + 1);
+    CHECK(store.writer.statistics().readCalls <= 10 + 100 * seconds + 1);
+}
+
+// Guards against long calls of other writes that keep the lease from being renewed.
+TEST_CASE("a lease is written while other writes wait for a silent store")
+{
+    platform::StoreWriterOptions options = testOptions();
+    options.threads = 2;
+    Store store(options);
+    REQUIRE(
+        store.writer.write({"", {}, {{"lease", "1"}}, {}}, WritePriority::Lease, absl::Seconds(10))
+            .outcome
+        == WriteOutcome::Applied);
+    std::atomic<int> ended = 0;
+    // Enough requests that the two general threads meet only silence.
+    store.tables.fault(R"({"delay_ms": 150})");
+    for (int i = 0; i < 20; ++i) {
+        store.writer.submit({"", {}, {{absl::StrCat("row/", i), "x"}}, {}}, WritePriority::Rest,
+                            absl::Seconds(60), [&](const WriteResult &) { ++ended; });
+    }
+    const WriteResult result =
+        store.writer.write({"", {}, {{"lease", "2"}}, {}}, WritePriority::Lease, absl::Seconds(10));
+    CHECK(result.outcome == WriteOutcome::Applied);
+    CHECK(ended < 20);
+    CHECK(test::eventually([&] { return ended == 20; }));
+}
+
+TEST_CASE("every write ends when the writer is destroyed")
+{
+    std::vector<WriteOutcome> outcomes;
+    absl::Mutex mutex;
+    {
+        Store store;
+        store.tables.fault(R"({"outage": "silent", "outage_ms": 60000})");
+        for (int i = 0; i < 50; ++i) {
+            store.writer.submit({"", {}, {{"a", "x"}}, {}}, WritePriority::Job, absl::Seconds(60),
+                                [&](const WriteResult &result) {
+                                    absl::MutexLock lock(&mutex);
+                                    outcomes.push_back(result.outcome);
+                                });
+        }
+        absl::SleepFor(absl::Milliseconds(50));
+    }
+    CHECK(outcomes.size() == 50);
+}
+
+TEST_CASE("reads wait for the share and give up at their timeout")
+{
+    platform::StoreWriterOptions options = testOptions();
+    options.readsPerSecond = 0.1;
+    options.readBurst = 2;
+    Store store(options);
+    CHECK(store.writer.read("a", absl::Milliseconds(100)));
+    CHECK(store.writer.scan("a", "", 10, absl::Milliseconds(100)));
+    CHECK_FALSE(store.writer.read("a", absl::Milliseconds(100)));
+    CHECK(core::lastReason().code == ResultCode::StoreUnavailable);
+    CHECK(store.tables.role.requests() == 2);
+}
