Pass failed reads to the fuzzed queue as failed

std::optional(optional) copies instead of wrapping, so a failed read of the marker reached the queue as a missing row.

--- a/test/fuzz/tst_storewriter.cpp
+++ b/test/fuzz/tst_storewriter.cpp
@@ -174,9 +174,10 @@
     void settle(const StoreCall &call, Fate fate)
     {
         if (call.isRead) {
-            const bool answered = fate == Fate::Answered;
-            m_queue->onRead(
-                call.id, answered ? std::optional(m_tables.read(call.key)) : std::nullopt, m_now);
+            std::optional<std::optional<platform::Row>> row;
+            if (fate == Fate::Answered)
+                row.emplace(m_tables.read(call.key));
+            m_queue->onRead(call.id, row, m_now);
             return;
         }
         std::optional<std::int64_t> version;
