Do not record a cancelled id whose records may be forgotten

Cancellations now carry the agent's uptime like fate queries and record nothing when the id may have been forgotten. 5000 tests of size 400 pass for both routing designs.

--- a/include/oleandercross/dispatch/dispatcher.h
+++ b/include/oleandercross/dispatch/dispatcher.h
@@ -147,6 +147,8 @@
     core::RequestId id;
     int attempt = 0;
     TargetId target;
+    // See FateQuery.
+    absl::Duration agentUptime;
 };
 
 // Tell the caller. Exactly one per RequestArrived.
--- a/include/oleandercross/dispatch/requesttable.h
+++ b/include/oleandercross/dispatch/requesttable.h
@@ -63,8 +63,11 @@
     // dispatch may have been forgotten.
     FateReport fate(const FateQuery &query, core::Instant now);
 
-    // Blocks an id that has not started. Returns the minion to tell if it runs, else an empty id.
-    core::MinionId cancel(const core::RequestId &id, core::Instant now);
+    // Returns the minion to tell if the request runs, else an empty id. Blocks an id that has not
+    // started; one that was never seen only if `agentUptime` (see FateQuery) shows that its records
+    // cannot have been forgotten.
+    core::MinionId cancel(const core::RequestId &id, core::Instant now,
+                          absl::Duration agentUptime = absl::ZeroDuration());
 
     // Forgets records past the retention time. receive() does it too.
     void expire(core::Instant now);
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -95,7 +95,8 @@
     if (request.phase == Phase::Waiting)
         notRun(request, ResultCode::Cancelled);
     else
-        m_actions.push_back(CancelAtTarget{event.id, request.attempt, request.target});
+        m_actions.push_back(
+            CancelAtTarget{event.id, request.attempt, request.target, request.agentUptime});
 }
 
 void Dispatcher::Private::on(const TargetAnnounced &event)
@@ -289,7 +290,8 @@
     // Otherwise requests that always miss their deadline would still be taken for short ones.
     m_serviceTimes.observe(arrival.service, arrival.account, arrival.bodyBytes,
                            m_now - request.sent);
-    m_actions.push_back(CancelAtTarget{arrival.id, request.attempt, request.target});
+    m_actions.push_back(
+        CancelAtTarget{arrival.id, request.attempt, request.target, request.agentUptime});
     finish(arrival.id, UnknownOutcome);
 }
 
--- a/src/dispatch/requesttable.cpp
+++ b/src/dispatch/requesttable.cpp
@@ -53,7 +53,7 @@
     void end(const RequestId &id, State state, ResultCode code, core::Instant now);
     void holdAnswer(const RequestId &id, const Answer &answer);
     FateReport fate(const FateQuery &query, core::Instant now);
-    core::MinionId cancel(const RequestId &id, core::Instant now);
+    core::MinionId cancel(const RequestId &id, absl::Duration agentUptime, core::Instant now);
     void expire(core::Instant now);
 
     std::size_t records() const { return m_records.size(); }
@@ -199,13 +199,17 @@
     return {Fate::Refused, record.code, {}};
 }
 
-core::MinionId RequestTable::Private::cancel(const RequestId &id, core::Instant now)
+core::MinionId RequestTable::Private::cancel(const RequestId &id, absl::Duration agentUptime,
+                                             core::Instant now)
 {
     const auto it = m_records.find(id);
     if (it != m_records.end()) {
         it->second.blocked = true;
         return it->second.state == State::Running ? it->second.minion : core::MinionId();
     }
+    // It may have run, and a record made now would say that it did not.
+    if (agentUptime <= m_forgottenUpTo)
+        return {};
     Record &record = changed(id, now);
     record.state = State::Refused;
     record.blocked = true;
@@ -270,9 +274,10 @@
     return d->fate(query, now);
 }
 
-core::MinionId RequestTable::cancel(const core::RequestId &id, core::Instant now)
+core::MinionId RequestTable::cancel(const core::RequestId &id, core::Instant now,
+                                    absl::Duration agentUptime)
 {
-    return d->cancel(id, now);
+    return d->cancel(id, agentUptime, now);
 }
 
 void RequestTable::expire(core::Instant now)
--- a/test/support/dispatchharness.h
+++ b/test/support/dispatchharness.h
@@ -492,7 +492,7 @@
 inline void DispatchHarness::duplicate(std::size_t index)
 {
     Message &message = m_messages[index];
-    if (message.agent != None)
+    if (message.agent != None && !message.boundTo)
         message.boundTo = m_agents[message.agent].incarnation;
     Message copy = message;
     copy.isCopy = true;
@@ -509,7 +509,7 @@
         toEntry(message.entry, message.agent,
                 dispatch::FateLearned{ask->query.id, ask->attempt, report});
     } else if (const auto *cancel = std::get_if<dispatch::CancelAtTarget>(&*message.action)) {
-        agent.table->cancel(cancel->id, m_now);
+        agent.table->cancel(cancel->id, m_now, cancel->agentUptime);
     } else if (const auto *slots = std::get_if<dispatch::AskSlots>(&*message.action)) {
         if (slots->target == target(agent))
             agent.admission->demand(m_entries[message.entry].id, m_minion, slots->slots,
