--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -176,7 +176,8 @@
 {
     const absl::Duration time = m_now - request.sent - 2 * target.distance();
     const RequestArrived &arrival = request.arrival;
-    target.observe(time, request.expected.mean, m_now);
+    // Without an estimate, a target is not slow because a request is long.
+    target.observe(time, request.expected.learned ? request.expected.mean : time, m_now);
     m_serviceTimes.observe(arrival.service, arrival.account, arrival.bodyBytes, time);
     queues(arrival.service)
         .of(request.shortWork)
--- a/src/dispatch/servicetimes.cpp
+++ b/src/dispatch/servicetimes.cpp
@@ -32,7 +32,8 @@
     for (const Key &key : keys) {
         const auto it = m_groups.find(key);
         if (it != m_groups.end() && it->second.count >= EnoughObservations)
-            return {absl::Seconds(it->second.mean), absl::Seconds(std::exp(it->second.logMean))};
+            return {absl::Seconds(it->second.mean), absl::Seconds(std::exp(it->second.logMean)),
+                    true};
     }
     return {};
 }
--- a/src/dispatch/servicetimes.h
+++ b/src/dispatch/servicetimes.h
@@ -16,6 +16,8 @@
     absl::Duration mean = absl::Milliseconds(10);
     // Geometric mean, which a few very long requests hardly move; for classification.
     absl::Duration typical = absl::Milliseconds(10);
+    // Otherwise the values are defaults.
+    bool learned = false;
 };
 
 // Learns service times per service, account and power of two of the body size, since declared
