--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -95,7 +95,8 @@
     if (request.phase == Phase::Waiting)
         notRun(request, ResultCode::Cancelled);
     else
-        m_actions.push_back(CancelAtTarget{event.id, request.attempt, request.target});
+        m_actions.push_back(
+            CancelAtTarget{event.id, request.attempt, request.target, request.agentUptime});
 }
 
 void Dispatcher::Private::on(const TargetAnnounced &event)
@@ -175,7 +176,8 @@
 {
     const absl::Duration time = m_now - request.sent - 2 * target.distance();
     const RequestArrived &arrival = request.arrival;
-    target.observe(time, request.expected.mean, m_now);
+    // Without an estimate, a target is not slow because a request is long.
+    target.observe(time, request.expected.learned ? request.expected.mean : time, m_now);
     m_serviceTimes.observe(arrival.service, arrival.account, arrival.bodyBytes, time);
     queues(arrival.service)
         .of(request.shortWork)
@@ -289,7 +291,8 @@
     // Otherwise requests that always miss their deadline would still be taken for short ones.
     m_serviceTimes.observe(arrival.service, arrival.account, arrival.bodyBytes,
                            m_now - request.sent);
-    m_actions.push_back(CancelAtTarget{arrival.id, request.attempt, request.target});
+    m_actions.push_back(
+        CancelAtTarget{arrival.id, request.attempt, request.target, request.agentUptime});
     finish(arrival.id, UnknownOutcome);
 }
 
--- a/test/support/dispatchharness.h
+++ b/test/support/dispatchharness.h
@@ -58,6 +58,7 @@
 {
 public:
     DispatchHarness(dispatch::Routing routing, std::uint64_t seed, int entries = 2, int agents = 3)
+        : m_maxRecords(seed % 2 == 0 ? 3 : 30)
     {
         for (int i = 0; i < agents; ++i) {
             m_agents.push_back({});
@@ -175,6 +176,7 @@
         return {agent.id, agent.incarnation, m_minion};
     }
 
+    std::size_t m_maxRecords;
     core::Instant m_now = absl::UnixEpoch() + absl::Hours(1);
     std::vector<Agent> m_agents;
     std::vector<Entry> m_entries;
@@ -204,7 +206,7 @@
     dispatch::RequestTableSettings table;
     table.retention = absl::Seconds(2);
     table.maxAnswerBytes = 100;
-    table.maxRecords = 12;
+    table.maxRecords = m_maxRecords;
     agent.table = std::make_unique<dispatch::RequestTable>(table, *agent.admission);
     agent.running.clear();
     agent.draining = false;
@@ -492,7 +494,7 @@
 inline void DispatchHarness::duplicate(std::size_t index)
 {
     Message &message = m_messages[index];
-    if (message.agent != None)
+    if (message.agent != None && !message.boundTo)
         message.boundTo = m_agents[message.agent].incarnation;
     Message copy = message;
     copy.isCopy = true;
@@ -509,7 +511,7 @@
         toEntry(message.entry, message.agent,
                 dispatch::FateLearned{ask->query.id, ask->attempt, report});
     } else if (const auto *cancel = std::get_if<dispatch::CancelAtTarget>(&*message.action)) {
-        agent.table->cancel(cancel->id, m_now);
+        agent.table->cancel(cancel->id, m_now, cancel->agentUptime);
     } else if (const auto *slots = std::get_if<dispatch::AskSlots>(&*message.action)) {
         if (slots->target == target(agent))
             agent.admission->demand(m_entries[message.entry].id, m_minion, slots->slots,
