Fuzz gangs and leases together

Stop and Abort of a gang with one member are answered with StillRunning until its task is gone, because no peer limits how long it runs.

--- a/include/oleandercross/gang/protocol.h
+++ b/include/oleandercross/gang/protocol.h
@@ -100,7 +100,8 @@
     friend bool operator==(const Commit &, const Commit &) = default;
 };
 
-// Leader to agent: gives up a start. Drops the reservation, stops tasks that run already.
+// Leader to agent: gives up a start. Drops the reservation, stops tasks that run already. Answered
+// with StillRunning until the tasks are gone if the gang has one member.
 struct Abort
 {
     Epoch epoch = 0;
@@ -109,7 +110,7 @@
     friend bool operator==(const Abort &, const Abort &) = default;
 };
 
-// Leader to agent: stops the gang's tasks.
+// Leader to agent: stops the gang's tasks. Answered like Abort.
 struct StopTask
 {
     Epoch epoch = 0;
--- a/src/gang/ledger.cpp
+++ b/src/gang/ledger.cpp
@@ -179,6 +179,8 @@
 {
     if (!acceptEpoch(offered))
         return;
+    if (!ready)
+        return refuse(core::ResultCode::NotReady, "the worker's tasks are not known yet");
     HeldGang *gang = find(key);
     if (gang == nullptr) {
         // Remembers the end, so that a delayed reservation is refused.
@@ -193,6 +195,17 @@
         finish(*gang, "abort");
     else
         stop(*gang, "abort", TaskEvent::Kind::Stopped, {core::ResultCode::Cancelled, why});
+    // No peer and only a long lease limits how long a lone member can still run.
+    if (gang->solo() && (!gang->ended() || hasStray(key)))
+        refuse(core::ResultCode::StillRunning, "the worker has not stopped the task yet");
+}
+
+bool Ledger::Private::hasStray(const GangKey &key) const
+{
+    return std::any_of(strays.begin(), strays.end(), [&key](const auto &stray) {
+        const auto identity = parseTaskId(stray.taskId);
+        return identity && identity->key == key;
+    });
 }
 
 // Stops a member that was committed. Its resources stay held until the tasks are gone.
--- a/src/gang/ledger_p.h
+++ b/src/gang/ledger_p.h
@@ -67,6 +67,7 @@
     bool checkMembers(const HeldGang &gang, const std::vector<Peer> &members) const;
     void start(HeldGang &gang);
     void stopByLeader(Epoch offered, const GangKey &key, const std::string &why);
+    bool hasStray(const GangKey &key) const;
     void stop(HeldGang &gang, const char *event, TaskEvent::Kind kind, core::Reason reason);
     void stopTasks(const HeldGang &gang);
     void finish(HeldGang &gang, const char *event);
--- /dev/null
+++ b/test/fuzz/fuzz_gang.cpp
@@ -0,0 +1,71 @@
+#include "world.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+#include <ostream>
+
+using namespace oleandercross::fuzz;
+
+namespace {
+
+struct Model
+{ };
+
+// Any step; half of them start gangs or let time pass, so that faults meet gangs in all phases.
+rc::Gen<Step> anyStep()
+{
+    const auto kind = rc::gen::weightedOneOf<StepKind>(
+        {{6, rc::gen::just(StepKind::StartGang)},
+         {2, rc::gen::just(StepKind::Wait)},
+         {8,
+          rc::gen::map(rc::gen::inRange(0, static_cast<int>(StepKind::Wait) + 1),
+                       [](int number) { return static_cast<StepKind>(number); })}});
+    return rc::gen::build<Step>(rc::gen::set(&Step::kind, kind),
+                                rc::gen::set(&Step::a, rc::gen::inRange(0, 60)),
+                                rc::gen::set(&Step::b, rc::gen::inRange(0, 60)),
+                                rc::gen::set(&Step::ms, rc::gen::inRange(0, 2500)));
+}
+
+struct Command : rc::state::Command<Model, World>
+{
+    Step step = *anyStep();
+
+    void apply(Model &) const override { }
+    void run(const Model &, World &world) const override
+    {
+        world.apply(step);
+        if (!world.violation().empty())
+            RC_FAIL(world.violation());
+    }
+    void show(std::ostream &out) const override { out << step; }
+};
+
+} // namespace
+
+TEST_CASE("no fault breaks the invariants of gangs and leases")
+{
+    int started = 0;
+    int partial = 0;
+    int epochs = 0;
+    absl::Duration longest;
+    const bool passed = rc::check("gangs and leases under faults", [&] {
+        World world(*rc::gen::noShrink(rc::gen::arbitrary<unsigned>()));
+        rc::state::check(Model(), world, rc::state::gen::execOneOfWithArgs<Command>());
+        const std::string failure = world.checkRecovery();
+        if (!failure.empty())
+            RC_FAIL(failure);
+        started += world.startedGangs();
+        partial += world.partialGangs();
+        epochs += world.epochs();
+        longest = std::max(longest, world.longestPartial());
+    });
+    CHECK(passed);
+    // Guards against a generator that no longer reaches the interesting states.
+    CHECK(started > 0);
+    CHECK(partial > 0);
+    CHECK(epochs > 0);
+    WARN("gangs started: " << started << ", partial for a while: " << partial << ", longest: "
+                           << absl::FormatDuration(longest) << ", epochs: " << epochs);
+}
--- /dev/null
+++ b/test/fuzz/world.h
@@ -0,0 +1,212 @@
+#pragma once
+
+#include "tablefake.h"
+
+#include <oleandercross/gang/coordinator.h>
+#include <oleandercross/gang/ledger.h>
+#include <oleandercross/ownership/leaseholder.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace oleandercross::fuzz {
+
+enum class StepKind {
+    StartGang,
+    StopGang,
+    FinishGang,
+    CrashAgent,
+    PauseAgent,
+    CrashEntry,
+    PauseEntry,
+    // The process stops just before its b-th next action.
+    CrashAgentAfter,
+    CrashEntryAfter,
+    PauseEntryAfter,
+    CutAgents,
+    CutEntryFromAgent,
+    CutEntries,
+    CutStore,
+    StoreDown,
+    StoreUp,
+    StoreLossy,
+    NetworkLossy,
+    CrashWorker,
+    SilenceWorker,
+    HandOver,
+    Heal,
+    Wait,
+};
+
+// One command to the world. The meaning of `a` and `b` depends on the kind; the world then runs
+// for `ms`.
+struct Step
+{
+    StepKind kind = StepKind::Wait;
+    int a = 0;
+    int b = 0;
+    int ms = 0;
+};
+
+std::ostream &operator<<(std::ostream &out, const Step &step);
+
+// Ledgers, coordinators and lease holders of one data centre, joined by messages that can be lost,
+// late and repeated. Checks the invariants after every event; the first violation stays.
+class World
+{
+public:
+    static constexpr int Agents = 4;
+    static constexpr int Entries = 3;
+
+    explicit World(unsigned seed);
+
+    void apply(const Step &step);
+    void run(absl::Duration duration);
+    // Ends all faults.
+    void heal();
+    const std::string &violation() const { return m_violation; }
+
+    // After heal(): stops every gang, then starts one on all accelerators. Returns what failed.
+    std::string checkRecovery();
+
+    int startedGangs() const { return m_startedGangs; }
+    int partialGangs() const { return static_cast<int>(m_everPartial.size()); }
+    absl::Duration longestPartial() const { return m_longestPartial; }
+    int epochs() const { return static_cast<int>(m_leaders.size()); }
+
+private:
+    using Instant = core::Instant;
+    using Action = std::function<void()>;
+    using Random = std::mt19937;
+
+    struct Process
+    {
+        bool alive = true;
+        int generation = 0;
+        Instant pausedUntil = absl::InfinitePast();
+        // Actions until the planned crash or pause; negative if none is planned.
+        int actionsLeft = -1;
+        absl::Duration plannedPause = absl::ZeroDuration();
+        absl::Duration downFor = absl::Seconds(1);
+    };
+
+    struct WorkerTask
+    {
+        platform::TaskStatus status;
+        Instant leaseEnd;
+    };
+
+    struct AgentNode
+    {
+        int index = 0;
+        Process process;
+        std::unique_ptr<gang::Ledger> ledger;
+        std::map<std::string, WorkerTask> worker;
+        Instant workerSilentUntil = absl::InfinitePast();
+    };
+
+    struct Operation
+    {
+        std::unique_ptr<gang::Coordinator> coordinator;
+        bool required = false;
+    };
+
+    struct EntryNode
+    {
+        int index = 0;
+        Process process;
+        std::unique_ptr<ownership::LeaseHolder> lease;
+        std::set<int> reported;
+        std::map<gang::GangKey, Operation> operations;
+        Instant storeCutUntil = absl::InfinitePast();
+    };
+
+    struct Partial
+    {
+        Instant since;
+        bool now = false;
+    };
+
+    // Scheduling.
+    void at(absl::Duration delay, Action action);
+    void post(Process &process, absl::Duration delay, Action action);
+    void deliver(Process &process, absl::Duration delay, Action action);
+    bool stepOf(Process &process);
+    void crash(Process &process);
+    absl::Duration latency();
+    bool chance(double probability);
+    int pick(int below);
+
+    // Agents and workers.
+    void startAgent(AgentNode &agent);
+    void tickAgent(AgentNode &agent);
+    gang::LedgerResult applyLedger(AgentNode &agent, const gang::LedgerEvent &event);
+    void execute(AgentNode &agent, const gang::LedgerAction &action);
+    void perform(AgentNode &agent, const gang::StartWorkerTask &action);
+    void perform(AgentNode &agent, const gang::StopWorkerTask &action);
+    void perform(AgentNode &agent, const gang::RenewTaskLeases &action);
+    void perform(AgentNode &agent, const gang::ListWorkerTasks &action);
+    void perform(AgentNode &agent, const gang::ForgetWorkerTasks &action);
+    void perform(AgentNode &agent, const gang::PollPeer &action);
+    void perform(AgentNode &, const gang::CheckpointWorkerTask &) { }
+    void perform(AgentNode &, const gang::ThrottleWorkerTask &) { }
+    void perform(AgentNode &, const gang::SendTaskEvent &) { }
+    void runOnWorker(AgentNode &agent, const platform::TaskStart &task);
+    bool running(const WorkerTask &task) const;
+
+    // Entries and the store.
+    void startEntry(EntryNode &entry);
+    void tickEntry(EntryNode &entry);
+    void applyLease(EntryNode &entry, const ownership::LeaseEvent &event);
+    void execute(EntryNode &entry, const ownership::LeaseAction &action);
+    void askReports(EntryNode &entry);
+    void storeRead(EntryNode &entry);
+    void storeWrite(EntryNode &entry, const platform::Transaction &transaction,
+                    std::function<void(core::ResultCode, std::int64_t)> done);
+    void applyCoordinator(EntryNode &entry, const gang::GangKey &key,
+                          const gang::CoordinatorEvent &event);
+    void execute(EntryNode &entry, const gang::GangKey &key, const gang::CoordinatorAction &action);
+    void sendToMember(EntryNode &entry, const gang::GangKey &key, const gang::SendToMember &send);
+    void callAgent(EntryNode &entry, int agent, const gang::LedgerEvent &message,
+                   std::function<void(const gang::Answer &)> done);
+    void startGang(int memberMask, int accelerators, bool required);
+    void stopGang(const gang::GangKey &key);
+    void begin(EntryNode &entry, gang::GangOperation operation);
+    EntryNode *leader();
+    bool cut(const std::string &a, const std::string &b) const;
+    void setCut(const std::string &a, const std::string &b, absl::Duration duration);
+
+    // The oracle.
+    void check();
+    void checkPartial();
+    void checkDeciders();
+    void violate(const std::string &message);
+
+    Random m_random;
+    Instant m_now;
+    std::multimap<Instant, Action> m_events;
+    std::vector<AgentNode> m_agents;
+    std::vector<EntryNode> m_entries;
+    TableFake m_table;
+    bool m_storeDown = false;
+    double m_storeLoss = 0;
+    double m_messageLoss = 0;
+    std::map<std::pair<std::string, std::string>, Instant> m_cuts;
+    std::vector<gang::GangKey> m_gangs;
+    int m_jobs = 0;
+    int m_startedGangs = 0;
+    std::map<gang::Epoch, std::string> m_leaders;
+    std::map<std::pair<gang::GangKey, gang::Epoch>, Partial> m_partial;
+    std::set<std::pair<gang::GangKey, gang::Epoch>> m_everPartial;
+    absl::Duration m_longestPartial;
+    // Since when a gang that the leader reported as ended must not run.
+    std::map<gang::GangKey, Instant> m_endedBy;
+    std::string m_violation;
+};
+
+} // namespace oleandercross::fuzz
