--- a/include/oleandercross/daemon/clusterview.h
+++ b/include/oleandercross/daemon/clusterview.h
@@ -125,6 +125,7 @@
     void learnLeader(const Json::Value &encoded) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void update(const membership::AgentRecord &record, const Json::Value &loads);
     void tick();
+    void announceFar();
     void notify(const std::vector<std::shared_ptr<const AgentInfo>> &infos, bool alive) const;
     Json::Value heartbeatReply(const Json::Value &params, bool needState);
 
--- a/include/oleandercross/daemon/heartbeater.h
+++ b/include/oleandercross/daemon/heartbeater.h
@@ -4,6 +4,7 @@
 #include <oleandercross/config/settings.h>
 #include <oleandercross/core/executor.h>
 #include <oleandercross/daemon/clusterview.h>
+#include <oleandercross/daemon/manifestfollower.h>
 #include <oleandercross/daemon/requestrunner.h>
 #include <oleandercross/daemon/taskrunner.h>
 #include <oleandercross/membership/directory.h>
@@ -33,7 +34,6 @@
 
     // True while new work is taken.
     bool ready() const;
-    std::int64_t revision() const;
 
 private:
     absl::Duration beat();
@@ -42,7 +42,7 @@
     Json::Value message(const core::EntryId &entry);
     AgentInfo describe() const;
     void learn(const Json::Value &reply);
-    void learnManifest(const Json::Value &encoded);
+    void putInForce(const config::Manifest &manifest);
 
     const config::Settings m_settings;
     const std::int64_t m_incarnation;
@@ -51,11 +51,11 @@
     TaskRunner &m_tasks;
     telemetry::Metrics &m_metrics;
     const core::SteadyClock m_clock;
+    ManifestFollower m_manifest;
     // One heartbeat at a time, so that sequence numbers arrive in order.
     absl::Mutex m_beatMutex ABSL_ACQUIRED_BEFORE(m_mutex);
     mutable absl::Mutex m_mutex;
     std::int64_t m_sequence ABSL_GUARDED_BY(m_mutex) = 0;
-    std::int64_t m_revision ABSL_GUARDED_BY(m_mutex) = 0;
     bool m_draining ABSL_GUARDED_BY(m_mutex) = false;
     bool m_drainedByManifest ABSL_GUARDED_BY(m_mutex) = false;
     membership::EntryContact m_contact ABSL_GUARDED_BY(m_mutex);
--- a/include/oleandercross/daemon/manifestservice.h
+++ b/include/oleandercross/daemon/manifestservice.h
@@ -6,6 +6,7 @@
 #include <absl/synchronization/mutex.h>
 #include <json/value.h>
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +58,11 @@
     // Puts a revision learnt from a peer in force if it is newer.
     void learn(const Json::Value &encoded);
 
+    // What a follower with revision `base` (0: none) needs for the revision in force: a delta if
+    // the base is still known here, otherwise the whole manifest; null if it is up to date. See
+    // ManifestFollower.
+    Json::Value updateFor(std::int64_t base) const;
+
     // Checks and commits a manifest and returns its revision number. A repeated commit with the
     // same write id returns the number of the first. Fails with ConfigConflict if the parent is not
     // the newest revision, any 1xx code of parseManifest(), StoreUnavailable, or OutcomeUnknown.
@@ -82,6 +88,8 @@
     platform::StoreWriter &m_store;
     mutable absl::Mutex m_mutex;
     std::shared_ptr<const Revision> m_current ABSL_GUARDED_BY(m_mutex);
+    // Revisions that were in force here, for deltas.
+    std::deque<std::shared_ptr<const Revision>> m_recent ABSL_GUARDED_BY(m_mutex);
 };
 
 // The JSON form of a revision in rows and messages.
--- a/include/oleandercross/daemon/term.h
+++ b/include/oleandercross/daemon/term.h
@@ -34,8 +34,8 @@
 };
 
 // One epoch of leading a data centre: restores the jobs, drives the scheduler and starts and stops
-// gangs until the epoch ends. Thread safe.
-class Term
+// gangs until the epoch ends. Thread safe. Held by shared pointers, since writes may end after it.
+class Term : public std::enable_shared_from_this<Term>
 {
 public:
     Term(const TermContext &context, std::int64_t epoch, platform::Condition epochCondition);
@@ -153,6 +153,7 @@
     const core::SteadyClock m_clock;
     mutable absl::Mutex m_mutex;
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_rowsLoaded ABSL_GUARDED_BY(m_mutex) = false;
     bool m_restored ABSL_GUARDED_BY(m_mutex) = false;
     core::Instant m_restoreDeadline ABSL_GUARDED_BY(m_mutex);
     scheduling::Scheduler m_scheduler ABSL_GUARDED_BY(m_mutex);
--- a/include/oleandercross/http/message.h
+++ b/include/oleandercross/http/message.h
@@ -57,7 +57,7 @@
     int status = 200;
     std::string body;
     std::string contentType = "application/json";
-    Headers headers;
+    Headers headers = {};
 };
 
 } // namespace oleandercross::http
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -18,6 +18,8 @@
 
 constexpr int Threads = 8;
 constexpr absl::Duration TickPeriod = absl::Milliseconds(250);
+// Routers forget targets that are not announced for 10 s.
+constexpr absl::Duration FarAnnouncePeriod = absl::Seconds(5);
 constexpr absl::Duration ExchangeTimeout = absl::Milliseconds(900);
 // Age of a read of the store, or of a message, up to which it counts as recent.
 constexpr absl::Duration RecentLimit = absl::Seconds(3);
@@ -224,6 +226,7 @@
 void ClusterView::start()
 {
     m_executor.every(TickPeriod, [this] { tick(); });
+    m_executor.every(FarAnnouncePeriod, [this] { announceFar(); });
     for (const config::EntryAddress &peer : m_settings.entries) {
         if (peer.id.str() != m_settings.id)
             m_executor.every(membership::ExchangePeriod, [this, peer] { exchangeWith(peer); });
@@ -281,8 +284,9 @@
     reply["confirmed"] = configurationConfirmed();
     const std::shared_ptr<const Revision> current = m_manifests.current();
     reply["revision"] = static_cast<Json::Int64>(current ? current->number : 0);
-    if (current && current->number > intMember(params, "revision"))
-        reply["manifest"] = encode(*current);
+    const Json::Value update = m_manifests.updateFor(intMember(params, "manifestBase"));
+    if (update.isObject())
+        reply["update"] = update;
     absl::MutexLock lock(&m_mutex);
     const auto leader = m_leaders.find(m_settings.dataCentre);
     if (leader != m_leaders.end())
@@ -310,7 +314,11 @@
     message["revision"] = static_cast<Json::Int64>(current ? current->number : 0);
     const auto peerRevision = m_entryRevisions.find(peer.id);
     const std::int64_t known = peerRevision == m_entryRevisions.end() ? 0 : peerRevision->second;
-    if (current && current->number > known)
+    // A peer that reads the store fetches the revision there.
+    const auto fresh = m_freshPeerAt.find(peer.id);
+    const bool readsStore =
+        fresh != m_freshPeerAt.end() && m_clock.now() - fresh->second <= RecentLimit;
+    if (current && current->number > known && !readsStore)
         message["manifest"] = encode(*current);
     message["storeFresh"] = storeFresh();
     const auto leader = m_leaders.find(m_settings.dataCentre);
@@ -420,6 +428,9 @@
     const Json::Value &manifest = member(news, "manifest");
     if (manifest.isObject())
         m_manifests.learn(manifest);
+    const std::shared_ptr<const Revision> current = m_manifests.current();
+    if (intMember(news, "revision") > (current ? current->number : 0))
+        m_executor.post([this] { m_manifests.refresh(); });
     const Json::Value &loads = member(news, "loads");
     if (!loads.isObject())
         return;
@@ -461,7 +472,6 @@
 void ClusterView::tick()
 {
     std::vector<std::shared_ptr<const AgentInfo>> lost;
-    std::vector<std::shared_ptr<const AgentInfo>> alive;
     {
         absl::MutexLock lock(&m_mutex);
         for (const membership::Change &change : m_directory.tick(m_clock.now())) {
@@ -477,14 +487,22 @@
         }
         m_metrics.set("agents_known", static_cast<std::int64_t>(m_infos.size()));
         m_metrics.set("suspects_itself", m_directory.suspectsItself() ? 1 : 0);
-        // Far data centres send no loads, so their agents are announced again from here.
+    }
+    notify(lost, false);
+}
+
+// Far data centres send no loads, so their agents would not be announced again.
+void ClusterView::announceFar()
+{
+    std::vector<std::shared_ptr<const AgentInfo>> far;
+    {
+        absl::MutexLock lock(&m_mutex);
         for (const auto &[id, info] : m_infos) {
             if (info->dataCentre != m_settings.dataCentre)
-                alive.push_back(info);
+                far.push_back(info);
         }
     }
-    notify(lost, false);
-    notify(alive, true);
+    notify(far, true);
 }
 
 void ClusterView::notify(const std::vector<std::shared_ptr<const AgentInfo>> &infos,
--- a/src/daemon/heartbeater.cpp
+++ b/src/daemon/heartbeater.cpp
@@ -72,13 +72,7 @@
 bool Heartbeater::ready() const
 {
     absl::MutexLock lock(&m_mutex);
-    return !m_draining && m_revision > 0 && m_contact.mayTakeWork(m_clock.now());
-}
-
-std::int64_t Heartbeater::revision() const
-{
-    absl::MutexLock lock(&m_mutex);
-    return m_revision;
+    return !m_draining && m_manifest.revision() > 0 && m_contact.mayTakeWork(m_clock.now());
 }
 
 // Closes and opens the agent for new tasks; requests are gated by RequestRunner itself.
@@ -87,7 +81,7 @@
     core::ResultCode code = core::ResultCode::Ok;
     {
         absl::MutexLock lock(&m_mutex);
-        if (m_revision == 0)
+        if (m_manifest.revision() == 0)
             code = core::ResultCode::NotReady;
         else if (!m_contact.mayTakeWork(m_clock.now()))
             code = core::ResultCode::StaleConfiguration;
@@ -135,7 +129,7 @@
     info.uptime = m_requests.uptime();
     absl::MutexLock lock(&m_mutex);
     info.draining = m_draining || m_drainedByManifest;
-    info.revision = m_revision;
+    info.revision = m_manifest.revision();
     return info;
 }
 
@@ -148,6 +142,7 @@
     params["address"] = http::toString(m_settings.rpcListen);
     params["incarnation"] = static_cast<Json::Int64>(m_incarnation);
     params["revision"] = static_cast<Json::Int64>(info.revision);
+    params["manifestBase"] = static_cast<Json::Int64>(m_manifest.base());
     params["loads"] = encodeLoads(info);
     Json::Value state = encodeStatic(info);
     absl::MutexLock lock(&m_mutex);
@@ -196,10 +191,9 @@
 
 void Heartbeater::learn(const Json::Value &reply)
 {
-    const Json::Value &manifest = core::member(reply, "manifest");
-    if (manifest.isObject())
-        learnManifest(manifest);
-    if (core::boolMember(reply, "confirmed") && revision() > 0)
+    if (m_manifest.apply(core::member(reply, "update")))
+        putInForce(*m_manifest.manifest());
+    if (core::boolMember(reply, "confirmed") && m_manifest.revision() > 0)
         m_requests.configurationConfirmed();
     const Json::Value &leader = core::member(reply, "leader");
     if (leader.isObject()) {
@@ -212,22 +206,15 @@
         m_liveEntries.emplace_back(entry.asString());
 }
 
-void Heartbeater::learnManifest(const Json::Value &encoded)
+void Heartbeater::putInForce(const config::Manifest &manifest)
 {
-    const std::optional<Revision> newer = decodeRevision(encoded);
-    if (!newer || newer->number <= revision())
-        return;
-    const auto manifest =
-        config::parseManifest(newer->yaml, absl::StrCat("revision ", newer->number));
-    if (!manifest)
-        return;
-    m_requests.drainMinions(manifest->drainMinions);
-    const std::vector<core::WorkerId> &workers = manifest->drainWorkers;
+    m_requests.drainMinions(manifest.drainMinions);
+    const std::vector<core::WorkerId> &workers = manifest.drainWorkers;
     const bool drained = m_settings.worker
         && std::find(workers.begin(), workers.end(), m_settings.worker->id) != workers.end();
-    telemetry::logState("configuration", absl::StrCat("revision ", newer->number, " in force"));
+    telemetry::logState("configuration",
+                        absl::StrCat("revision ", m_manifest.revision(), " in force"));
     absl::MutexLock lock(&m_mutex);
-    m_revision = newer->number;
     m_drainedByManifest = drained;
 }
 
--- a/src/daemon/jobservice.cpp
+++ b/src/daemon/jobservice.cpp
@@ -67,8 +67,11 @@
     const auto member =
         std::find_if(account.teams.begin(), account.teams.end(),
                      [&team](const config::Team &candidate) { return candidate.name == team; });
-    if (!team.empty() && member == account.teams.end()) {
-        fail(ResultCode::UnknownTeam, "no team '" + team.str() + "' in the client account");
+    // A job without a team would evade the quotas of the others.
+    if (member == account.teams.end() && !(team.empty() && account.teams.empty())) {
+        fail(ResultCode::UnknownTeam,
+             team.empty() ? "'team' is required for this client account"
+                          : "no team '" + team.str() + "' in the client account");
         return false;
     }
     const int accelerators = record.spec.perTask.accelerators * record.spec.tasks;
--- a/src/daemon/manifestservice.cpp
+++ b/src/daemon/manifestservice.cpp
@@ -1,5 +1,7 @@
 #include <oleandercross/daemon/manifestservice.h>
 
+#include <oleandercross/config/manifestcodec.h>
+#include <oleandercross/config/manifestdelta.h>
 #include <oleandercross/core/clock.h>
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
@@ -17,6 +19,9 @@
 // Older revisions are deleted with each commit, so that the table stays bounded.
 constexpr std::int64_t KeptRevisions = 5000;
 
+// At 2,400 changes a day an agent is at most one or two revisions behind.
+constexpr std::size_t RecentRevisions = 32;
+
 constexpr absl::Duration ReadTimeout = absl::Seconds(2);
 constexpr absl::Duration CommitTimeout = absl::Seconds(5);
 
@@ -110,8 +115,37 @@
         return;
     revision.manifest = std::make_shared<const config::Manifest>(std::move(*manifest));
     absl::MutexLock lock(&m_mutex);
-    if (!m_current || m_current->number < revision.number)
-        m_current = std::make_shared<const Revision>(std::move(revision));
+    if (m_current && m_current->number >= revision.number)
+        return;
+    m_current = std::make_shared<const Revision>(std::move(revision));
+    m_recent.push_back(m_current);
+    if (m_recent.size() > RecentRevisions)
+        m_recent.pop_front();
+}
+
+Json::Value ManifestService::updateFor(std::int64_t base) const
+{
+    std::shared_ptr<const Revision> current;
+    std::shared_ptr<const Revision> known;
+    {
+        absl::MutexLock lock(&m_mutex);
+        current = m_current;
+        for (const auto &revision : m_recent) {
+            if (revision->number == base)
+                known = revision;
+        }
+    }
+    if (!current || base >= current->number)
+        return Json::Value();
+    Json::Value update;
+    if (known) {
+        update["delta"] = config::encode(
+            config::deltaBetween(*known->manifest, base, *current->manifest, current->number));
+    } else {
+        update["revision"] = static_cast<Json::Int64>(current->number);
+        update["manifest"] = config::encode(*current->manifest);
+    }
+    return update;
 }
 
 std::optional<std::int64_t> ManifestService::commit(const CommitRequest &request)
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -75,6 +75,11 @@
 
 bool Term::loadRows()
 {
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_rowsLoaded)
+            return true;
+    }
     std::string after;
     Jobs jobs;
     while (true) {
@@ -97,6 +102,7 @@
     }
     absl::MutexLock lock(&m_mutex);
     m_jobs = std::move(jobs);
+    m_rowsLoaded = true;
     return true;
 }
 
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_p.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace oleandercross::scheduling {
 
@@ -182,6 +183,9 @@
     for (const config::Account &account : m_manifest->accounts) {
         for (const config::Team &team : account.teams)
             m_quota[{account.name, team.name}] = team.acceleratorQuota;
+        // An account without teams is limited by its guarantees and what it can borrow.
+        if (account.teams.empty())
+            m_quota[{account.name, core::TeamId()}] = std::numeric_limits<int>::max();
     }
     m_passNeeded = true;
     m_cellsFreed = true;
--- /dev/null
+++ b/test/daemon/tst_manifestfollower.cpp
@@ -0,0 +1,61 @@
+#include <oleandercross/daemon/manifestfollower.h>
+
+#include <oleandercross/config/manifestcodec.h>
+#include <oleandercross/config/manifestdelta.h>
+
+#include <catch2/catch.hpp>
+
+using namespace oleandercross;
+
+namespace {
+
+config::Manifest manifest(const std::string &drained)
+{
+    config::Manifest result;
+    result.drainWorkers = {core::WorkerId(drained)};
+    return result;
+}
+
+Json::Value whole(std::int64_t revision, const config::Manifest &content)
+{
+    Json::Value update;
+    update["revision"] = static_cast<Json::Int64>(revision);
+    update["manifest"] = config::encode(content);
+    return update;
+}
+
+Json::Value delta(std::int64_t from, const config::Manifest &base, std::int64_t to,
+                  const config::Manifest &target)
+{
+    Json::Value update;
+    update["delta"] = config::encode(config::deltaBetween(base, from, target, to));
+    return update;
+}
+
+} // namespace
+
+// Guards against a revision that goes back, through whole manifests or deltas that arrive late.
+TEST_CASE("the revision of a follower never decreases")
+{
+    daemon::ManifestFollower follower;
+    REQUIRE(follower.apply(whole(3, manifest("a"))));
+    REQUIRE(follower.apply(delta(3, manifest("a"), 5, manifest("b"))));
+    CHECK(follower.revision() == 5);
+    CHECK(*follower.manifest() == manifest("b"));
+    CHECK_FALSE(follower.apply(whole(4, manifest("c"))));
+    CHECK_FALSE(follower.apply(delta(3, manifest("a"), 4, manifest("c"))));
+    CHECK(follower.revision() == 5);
+    CHECK(*follower.manifest() == manifest("b"));
+}
+
+// Guards against a delta that is applied to another base, and against a follower that stays behind.
+TEST_CASE("a follower asks for the whole manifest when a delta does not follow")
+{
+    daemon::ManifestFollower follower;
+    REQUIRE(follower.apply(whole(1, manifest("a"))));
+    CHECK(follower.base() == 1);
+    CHECK_FALSE(follower.apply(delta(2, manifest("x"), 3, manifest("b"))));
+    CHECK(follower.base() == 0);
+    CHECK(follower.apply(whole(3, manifest("b"))));
+    CHECK(follower.base() == 3);
+}
