End kept connections when others wait; more tests

http::Server kept a connection's thread until the keep-alive of 60 s ended although other connections waited for a thread. A response now carries Connection: close while others wait; the new test failed before.

--- a/src/http/connectionthreads.cpp
+++ b/src/http/connectionthreads.cpp
@@ -21,6 +21,12 @@
     return refusingThread;
 }
 
+bool ConnectionThreads::crowded() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return static_cast<int>(m_waiting.size()) > m_idle;
+}
+
 void ConnectionThreads::enqueue(std::function<void()> task)
 {
     absl::MutexLock lock(&m_mutex);
--- a/src/http/connectionthreads.h
+++ b/src/http/connectionthreads.h
@@ -21,6 +21,9 @@
     void enqueue(std::function<void()> task) override;
     void shutdown() override;
 
+    // True while connections wait for a thread.
+    bool crowded() const;
+
     // True on the thread that only refuses connections.
     static bool refusing();
 
@@ -30,7 +33,7 @@
 
     const int m_maxThreads;
     const int m_maxWaiting;
-    absl::Mutex m_mutex;
+    mutable absl::Mutex m_mutex;
     std::deque<std::function<void()>> m_waiting ABSL_GUARDED_BY(m_mutex);
     std::deque<std::function<void()>> m_refused ABSL_GUARDED_BY(m_mutex);
     std::vector<std::thread> m_threads ABSL_GUARDED_BY(m_mutex);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -26,6 +26,8 @@
 constexpr absl::Duration RefusalWait = absl::Milliseconds(50);
 
 thread_local const Connection *currentConnection = nullptr;
+// Set by a handler's thread to end the connection after the response.
+thread_local bool closeAfterResponse = false;
 
 class SocketConnection : public Connection
 {
@@ -192,7 +194,8 @@
         const SocketConnection connection(socket);
         currentConnection = &connection;
         bool closed = false;
-        while (!closed && nextRequest(stream, socket)) {
+        closeAfterResponse = false;
+        while (!closed && !closeAfterResponse && nextRequest(stream, socket)) {
             stream.beginRequest();
             if (!process_request(stream, m_stopping, closed, nullptr))
                 break;
@@ -268,17 +271,6 @@
     return request;
 }
 
-httplib::Server::Handler adapt(Server::Handler handler)
-{
-    return [handler = std::move(handler)](const httplib::Request &from, httplib::Response &to) {
-        const Response response = handler(toRequest(from));
-        to.status = response.status;
-        for (const auto &[key, value] : response.headers)
-            to.set_header(key, value);
-        to.set_content(response.body, response.contentType);
-    };
-}
-
 void describeError(const httplib::Request &, httplib::Response &response)
 {
     if (!response.body.empty())
@@ -316,8 +308,9 @@
     void configure()
     {
         server->new_task_queue = [this] {
-            return new detail::ConnectionThreads(options.maxConnections,
-                                                 options.maxWaitingConnections);
+            threads = new detail::ConnectionThreads(options.maxConnections,
+                                                    options.maxWaitingConnections);
+            return threads.load();
         };
         server->set_socket_options(setSocketOptions);
         server->set_payload_max_length(options.maxBodyBytes);
@@ -328,7 +321,27 @@
         server->set_error_handler(httplib::Server::Handler(describeError));
     }
 
+    httplib::Server::Handler adapt(Handler handler) const
+    {
+        return [this, handler = std::move(handler)](const httplib::Request &from,
+                                                    httplib::Response &to) {
+            const Response response = handler(toRequest(from));
+            to.status = response.status;
+            for (const auto &[key, value] : response.headers)
+                to.set_header(key, value);
+            to.set_content(response.body, response.contentType);
+            // A kept connection would hold its thread while others wait for one. The peer is told,
+            // so that it does not send a request to a connection that is closing.
+            if (threads.load()->crowded()) {
+                to.set_header("Connection", "close");
+                closeAfterResponse = true;
+            }
+        };
+    }
+
     ServerOptions options;
+    // Owned by the library, and there whenever a handler runs.
+    std::atomic<detail::ConnectionThreads *> threads = nullptr;
     std::unique_ptr<httplib::Server> server;
     std::thread thread;
     int port = 0;
@@ -346,13 +359,13 @@
 void Server::route(const std::string &method, const std::string &pattern, Handler handler)
 {
     if (method == "GET")
-        d->server->Get(pattern, adapt(std::move(handler)));
+        d->server->Get(pattern, d->adapt(std::move(handler)));
     else if (method == "POST")
-        d->server->Post(pattern, adapt(std::move(handler)));
+        d->server->Post(pattern, d->adapt(std::move(handler)));
     else if (method == "PUT")
-        d->server->Put(pattern, adapt(std::move(handler)));
+        d->server->Put(pattern, d->adapt(std::move(handler)));
     else if (method == "DELETE")
-        d->server->Delete(pattern, adapt(std::move(handler)));
+        d->server->Delete(pattern, d->adapt(std::move(handler)));
 }
 
 bool Server::start()
--- a/test/fuzz/tst_storewriter.cpp
+++ b/test/fuzz/tst_storewriter.cpp
@@ -38,8 +38,8 @@
 {
     std::string writeId;
     bool longDeadline = false;
+    bool conditional = false;
     std::optional<platform::WriteResult> result;
-    int generation = 0;
 };
 
 // A write queue, a table service, and calls on their way between them.
@@ -57,7 +57,7 @@
         const absl::Duration timeout = longDeadline ? absl::Hours(10) : absl::Seconds(1);
         const std::uint64_t id =
             m_queue->submit(transaction, static_cast<WritePriority>(priority), m_now + timeout);
-        m_submitted[{m_generation, id}] = {writeId, longDeadline, std::nullopt, m_generation};
+        m_submitted[{m_generation, id}] = {writeId, longDeadline, mode != 0, std::nullopt};
         collect();
     }
 
@@ -171,6 +171,9 @@
             default:
                 RC_ASSERT(effects == 0);
             }
+            // A conflict on the marker row is not one of the write.
+            if (!write.conditional)
+                RC_ASSERT(write.result->outcome != WriteOutcome::Conflict);
             // Without another process nothing but the deadline leaves a write unknown.
             if (write.longDeadline && m_generation == 0 && !m_shared)
                 RC_ASSERT(write.result->outcome != WriteOutcome::Unknown);
--- a/test/http/tst_server.cpp
+++ b/test/http/tst_server.cpp
@@ -112,6 +112,35 @@
     }
 }
 
+// Guards against a kept connection that holds its thread while another caller waits for one.
+TEST_CASE("a connection ends after its response when others wait")
+{
+    http::ServerOptions options = localOptions();
+    options.maxConnections = 1;
+    http::Server server(options);
+    absl::Notification started;
+    absl::Notification release;
+    server.route("POST", "/hold", [&](const http::Request &request) {
+        if (request.body == "first") {
+            started.Notify();
+            release.WaitForNotificationWithTimeout(absl::Seconds(10));
+        }
+        return http::Response();
+    });
+    REQUIRE(server.start());
+    const test::RawConnection first({"127.0.0.1", server.port()});
+    REQUIRE(first.send("POST /hold HTTP/1.1\r\nContent-Length: 5\r\n\r\nfirst"));
+    started.WaitForNotification();
+    const test::RawConnection second({"127.0.0.1", server.port()});
+    REQUIRE(second.send("POST /hold HTTP/1.1\r\nContent-Length: 0\r\n\r\n"));
+    absl::SleepFor(absl::Milliseconds(200));
+    release.Notify();
+    CHECK(first.receiveUntil("\r\n\r\n").find("Connection: close") != std::string::npos);
+    const std::string response = second.receiveUntil("\r\n\r\n");
+    CHECK(response.rfind("HTTP/1.1 200", 0) == 0);
+    CHECK(response.find("Connection: close") == std::string::npos);
+}
+
 TEST_CASE("a handler learns that its caller has gone")
 {
     http::Server server(localOptions());
--- a/test/platform/tst_writequeue.cpp
+++ b/test/platform/tst_writequeue.cpp
@@ -219,6 +219,24 @@
     CHECK(driver.tables.effects("w2") == 1);
 }
 
+// Guards against two writes on one marker row, of which each makes the other's fate unknown.
+TEST_CASE("a marker row is not used while a call with it is in progress")
+{
+    Driver driver;
+    driver.submit(put("w1", "a"));
+    const StoreCall first = driver.nextWrite();
+    driver.now += absl::Seconds(11);
+    driver.queue.expire(driver.now);
+    driver.ended();
+    driver.submit(put("w2", "a"));
+    const StoreCall second = driver.nextWrite();
+    CHECK(second.transaction.conditions.back().key != first.transaction.conditions.back().key);
+    driver.answer(first, ResultCode::OutcomeUnknown);
+    driver.submit(put("w3", "a"));
+    CHECK(driver.nextWrite().transaction.conditions.back().key
+          == first.transaction.conditions.back().key);
+}
+
 TEST_CASE("urgent writes go first and push out others when the queue is full")
 {
     platform::StoreWriterOptions options = testOptions();
