--- a/test/platform/tst_writequeue.cpp
+++ b/test/platform/tst_writequeue.cpp
@@ -268,7 +268,7 @@
     for (int i = 0; i < 5; ++i)
         driver.submit(put("job" + std::to_string(i), "j"), WritePriority::Job, absl::Hours(1));
     for (int i = 0; i < 20; ++i)
-        driver.answer(driver.next(), ResultCode::OutcomeUnknown);
+        driver.answer(driver.nextWrite(), ResultCode::OutcomeUnknown);
     driver.submit(put("lease", "l"), WritePriority::Lease);
     const auto call = driver.queue.nextCall(driver.now + absl::Seconds(1), true);
     REQUIRE(call);
