--- a/include/oleandercross/http/clientpool.h
+++ b/include/oleandercross/http/clientpool.h
@@ -29,7 +29,8 @@
     // Sends a request and waits for the whole response, at most `timeout`. Fails with
     // ConnectionFailed if nothing was sent, ConnectionLost or Timeout if the peer may have received
     // the request, BadAnswer if the response is cut, too large or rejected by `check`. A failed
-    // connection is not reused; after a rejected response it may be out of step.
+    // connection is not reused; after a rejected response it may be out of step, and after a
+    // timeout the endpoint's idle connections may be silent as well, so they are closed too.
     std::optional<Response> send(const Endpoint &endpoint, const Request &request,
                                  absl::Duration timeout, const ResponseCheck &check = {});
 
--- a/src/http/clientpool.cpp
+++ b/src/http/clientpool.cpp
@@ -251,6 +251,9 @@
             code = core::ResultCode::Timeout;
         else if (tooLarge || (lost && answered))
             code = core::ResultCode::BadAnswer;
+        // Connections that were opened together often go silent together.
+        if (code == core::ResultCode::Timeout)
+            forget(endpoint);
         return core::fail(code, toString(endpoint) + ": " + httplib::to_string(result.error()));
     }
     Response response = toResponse(*result);
--- a/test/http/tst_clientpool.cpp
+++ b/test/http/tst_clientpool.cpp
@@ -156,3 +156,27 @@
         absl::SleepFor(absl::Milliseconds(5));
     }
 }
+
+// Guards against a timeout for each idle connection when all of them went silent at once.
+TEST_CASE("a timeout retires the endpoint's other idle connections")
+{
+    std::vector<test::RawConnection> silent;
+    test::RawPeer peer([&silent](test::RawConnection &connection) {
+        connection.receiveUntil("\r\n\r\n");
+        // Long enough for the other caller to open a connection as well.
+        if (silent.size() < 2)
+            absl::SleepFor(absl::Milliseconds(200));
+        connection.send(Answer);
+        if (silent.size() < 2)
+            silent.push_back(std::move(connection));
+    });
+    http::ClientPool pool({});
+    std::thread other([&] { pool.send(peer.endpoint(), getRequest(), absl::Seconds(5)); });
+    CHECK(pool.send(peer.endpoint(), getRequest(), absl::Seconds(5)));
+    other.join();
+    REQUIRE(peer.accepted() == 2);
+    CHECK_FALSE(pool.send(peer.endpoint(), getRequest(), absl::Milliseconds(200)));
+    CHECK(core::lastReason().code == ResultCode::Timeout);
+    CHECK(pool.send(peer.endpoint(), getRequest(), absl::Seconds(5)));
+    CHECK(peer.accepted() == 3);
+}
