--- a/test/platform/tst_storewriter.cpp
+++ b/test/platform/tst_storewriter.cpp
@@ -1,5 +1,6 @@
 #include <oleandercross/platform/storewriter.h>
 
+#include <platform/faketables.h>
 #include <platform/testservers.h>
 
 #include <absl/strings/str_cat.h>
@@ -49,6 +50,56 @@
     platform::StoreWriter writer;
 };
 
+// Writes of rows do not return until they are released; all other calls work.
+class HangingTables : public platform::TableService
+{
+public:
+    std::optional<std::optional<platform::Row>> read(const std::string &key) override
+    {
+        absl::MutexLock lock(&m_mutex);
+        std::optional<std::optional<platform::Row>> row;
+        row.emplace(m_tables.read(key));
+        return row;
+    }
+
+    std::optional<std::vector<platform::Row>> scan(const std::string &, const std::string &,
+                                                   int) override
+    {
+        return std::vector<platform::Row>();
+    }
+
+    std::optional<std::int64_t> write(const platform::Transaction &transaction) override
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (transaction.puts.front().key.rfind("row/", 0) == 0) {
+            ++m_hanging;
+            m_mutex.Await(absl::Condition(&m_released));
+            --m_hanging;
+        }
+        return m_tables.write(transaction);
+    }
+
+    std::optional<bool> applied(const platform::Transaction &) override { return false; }
+
+    int hanging() const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_hanging;
+    }
+
+    void release()
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_released = true;
+    }
+
+private:
+    mutable absl::Mutex m_mutex;
+    test::FakeTables m_tables;
+    int m_hanging = 0;
+    bool m_released = false;
+};
+
 } // namespace
 
 TEST_CASE("each write takes effect once whatever happens to answers")
@@ -151,27 +202,27 @@
 }
 
 // Guards against long calls of other writes that keep the lease from being renewed.
-TEST_CASE("a lease is written while other writes wait for a silent store")
+TEST_CASE("a lease is written while all other calls hang")
 {
+    constexpr int Rows = 20;
     platform::StoreWriterOptions options = testOptions();
     options.threads = 2;
-    Store store(options);
-    REQUIRE(
-        store.writer.write({"", {}, {{"lease", "1"}}, {}}, WritePriority::Lease, absl::Seconds(10))
-            .outcome
-        == WriteOutcome::Applied);
+    const core::SteadyClock clock;
+    HangingTables tables;
+    platform::StoreWriter writer(tables, clock, options);
     std::atomic<int> ended = 0;
-    // Enough requests that the two general threads meet only silence.
-    store.tables.fault(R"({"delay_ms": 150})");
-    for (int i = 0; i < 20; ++i) {
-        store.writer.submit({"", {}, {{absl::StrCat("row/", i), "x"}}, {}}, WritePriority::Rest,
-                            absl::Seconds(60), [&](const WriteResult &) { ++ended; });
+    for (int i = 0; i < Rows; ++i) {
+        writer.submit({"", {}, {{absl::StrCat("row/", i), "x"}}, {}}, WritePriority::GangDecision,
+                      absl::Seconds(60), [&](const WriteResult &) { ++ended; });
     }
+    CHECK(test::eventually([&] { return tables.hanging() == options.threads; }));
     const WriteResult result =
-        store.writer.write({"", {}, {{"lease", "2"}}, {}}, WritePriority::Lease, absl::Seconds(10));
+        writer.write({"", {}, {{"lease", "1"}}, {}}, WritePriority::Lease, absl::Seconds(10));
     CHECK(result.outcome == WriteOutcome::Applied);
-    CHECK(ended < 20);
-    CHECK(test::eventually([&] { return ended == 20; }));
+    CHECK(ended == 0);
+    CHECK(tables.hanging() == options.threads);
+    tables.release();
+    CHECK(test::eventually([&] { return ended == Rows; }));
 }
 
 TEST_CASE("every write ends when the writer is destroyed")
