--- a/include/oleandercross/scheduling/job.h
+++ b/include/oleandercross/scheduling/job.h
@@ -94,8 +94,10 @@
     // Waiting or Running.
     JobState state = JobState::Waiting;
     int attempt = 0;
-    // Of a running job.
+    // Of a running job, one entry per task.
     Placement placement;
+    // Indices of tasks that have succeeded in this attempt.
+    std::vector<int> finishedTasks;
     core::Resources perTask;
     absl::Duration attained;
     int failures = 0;
--- a/src/scheduling/admission.cpp
+++ b/src/scheduling/admission.cpp
@@ -29,7 +29,7 @@
         return core::Reason{ResultCode::StoreUnavailable, "the job cannot be recorded"};
     if (m_manifest == nullptr)
         return core::Reason{ResultCode::NotReady, "no manifest is in force"};
-    if (m_manifest->account(spec.account) == nullptr)
+    if (cluster.accountIndex(spec.account) < 0)
         return core::Reason{ResultCode::UnknownAccount, "no account " + spec.account.str()};
     const auto quota = m_quota.find({spec.account, spec.team});
     if (quota == m_quota.end())
--- a/src/scheduling/decide.cpp
+++ b/src/scheduling/decide.cpp
@@ -14,6 +14,7 @@
 // Most attempts per pass that look for work to stop, the costliest kind.
 constexpr int StopAttemptsPerPass = 8;
 constexpr int SurplusAttempts = 8;
+constexpr int PassesPerEvent = 3;
 constexpr int PromotionsPerTick = 64;
 
 } // namespace
@@ -64,16 +65,17 @@
         return;
     m_stopAttempts = 0;
     startReserved();
-    if (m_passNeeded) {
+    const std::vector<Job *> fresh = std::exchange(m_new, {});
+    if (!m_passNeeded) {
+        for (Job *job : fresh) {
+            if (!job->started() && !job->reserved)
+                tryJob(*job);
+        }
+    }
+    // A claim may drop reservations, which frees capacity for jobs that were tried before.
+    for (int round = 0; round < PassesPerEvent && m_passNeeded; ++round) {
         m_passNeeded = false;
-        m_new.clear();
         pass();
-        return;
-    }
-    const std::vector<Job *> fresh = std::exchange(m_new, {});
-    for (Job *job : fresh) {
-        if (!job->started() && !job->reserved)
-            tryJob(*job);
     }
 }
 
--- a/src/scheduling/lifecycle.cpp
+++ b/src/scheduling/lifecycle.cpp
@@ -48,8 +48,7 @@
         else if (!take && it != state.gangs.end())
             state.gangs.erase(it);
     }
-    if (!job.layout.empty())
-        m_held[{job.spec.account, job.spec.team}] += sign * job.accelerators();
+    m_held[{job.spec.account, job.spec.team}] += sign * job.accelerators();
     m_viewStale = true;
 }
 
--- a/src/scheduling/preempt.cpp
+++ b/src/scheduling/preempt.cpp
@@ -143,6 +143,7 @@
     if (!layout)
         return false;
     const auto shares = sharesByWorker(*layout);
+    Job *displaced = nullptr;
     for (const auto &[index, share] : shares) {
         const std::vector<Job *> reservations = worker(index).reservations;
         for (Job *other : reservations) {
@@ -151,8 +152,10 @@
                 state.freeCores - state.reservedCores < job.perTask.cores * share.tasks
                 || state.freeMemory - state.reservedMemory < job.perTask.memoryMb * share.tasks;
             const bool overlaps = (shareOf(*other, index).accelerators & share.accelerators) != 0;
-            if (other->hold == Hold::Borrowed && (tight || overlaps))
-                dropReservation(*other);
+            if (other->hold != Hold::Borrowed || !(tight || overlaps))
+                continue;
+            displaced = other == m_oldest ? other : displaced;
+            dropReservation(*other);
         }
     }
     bool complete = false;
@@ -175,14 +178,20 @@
             }
         }
     }
-    return takeAfter(job, std::move(*layout), stopping, grace);
+    takeAfter(job, std::move(*layout), stopping, grace);
+    // The oldest large gang reserves again before anything else takes what it lost.
+    if (displaced != nullptr)
+        tryReservation(*displaced);
+    return true;
 }
 
 bool Scheduler::Private::mayStopForOrder(const Job &victim, const Job &job) const
 {
     const bool allowedHold = victim.hold == Hold::Borrowed
         || (victim.hold == Hold::Guaranteed && victim.spec.account == job.spec.account);
-    return allowedHold && victim.state == JobState::Running && victim.spec.repeatable
+    // Accelerators are not given up for the cores of a job that needs none.
+    const bool worthwhile = job.perTask.accelerators > 0 || victim.perTask.accelerators == 0;
+    return allowedHold && worthwhile && victim.state == JobState::Running && victim.spec.repeatable
         && victim.spec.checkpointable && !victim.spec.urgent
         && victim.preemptions < policy.maxPreemptions && m_now - victim.startedAt >= policy.quantum;
 }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -14,7 +14,8 @@
     m_now = std::max(now, m_now);
     m_actions.clear();
     std::visit([this](const auto &concrete) { handle(concrete); }, event);
-    if (m_shortfallStale)
+    // A released cell may be needed by an account that went short.
+    if (m_shortfallStale || !m_shortfalls.empty())
         cluster.refreshShortfall();
     schedule();
     reportShortfall();
@@ -70,6 +71,8 @@
     moveDrained();
     pursueReservation();
     promote();
+    // Back-off, quanta and ageing end with time alone.
+    m_passNeeded |= !m_queue.empty();
 }
 
 void Scheduler::Private::handle(const StoreChanged &event)
--- a/src/scheduling/scheduler_p.h
+++ b/src/scheduling/scheduler_p.h
@@ -141,9 +141,9 @@
     void retireCell(int cell);
     void demote(Job &job);
     void reportShortfall();
-    void adopt(Job &job, const Placement &placement);
-    std::optional<Layout> layoutOf(const Placement &placement,
-                                   const core::Resources &perTask) const;
+    void adopt(Job &job, const RestoredJob &restored);
+    Layout layoutOf(const Placement &placement, const core::Resources &perTask,
+                    bool &matches) const;
 
     // Admission.
     std::optional<core::Reason> refusal(const JobSpec &spec);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -188,48 +188,56 @@
     m_shortfallStale = true;
 }
 
-std::optional<Layout> Scheduler::Private::layoutOf(const Placement &placement,
-                                                   const core::Resources &perTask) const
+// What a restored gang holds on present workers. `matches` is false if that is not all of it.
+Layout Scheduler::Private::layoutOf(const Placement &placement, const core::Resources &perTask,
+                                    bool &matches) const
 {
     Layout layout;
     absl::flat_hash_map<int, Slots> taken;
+    matches = true;
     for (const TaskPlacement &task : placement.tasks) {
         detail::TaskHold hold;
         hold.worker = cluster.workerIndex(task.worker);
-        if (hold.worker < 0)
-            return std::nullopt;
+        if (hold.worker < 0 || !cluster.workers()[static_cast<std::size_t>(hold.worker)].present) {
+            matches = false;
+            continue;
+        }
+        const detail::WorkerState &state = cluster.workers()[static_cast<std::size_t>(hold.worker)];
+        Slots &here = taken[hold.worker];
         for (const int index : task.accelerators) {
             if (index >= 0 && index < detail::MaxSlots)
                 hold.accelerators |= Slots{1} << index;
         }
-        const detail::WorkerState &state = cluster.workers()[static_cast<std::size_t>(hold.worker)];
-        Slots &here = taken[hold.worker];
-        const bool valid = state.present
-            && (hold.accelerators & (~state.all | state.used | here)) == 0
-            && detail::count(hold.accelerators) == perTask.accelerators;
-        if (!valid)
-            return std::nullopt;
+        hold.accelerators &= state.all & ~state.used & ~here;
+        matches = matches && detail::count(hold.accelerators) == perTask.accelerators;
         here |= hold.accelerators;
         layout.push_back(hold);
     }
     return layout;
 }
 
-// Takes over a running gang. One that does not match the workers is stopped.
-void Scheduler::Private::adopt(Job &job, const Placement &placement)
+// Takes over a running gang. One that does not match the workers is stopped, and holds what it has
+// until then.
+void Scheduler::Private::adopt(Job &job, const RestoredJob &restored)
 {
-    const std::optional<Layout> layout = layoutOf(placement, job.perTask);
-    const bool complete = layout && static_cast<int>(layout->size()) == job.spec.tasks;
     dequeue(job);
     job.startedAt = m_now;
     job.finished.assign(static_cast<std::size_t>(job.spec.tasks), false);
+    for (const int task : restored.finishedTasks) {
+        if (task >= 0 && task < job.spec.tasks)
+            job.finished[static_cast<std::size_t>(task)] = true;
+    }
     job.state = JobState::Running;
-    if (!complete) {
+    bool matches = false;
+    job.layout = layoutOf(restored.placement, job.perTask, matches);
+    hold(job, true);
+    const bool outOfRoom = std::any_of(job.layout.begin(), job.layout.end(), [&](const auto &task) {
+        return worker(task.worker).freeCores < 0 || worker(task.worker).freeMemory < 0;
+    });
+    if (!matches || outOfRoom || static_cast<int>(job.layout.size()) != job.spec.tasks) {
         loseGang(job);
         return;
     }
-    job.layout = *layout;
-    hold(job, true);
     const int account = cluster.accountIndex(job.spec.account);
     if (cluster.claimInPlace(account, job.perTask, job.layout)) {
         job.hold = Hold::Guaranteed;
@@ -268,11 +276,11 @@
         if (restored.state != JobState::Waiting)
             runningJobs.emplace_back(&stored, &restored);
     }
-    // Work that cannot be stopped takes its guarantee first.
+    // Work that cannot be stopped takes its guarantee first, since it must not lose it.
     std::stable_partition(runningJobs.begin(), runningJobs.end(),
                           [](const auto &entry) { return !entry.first->spec.repeatable; });
     for (const auto &[job, restored] : runningJobs)
-        adopt(*job, restored->placement);
+        adopt(*job, *restored);
 }
 
 } // namespace oleandercross::scheduling
