--- a/test/platform/tst_writequeue.cpp
+++ b/test/platform/tst_writequeue.cpp
@@ -219,6 +219,24 @@
     CHECK(driver.tables.effects("w2") == 1);
 }
 
+// Guards against two writes on one marker row, of which each makes the other's fate unknown.
+TEST_CASE("a marker row is not used while a call with it is in progress")
+{
+    Driver driver;
+    driver.submit(put("w1", "a"));
+    const StoreCall first = driver.nextWrite();
+    driver.now += absl::Seconds(11);
+    driver.queue.expire(driver.now);
+    driver.ended();
+    driver.submit(put("w2", "a"));
+    const StoreCall second = driver.nextWrite();
+    CHECK(second.transaction.conditions.back().key != first.transaction.conditions.back().key);
+    driver.answer(first, ResultCode::OutcomeUnknown);
+    driver.submit(put("w3", "a"));
+    CHECK(driver.nextWrite().transaction.conditions.back().key
+          == first.transaction.conditions.back().key);
+}
+
 TEST_CASE("urgent writes go first and push out others when the queue is full")
 {
     platform::StoreWriterOptions options = testOptions();
@@ -250,7 +268,7 @@
     for (int i = 0; i < 5; ++i)
         driver.submit(put("job" + std::to_string(i), "j"), WritePriority::Job, absl::Hours(1));
     for (int i = 0; i < 20; ++i)
-        driver.answer(driver.next(), ResultCode::OutcomeUnknown);
+        driver.answer(driver.nextWrite(), ResultCode::OutcomeUnknown);
     driver.submit(put("lease", "l"), WritePriority::Lease);
     const auto call = driver.queue.nextCall(driver.now + absl::Seconds(1), true);
     REQUIRE(call);
