--- a/test/fuzz/fuzz_gang.cpp
+++ b/test/fuzz/fuzz_gang.cpp
@@ -69,3 +69,37 @@
     WARN("gangs started: " << started << ", partial for a while: " << partial << ", longest: "
                            << absl::FormatDuration(longest) << ", epochs: " << epochs);
 }
+
+// Guards against a step of a start that is unsafe to crash or pause at, alone or together with a
+// crash of a member.
+TEST_CASE("a crash before any action leaves no partial gang")
+{
+    constexpr int Members = 7;
+    constexpr int Actions = 40;
+    constexpr int Stride = 4;
+    const Step start{StepKind::StartGang, Members - 1, 0, 8000};
+    const auto survives = [&start](const std::vector<Step> &faults) {
+        World world(1);
+        for (const Step &fault : faults)
+            world.apply(fault);
+        world.apply(start);
+        INFO(world.violation());
+        CHECK(world.violation().empty());
+    };
+    for (int action = 0; action < Actions; ++action) {
+        for (int node = 0; node < World::Agents; ++node)
+            survives({{StepKind::CrashAgentAfter, node, action, 0}});
+        for (int node = 0; node < World::Entries; ++node) {
+            survives({{StepKind::CrashEntryAfter, node, action, 0}});
+            survives({{StepKind::PauseEntryAfter, node, action, 0}});
+        }
+    }
+    for (int first = 0; first < Actions; first += Stride) {
+        for (int second = 0; second < Actions; second += Stride) {
+            for (int entry = 0; entry < World::Entries; ++entry) {
+                survives({{StepKind::CrashEntryAfter, entry, first, 0},
+                          {StepKind::CrashAgentAfter, entry, second, 0}});
+            }
+        }
+    }
+}
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -108,6 +108,8 @@
         std::unique_ptr<gang::Ledger> ledger;
         std::map<std::string, WorkerTask> worker;
         Instant workerSilentUntil = absl::InfinitePast();
+        // Highest epoch of the messages that this incarnation has processed.
+        gang::Epoch seenEpoch = 0;
     };
 
     struct Operation
@@ -172,6 +174,7 @@
                           const gang::CoordinatorEvent &event);
     void execute(EntryNode &entry, const gang::GangKey &key, const gang::CoordinatorAction &action);
     void sendToMember(EntryNode &entry, const gang::GangKey &key, const gang::SendToMember &send);
+    gang::Answer handle(AgentNode &agent, const gang::LedgerEvent &message, gang::Epoch epoch);
     void callAgent(EntryNode &entry, int agent, const gang::LedgerEvent &message,
                    std::function<void(const gang::Answer &)> done);
     void startGang(int memberMask, int accelerators, bool required);
--- a/test/fuzz/worldagents.cpp
+++ b/test/fuzz/worldagents.cpp
@@ -22,6 +22,7 @@
 void World::startAgent(AgentNode &agent)
 {
     agent.process.alive = true;
+    agent.seenEpoch = 0;
     gang::LedgerSettings settings;
     settings.self = {core::AgentId(absl::StrCat("agent", agent.index)), absl::StrCat(agent.index)};
     settings.incarnation = absl::ToUnixMicros(m_now);
--- a/test/fuzz/worldentries.cpp
+++ b/test/fuzz/worldentries.cpp
@@ -17,6 +17,18 @@
     return absl::StrCat("entry", entry);
 }
 
+gang::Epoch epochOf(const gang::LedgerEvent &message)
+{
+    return std::visit(
+        [](const auto &concrete) -> gang::Epoch {
+            if constexpr (requires { concrete.epoch; })
+                return concrete.epoch;
+            else
+                return 0;
+        },
+        message);
+}
+
 gang::WriteOutcome outcomeOf(core::ResultCode code)
 {
     switch (code) {
@@ -183,10 +195,20 @@
     }
 }
 
+gang::Answer World::handle(AgentNode &agent, const gang::LedgerEvent &message, gang::Epoch epoch)
+{
+    const gang::Answer answer = applyLedger(agent, message).answer;
+    if (epoch < agent.seenEpoch && answer.code == core::ResultCode::Ok)
+        violate(absl::StrCat("agent", agent.index, " obeyed the stale epoch ", epoch));
+    agent.seenEpoch = std::max(agent.seenEpoch, epoch);
+    return answer;
+}
+
 void World::callAgent(EntryNode &entry, int index, const gang::LedgerEvent &message,
                       std::function<void(const gang::Answer &)> done)
 {
     AgentNode &agent = m_agents[static_cast<std::size_t>(index)];
+    const gang::Epoch epoch = epochOf(message);
     const std::string from = nameOf(entry.index);
     const std::string to = absl::StrCat("agent", index);
     if (cut(from, to) || chance(m_messageLoss))
@@ -194,7 +216,7 @@
     // A late copy may reach the agent's next incarnation.
     if (chance(m_messageLoss)) {
         deliver(agent.process, absl::Milliseconds(pick(6000)),
-                [this, &agent, message] { applyLedger(agent, message); });
+                [this, &agent, message, epoch] { handle(agent, message, epoch); });
     }
     const int generation = entry.process.generation;
     deliver(agent.process, latency(), [this, &entry, &agent, message, from, to, generation, done] {
@@ -233,11 +255,17 @@
         std::vector<int> unused = m_agents[static_cast<std::size_t>(i)].ledger->freeAccelerators();
         while (static_cast<int>(unused.size()) < accelerators)
             unused.push_back(static_cast<int>(unused.size()) % 4);
-        platform::TaskStart task;
-        task.resources = {accelerators, accelerators, 1024};
-        task.accelerators.assign(unused.begin(), unused.begin() + accelerators);
-        operation.members.push_back(
-            {{core::AgentId(absl::StrCat("agent", i)), absl::StrCat(i)}, {task}});
+        gang::Member member{{core::AgentId(absl::StrCat("agent", i)), absl::StrCat(i)}, {}};
+        // One task on an odd number of accelerators, two on an even number.
+        const int tasks = accelerators % 2 == 0 ? 2 : 1;
+        const int each = accelerators / tasks;
+        for (int task = 0; task < tasks; ++task) {
+            platform::TaskStart &start = member.tasks.emplace_back();
+            start.resources = {each, each, 1024};
+            start.accelerators.assign(unused.begin() + task * each,
+                                      unused.begin() + (task + 1) * each);
+        }
+        operation.members.push_back(std::move(member));
     }
     const std::string row = "job/" + operation.key.job.str();
     operation.decision.writeId = absl::StrCat(row, "/", operation.epoch);
