--- a/src/gang/ledger.cpp
+++ b/src/gang/ledger.cpp
@@ -137,6 +137,22 @@
     gangs.emplace(message.key, std::move(gang));
 }
 
+// A late start of an earlier gang can appear after the reservation.
+bool Ledger::Private::disturbed(const HeldGang &gang) const
+{
+    for (const HeldTask &task : gang.tasks) {
+        for (const int index : task.start.accelerators) {
+            const auto uses = [index](const platform::TaskStatus &stray) {
+                const auto &used = stray.accelerators;
+                return std::find(used.begin(), used.end(), index) != used.end();
+            };
+            if (std::any_of(strays.begin(), strays.end(), uses))
+                return true;
+        }
+    }
+    return false;
+}
+
 bool Ledger::Private::checkMembers(const HeldGang &gang, const std::vector<Peer> &members) const
 {
     return static_cast<int>(members.size()) == gang.memberCount
@@ -160,6 +176,8 @@
         return refuse(core::ResultCode::ReservationExpired, "there is no such reservation");
     if (!checkMembers(*gang, message.members))
         return refuse(core::ResultCode::BadField, "the members contradict the reservation");
+    if (disturbed(*gang))
+        return refuse(core::ResultCode::NoResources, "a stray task uses a reserved accelerator");
     gang->learnMembers(message.members, gang->reservedAt);
     start(*gang);
 }
@@ -312,9 +330,13 @@
                 left = left - task.start.resources;
         }
     }
-    for (const platform::TaskStatus &stray : strays)
-        left = left - stray.declared;
-    left.accelerators = std::min(left.accelerators, static_cast<int>(freeAccelerators().size()));
+    left.accelerators = static_cast<int>(freeAccelerators().size());
+    for (const platform::TaskStatus &stray : strays) {
+        left.cores -= stray.declared.cores;
+        left.memoryMb -= stray.declared.memoryMb;
+        if (stray.accelerators.empty())
+            left.accelerators -= stray.declared.accelerators;
+    }
     return left;
 }
 
--- a/src/gang/ledger_p.h
+++ b/src/gang/ledger_p.h
@@ -65,6 +65,7 @@
     HeldGang *find(const GangKey &key);
     bool checkTasks(const Reserve &message, TaskIdentity &identity);
     bool checkMembers(const HeldGang &gang, const std::vector<Peer> &members) const;
+    bool disturbed(const HeldGang &gang) const;
     void start(HeldGang &gang);
     void stopByLeader(Epoch offered, const GangKey &key, const std::string &why);
     bool hasStray(const GangKey &key) const;
