Test the manifest service against conflicts, lost answers and outages

Cause: the promise that a revision never reverts had no test in C++. Change: table tests with an in-memory table service; entries use their share of the store's writes and reads.

--- a/include/oleandercross/daemon/manifestservice.h
+++ b/include/oleandercross/daemon/manifestservice.h
@@ -26,7 +26,13 @@
     // Null for an entry of the history that was not parsed.
     std::shared_ptr<const config::Manifest> manifest;
 
-    friend bool operator==(const Revision &, const Revision &) = default;
+    // The manifest follows from the YAML text.
+    friend bool operator==(const Revision &a, const Revision &b)
+    {
+        return a.number == b.number && a.parent == b.parent && a.writeId == b.writeId
+            && a.yaml == b.yaml && a.comment == b.comment
+            && a.committedAtMicros == b.committedAtMicros;
+    }
 };
 
 // What a commit asks for.
--- a/src/daemon/entrydaemon.cpp
+++ b/src/daemon/entrydaemon.cpp
@@ -49,8 +49,8 @@
 platform::StoreWriterOptions writerOptions(const config::Settings &settings,
                                            std::int64_t incarnation)
 {
-    platform::StoreWriterOptions options;
-    options.process = absl::StrCat(settings.id, "-", incarnation);
+    platform::StoreWriterOptions options = platform::storeWriterOptions(
+        absl::StrCat(settings.id, "-", incarnation), static_cast<int>(settings.entries.size()));
     options.seed = static_cast<std::uint64_t>(incarnation);
     return options;
 }
--- a/test/platform/faketables.h
+++ b/test/platform/faketables.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <vector>
 
 namespace oleandercross::test {
 
@@ -24,6 +25,17 @@
         return it == m_rows.end() ? 0 : it->second.version;
     }
 
+    std::vector<platform::Row> scan(const std::string &prefix, const std::string &after,
+                                    int limit) const
+    {
+        std::vector<platform::Row> rows;
+        for (const auto &[key, row] : m_rows) {
+            if (key.rfind(prefix, 0) == 0 && key > after && static_cast<int>(rows.size()) < limit)
+                rows.push_back(row);
+        }
+        return rows;
+    }
+
     // Empty if a condition does not hold.
     std::optional<std::int64_t> write(const platform::Transaction &transaction)
     {
