Hold job notifications while the lead of a data centre changes hands

Cause: a job accepted during a take-over or handover reached the new leader only with its scan of the rows, up to 10 s later. Change: the entry holds the notification and sends it again every 100 ms until a leader has taken the job; the answer to the caller does not wait for it.

--- a/include/oleandercross/daemon/jobservice.h
+++ b/include/oleandercross/daemon/jobservice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleandercross/config/settings.h>
+#include <oleandercross/core/executor.h>
 #include <oleandercross/daemon/clusterview.h>
 #include <oleandercross/daemon/jobrecord.h>
 #include <oleandercross/daemon/manifestservice.h>
@@ -18,6 +19,7 @@
 public:
     JobService(ClusterView &cluster, ManifestService &manifests, platform::StoreWriter &store,
                rpc::Client &client);
+    ~JobService();
 
     // Stores a job and returns its record. A key makes a repeated submission return the first
     // job. Fails with 2xx codes, StoreUnavailable ("not run"), or OutcomeUnknown.
@@ -40,13 +42,18 @@
                                        const std::string &known, absl::Duration wait);
     std::optional<JobRecord> readRow(const core::JobId &id);
     std::optional<JobRecord> requestCancelInRow(const core::JobId &id);
-    void notifyLeader(const JobRecord &record);
+    // Tells the leader of an accepted job; while the lead changes hands, the message is held here
+    // and sent again, see docs/design/handover.md.
+    void notifyLeader(const core::DataCentreId &dataCentre, const core::JobId &job,
+                      core::Instant deadline);
     std::optional<JobRecord> settleDuplicate(const JobRecord &record);
 
     ClusterView &m_cluster;
     ManifestService &m_manifests;
     platform::StoreWriter &m_store;
     rpc::Client &m_client;
+    const core::SteadyClock m_clock;
+    core::Executor m_executor;
 };
 
 } // namespace oleandercross::daemon
--- a/src/daemon/jobservice.cpp
+++ b/src/daemon/jobservice.cpp
@@ -18,6 +18,10 @@
 constexpr absl::Duration WriteTimeout = absl::Seconds(5);
 constexpr absl::Duration ReadTimeout = absl::Seconds(2);
 constexpr absl::Duration LeaderTimeout = absl::Seconds(2);
+// Held messages are sent again at this interval until the leader's scan of the rows finds the job.
+constexpr absl::Duration NotifyRetry = absl::Milliseconds(100);
+constexpr absl::Duration NotifyLimit = absl::Seconds(15);
+constexpr int NotifyThreads = 2;
 constexpr int CancelAttempts = 5;
 constexpr std::size_t MaxKeyLength = 128;
 
@@ -97,8 +101,14 @@
     , m_manifests(manifests)
     , m_store(store)
     , m_client(client)
+    , m_executor(NotifyThreads)
 { }
 
+JobService::~JobService()
+{
+    m_executor.stop();
+}
+
 std::optional<JobRecord> JobService::submit(const config::Account &account, const std::string &key,
                                             const std::string &body)
 {
@@ -135,7 +145,10 @@
         m_store.write(std::move(transaction), platform::WritePriority::Job, WriteTimeout);
     switch (result.outcome) {
     case platform::WriteOutcome::Applied:
-        notifyLeader(*record);
+        // A leader that hangs must not delay the answer.
+        m_executor.post([this, dataCentre = record->dataCentre, id = record->spec.id] {
+            notifyLeader(dataCentre, id, m_clock.now() + NotifyLimit);
+        });
         return record;
     case platform::WriteOutcome::Conflict:
         return settleDuplicate(*record);
@@ -158,15 +171,21 @@
     return first;
 }
 
-void JobService::notifyLeader(const JobRecord &record)
+void JobService::notifyLeader(const core::DataCentreId &dataCentre, const core::JobId &job,
+                              core::Instant deadline)
 {
-    const auto leader = m_cluster.leader(record.dataCentre);
-    if (!leader)
-        return;
-    // Best effort: the leader also scans the rows.
-    Json::Value params;
-    params["job"] = record.spec.id.str();
-    m_client.call(leader->rpc, "jobAdded", std::move(params), LeaderTimeout);
+    const auto leader = m_cluster.leader(dataCentre);
+    if (leader) {
+        Json::Value params;
+        params["job"] = job.str();
+        if (m_client.call(leader->rpc, "jobAdded", std::move(params), LeaderTimeout))
+            return;
+    }
+    if (m_clock.now() < deadline) {
+        m_executor.after(NotifyRetry, [this, dataCentre, job, deadline] {
+            notifyLeader(dataCentre, job, deadline);
+        });
+    }
 }
 
 std::optional<JobRecord> JobService::askLeader(const std::string &method, const core::JobId &id,
--- a/src/daemon/leaderservice.cpp
+++ b/src/daemon/leaderservice.cpp
@@ -138,7 +138,8 @@
         const auto current = activeTerm();
         if (!current)
             return std::nullopt;
-        current->addJob(core::JobId(core::stringMember(params, "job")));
+        if (!current->addJob(core::JobId(core::stringMember(params, "job"))))
+            return core::fail(core::ResultCode::NotReady, "the job could not be read");
         return emptyReply();
     });
     server.add("jobStatus", [this](const Json::Value &params) -> std::optional<Json::Value> {
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -389,8 +389,9 @@
     }
     bool missing = false;
     std::optional<ActiveJob> job = readRow(id, missing);
+    // Without a row the job has ended already.
     if (!job)
-        return false;
+        return missing;
     absl::MutexLock lock(&m_mutex);
     if (m_stopping || m_jobs.count(id) > 0)
         return true;
