--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -194,6 +194,8 @@
 {
     judgeSelf(now);
     judgeAgents(now);
+    // The agents that were given up no longer count.
+    judgeSelf(now);
     judgeEntries(now);
     dropOrphans(now);
 }
