--- a/test/ownership/tst_leaseholder.cpp
+++ b/test/ownership/tst_leaseholder.cpp
@@ -167,8 +167,7 @@
     for (int i = 0; i < 30; ++i) {
         c.run(0.1, {&holder});
         for (std::size_t w = 0; w < row.unavailable.size(); ++w)
-            c.testify(holder, std::string(1, static_cast<char>('1' + w)).c_str(),
-                      row.unavailable[w]);
+            c.testify(holder, w, row.unavailable[w]);
     }
     CHECK(holder.decides() == row.decides);
     CHECK(holder.holder.storeOutage() == row.decides);
