--- a/test/fuzz/fuzz_gang.cpp
+++ b/test/fuzz/fuzz_gang.cpp
@@ -44,14 +44,16 @@
 
 } // namespace
 
+// With more than 8 agents, members watch each other in groups.
 TEST_CASE("no fault breaks the invariants of gangs and leases")
 {
+    const int agents = GENERATE(4, 10);
     int started = 0;
     int partial = 0;
     int epochs = 0;
     absl::Duration longest;
     const bool passed = rc::check("gangs and leases under faults", [&] {
-        World world(*rc::gen::noShrink(rc::gen::arbitrary<unsigned>()));
+        World world(*rc::gen::noShrink(rc::gen::arbitrary<unsigned>()), agents);
         rc::state::check(Model(), world, rc::state::gen::execOneOfWithArgs<Command>());
         const std::string failure = world.checkRecovery();
         if (!failure.empty())
@@ -66,14 +68,16 @@
     CHECK(started > 0);
     CHECK(partial > 0);
     CHECK(epochs > 0);
-    WARN("gangs started: " << started << ", partial for a while: " << partial << ", longest: "
-                           << absl::FormatDuration(longest) << ", epochs: " << epochs);
+    WARN("agents: " << agents << ", gangs started: " << started
+                    << ", partial for a while: " << partial
+                    << ", longest: " << absl::FormatDuration(longest) << ", epochs: " << epochs);
 }
 
 // Guards against a step of a start that is unsafe to crash or pause at, alone or together with a
 // crash of a member.
 TEST_CASE("a crash before any action leaves no partial gang")
 {
+    constexpr int Agents = 4;
     constexpr int Members = 7;
     constexpr int Actions = 40;
     constexpr int Stride = 4;
@@ -87,7 +91,7 @@
         CHECK(world.violation().empty());
     };
     for (int action = 0; action < Actions; ++action) {
-        for (int node = 0; node < World::Agents; ++node)
+        for (int node = 0; node < Agents; ++node)
             survives({{StepKind::CrashAgentAfter, node, action, 0}});
         for (int node = 0; node < World::Entries; ++node) {
             survives({{StepKind::CrashEntryAfter, node, action, 0}});
@@ -103,3 +107,41 @@
         }
     }
 }
+
+// Guards against limits so tight that a gang ends without a fault, or at an agent's quick restart.
+TEST_CASE("a gang survives what it should")
+{
+    struct Row
+    {
+        const char *what;
+        int agents;
+        std::vector<Step> steps;
+    };
+    const auto row =
+        GENERATE(Row{"nothing happens", 4, {}}, Row{"nothing happens to a large gang", 10, {}},
+                 Row{"an agent restarts", 4, {{StepKind::CrashAgent, 1, 4, 5000}}},
+                 Row{"an agent of a large gang restarts", 10, {{StepKind::CrashAgent, 1, 0, 5000}}},
+                 Row{"the leader is lost",
+                     4,
+                     {{StepKind::CrashEntry, 0, 50, 0},
+                      {StepKind::CrashEntry, 1, 50, 0},
+                      {StepKind::CrashEntry, 2, 50, 9000}}},
+                 Row{"the store is down", 4, {{StepKind::StoreDown, 0, 0, 30000}}},
+                 Row{"no entry reaches an agent",
+                     4,
+                     {{StepKind::CutEntryFromAgent, 0, 1, 0},
+                      {StepKind::CutEntryFromAgent, 1, 1, 0},
+                      {StepKind::CutEntryFromAgent, 2, 1, 9000}}},
+                 Row{"an agent pauses for a second", 4, {{StepKind::PauseAgent, 1, 9, 5000}}});
+    const unsigned seed = GENERATE(1U, 2U, 3U);
+    INFO(row.what << ", seed " << seed);
+    World world(seed, row.agents);
+    // All agents, one accelerator each.
+    world.apply({StepKind::StartGang, row.agents == 4 ? 14 : 0, 0, 4000});
+    REQUIRE(world.runningTasks() == row.agents);
+    for (const Step &step : row.steps)
+        world.apply(step);
+    world.run(absl::Seconds(30));
+    CHECK(world.violation().empty());
+    CHECK(world.runningTasks() == row.agents);
+}
--- a/test/fuzz/world.cpp
+++ b/test/fuzz/world.cpp
@@ -16,6 +16,15 @@
     return absl::StrCat(key.job.str(), "/", key.attempt);
 }
 
+// Any set of a few agents; of many agents, all or all but one.
+int memberMask(int choice, int agents)
+{
+    const int all = (1 << agents) - 1;
+    if (agents <= 4)
+        return 1 + choice % all;
+    return choice % 3 == 0 ? all : all & ~(1 << (choice % agents));
+}
+
 std::pair<std::string, std::string> link(const std::string &a, const std::string &b)
 {
     return a < b ? std::pair(a, b) : std::pair(b, a);
@@ -29,13 +38,13 @@
                << ", " << step.ms << "}";
 }
 
-World::World(unsigned seed)
+World::World(unsigned seed, int agents)
     : m_random(seed)
     , m_now(absl::UnixEpoch() + absl::Hours(1))
-    , m_agents(Agents)
+    , m_agents(static_cast<std::size_t>(agents))
     , m_entries(Entries)
 {
-    for (int i = 0; i < Agents; ++i) {
+    for (int i = 0; i < agentCount(); ++i) {
         m_agents[i].index = i;
         startAgent(m_agents[i]);
     }
@@ -145,14 +154,14 @@
 
 void World::apply(const Step &step)
 {
-    AgentNode &agent = m_agents[static_cast<std::size_t>(step.a % Agents)];
+    AgentNode &agent = m_agents[static_cast<std::size_t>(step.a % agentCount())];
     EntryNode &entry = m_entries[static_cast<std::size_t>(step.a % Entries)];
     const std::string agentName = absl::StrCat("agent", agent.index);
     const std::string entryName = absl::StrCat("entry", entry.index);
     const absl::Duration length = absl::Milliseconds(100) * (1 + step.b);
     switch (step.kind) {
     case StepKind::StartGang:
-        startGang(1 + step.a % 15, 1 + step.b % 4, step.b % 2 == 0);
+        startGang(memberMask(step.a, agentCount()), 1 + step.b % 4, step.b % 2 == 0);
         break;
     case StepKind::StopGang:
         if (!m_gangs.empty())
@@ -200,10 +209,10 @@
         entry.process.plannedPause = absl::Milliseconds(500 + pick(6000));
         break;
     case StepKind::CutAgents:
-        setCut(agentName, absl::StrCat("agent", (step.a + 1 + step.b) % Agents), length);
+        setCut(agentName, absl::StrCat("agent", (step.a + 1 + step.b) % agentCount()), length);
         break;
     case StepKind::CutEntryFromAgent:
-        setCut(entryName, absl::StrCat("agent", step.b % Agents), length);
+        setCut(entryName, absl::StrCat("agent", step.b % agentCount()), length);
         break;
     case StepKind::CutEntries:
         setCut(entryName, absl::StrCat("entry", (step.a + 1) % Entries), length);
@@ -281,13 +290,24 @@
     // A start with an unknown result holds its resources for 10 s.
     run(absl::Seconds(15));
     const int before = m_startedGangs;
-    startGang(15, WorkerSize.accelerators, true);
+    startGang((1 << agentCount()) - 1, WorkerSize.accelerators, true);
     run(absl::Seconds(3));
     if (m_violation.empty() && m_startedGangs != before + 1)
         return "no gang on all accelerators after the faults";
     return m_violation;
 }
 
+int World::runningTasks() const
+{
+    int total = 0;
+    for (const AgentNode &agent : m_agents) {
+        total += static_cast<int>(
+            std::count_if(agent.worker.begin(), agent.worker.end(),
+                          [this](const auto &entry) { return running(entry.second); }));
+    }
+    return total;
+}
+
 void World::violate(const std::string &message)
 {
     if (m_violation.empty())
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -60,10 +60,9 @@
 class World
 {
 public:
-    static constexpr int Agents = 4;
     static constexpr int Entries = 3;
 
-    explicit World(unsigned seed);
+    explicit World(unsigned seed, int agents = 4);
 
     void apply(const Step &step);
     void run(absl::Duration duration);
@@ -74,6 +73,8 @@
     // After heal(): stops every gang, then starts one on all accelerators. Returns what failed.
     std::string checkRecovery();
 
+    // Tasks that run on the workers at this moment.
+    int runningTasks() const;
     int startedGangs() const { return m_startedGangs; }
     int partialGangs() const { return static_cast<int>(m_everPartial.size()); }
     absl::Duration longestPartial() const { return m_longestPartial; }
@@ -134,6 +135,8 @@
         bool now = false;
     };
 
+    int agentCount() const { return static_cast<int>(m_agents.size()); }
+
     // Scheduling.
     void at(absl::Duration delay, Action action);
     void post(Process &process, absl::Duration delay, Action action);
--- a/test/fuzz/worldentries.cpp
+++ b/test/fuzz/worldentries.cpp
@@ -180,7 +180,7 @@
 
 void World::askReports(EntryNode &entry)
 {
-    for (int agent = 0; agent < Agents; ++agent) {
+    for (int agent = 0; agent < agentCount(); ++agent) {
         if (entry.reported.contains(agent))
             continue;
         const gang::Epoch epoch = entry.lease->heldEpoch();
@@ -246,7 +246,7 @@
     operation.key = {core::JobId(absl::StrCat("job", ++m_jobs)), 1};
     operation.epoch = entry->lease->heldEpoch();
     operation.recordRequired = required;
-    for (int i = 0; i < Agents; ++i) {
+    for (int i = 0; i < agentCount(); ++i) {
         if ((memberMask >> i & 1) == 0)
             continue;
         if (!entry->reported.contains(i))
