--- a/include/oleandercross/dispatch/dispatcher.h
+++ b/include/oleandercross/dispatch/dispatcher.h
@@ -180,7 +180,7 @@
 struct DispatcherSettings
 {
     core::EntryId entry;
-    Routing routing = Routing::TwoChoices;
+    Routing routing = Routing::LateBinding;
     // Requests that one account may have waiting for one service.
     int queueLimit = 256;
     // Requests with an expected service time up to this are short.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -177,7 +177,8 @@
     const absl::Duration time = m_now - request.sent - 2 * target.distance();
     const RequestArrived &arrival = request.arrival;
     // Without an estimate, a target is not slow because a request is long.
-    target.observe(time, request.expected.learned ? request.expected.mean : time, m_now);
+    m_targets.observe(target, time, request.expected.learned ? request.expected.typical : time,
+                      m_now);
     m_serviceTimes.observe(arrival.service, arrival.account, arrival.bodyBytes, time);
     queues(arrival.service)
         .of(request.shortWork)
@@ -212,6 +213,8 @@
         break;
     case ResultCode::TargetBusy:
         target.avoidUntil(m_now + BusyPause);
+        // Several entries share the slots; each learns its share.
+        target.congested(m_now);
         break;
     case ResultCode::StaleIncarnation:
     case ResultCode::StaleConfiguration:
--- a/src/dispatch/router.cpp
+++ b/src/dispatch/router.cpp
@@ -10,6 +10,13 @@
 constexpr absl::Duration AskPeriod = absl::Milliseconds(50);
 // Slots asked for per waiting request; Sparrow found two probes per task sufficient.
 constexpr int AsksPerRequest = 2;
+// Times that a target's slots may be granted to this entry before it asks again. With fewer, slots
+// of requests shorter than the asking period stayed empty in front of full queues.
+constexpr int AskedTurnovers = 8;
+
+// Without a grant for this long, requests go to targets with reported free slots all the same: the
+// messages may be lost, or the agents may not grant.
+constexpr absl::Duration GrantPatience = absl::Milliseconds(100);
 
 bool avoided(const Target &target, const Need &need, std::size_t targets)
 {
@@ -81,12 +88,16 @@
         if (!best || target->grantedUntil() < best->grantedUntil())
             best = target;
     }
+    if (targets.empty())
+        return nullptr;
+    Demand &demand = m_demands[targets.front()->info().service];
     if (best) {
+        demand.lastGrant = now;
         best->useGrant(need);
         return best;
     }
     m_granted = false;
-    if (!targets.empty() && m_demands[targets.front()->info().service].asked != Waiting())
+    if (demand.asked != Waiting() && now - demand.lastGrant < GrantPatience)
         return nullptr;
     const Targets candidates = nearestWithRoom(
         targets, need, [&](const Target &target) { return target.knownRoom(need, now); });
@@ -109,10 +120,14 @@
     std::shuffle(chosen.begin(), chosen.end(), m_generator);
     const int total = AsksPerRequest * (waiting.shortWork + waiting.longWork);
     chosen.resize(std::min(chosen.size(), static_cast<std::size_t>(total)));
-    demand = {waiting, now, {}};
+    demand.lastGrant = demand.asked == Waiting() ? now : demand.lastGrant;
+    demand.asked = waiting;
+    demand.askedAt = now;
+    demand.targets.clear();
     const int count = std::max<int>(1, static_cast<int>(chosen.size()));
     for (const Target *target : chosen) {
-        const int slots = std::min(target->info().slots, (total + count - 1) / count);
+        const int slots =
+            std::min(AskedTurnovers * target->info().slots, (total + count - 1) / count);
         const int shortSlots =
             std::min(slots, (AsksPerRequest * waiting.shortWork + count - 1) / count);
         std::erase_if(messages, [&](const AskSlots &m) { return m.target == target->id(); });
--- a/src/dispatch/router.h
+++ b/src/dispatch/router.h
@@ -71,6 +71,8 @@
     {
         Waiting asked;
         core::Instant askedAt = absl::InfinitePast();
+        // When a grant was used, or when the requests began to wait.
+        core::Instant lastGrant = absl::InfinitePast();
         std::vector<TargetId> targets;
     };
 
--- a/src/dispatch/target.cpp
+++ b/src/dispatch/target.cpp
@@ -16,10 +16,8 @@
 // Attempts whose end is not reported this long after the deadline are forgotten.
 constexpr absl::Duration ReportLimit = absl::Seconds(5);
 constexpr double MeanWeight = 0.05;
-constexpr double SlowdownWeight = 0.1;
-constexpr double LargestSlowdown = 10;
-// A target that takes twice the expected time is treated as overloaded.
-constexpr double SlowdownLimit = 2;
+constexpr double SlowdownWeight = 0.05;
+constexpr absl::Duration ShortestTime = absl::Microseconds(10);
 constexpr double LimitDecrease = 0.8;
 constexpr absl::Duration ShortestCutPeriod = absl::Milliseconds(20);
 
@@ -127,7 +125,7 @@
 absl::Duration Target::backlog(core::Instant now) const
 {
     const absl::Duration work = ownWork(now) + m_othersWork * decay(now);
-    return work * m_slowdown / std::max(1, m_info.slots);
+    return work * std::exp(m_logSlowdown) / std::max(1, m_info.slots);
 }
 
 void Target::sent(InFlight attempt)
@@ -156,15 +154,17 @@
     return expired;
 }
 
-void Target::observe(absl::Duration time, absl::Duration expected, core::Instant now)
+void Target::observe(absl::Duration time, absl::Duration typical)
 {
     m_meanSeconds += MeanWeight * (absl::ToDoubleSeconds(time) - m_meanSeconds);
-    const double ratio = std::min(LargestSlowdown, absl::FDivDuration(time, expected));
-    m_slowdown += SlowdownWeight * (ratio - m_slowdown);
-    if (m_slowdown > SlowdownLimit)
-        congested(now);
-    else
-        m_limit = std::min(static_cast<double>(m_info.slots), m_limit + 1 / m_limit);
+    const double ratio =
+        absl::FDivDuration(std::max(ShortestTime, time), std::max(ShortestTime, typical));
+    m_logSlowdown += SlowdownWeight * (std::log(ratio) - m_logSlowdown);
+}
+
+void Target::raiseLimit()
+{
+    m_limit = std::min(static_cast<double>(m_info.slots), m_limit + 1 / m_limit);
 }
 
 void Target::congested(core::Instant now)
--- a/src/dispatch/target.h
+++ b/src/dispatch/target.h
@@ -60,9 +60,13 @@
     // Removes and returns attempts whose end was never reported.
     std::vector<InFlight> expire(core::Instant now);
 
-    // Feeds the concurrency limit: a service time and what was expected of it.
-    void observe(absl::Duration time, absl::Duration expected, core::Instant now);
-    // Lowers the concurrency limit after a request without an answer.
+    // Learns from a service time and what is typical of such requests.
+    void observe(absl::Duration time, absl::Duration typical);
+    // Smoothed logarithm of service times divided by typical ones.
+    double logSlowdown() const { return m_logSlowdown; }
+    // Raises the concurrency limit after an answer in usual time.
+    void raiseLimit();
+    // Lowers the concurrency limit after a request without an answer or a slow one.
     void congested(core::Instant now);
     double concurrencyLimit() const { return m_limit; }
 
@@ -98,7 +102,9 @@
     absl::Duration m_othersWork;
     std::vector<InFlight> m_inFlight;
     double m_limit;
-    double m_slowdown = 1;
+    // A mean of the ratios themselves rises with every long request and lowered the limits of
+    // healthy targets.
+    double m_logSlowdown = 0;
     double m_meanSeconds = 0.01;
     core::Instant m_limitCut = absl::InfinitePast();
     CircuitBreaker m_breaker;
--- a/src/dispatch/targetset.cpp
+++ b/src/dispatch/targetset.cpp
@@ -1,6 +1,7 @@
 #include "targetset.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace oleandercross::dispatch::detail {
 
@@ -8,6 +9,8 @@
 
 // At most one target in this many of a service is out.
 constexpr int OutFraction = 3;
+// A target that takes twice the time of the others is treated as overloaded.
+constexpr double SlowdownLimit = 2;
 
 bool nearer(const Target *a, const Target *b)
 {
@@ -69,6 +72,21 @@
                                           [](const Target *t) { return t->breaker().isOpen(); }));
 }
 
+void TargetSet::observe(Target &target, absl::Duration time, absl::Duration typical,
+                        core::Instant now)
+{
+    target.observe(time, typical);
+    const Targets &targets = serving(target.info().service);
+    double others = 0;
+    for (const Target *other : targets)
+        others += other == &target ? 0 : other->logSlowdown();
+    const double count = static_cast<double>(targets.size()) - 1;
+    if (count > 0 && target.logSlowdown() - others / count > std::log(SlowdownLimit))
+        target.congested(now);
+    else
+        target.raiseLimit();
+}
+
 void TargetSet::failed(Target &target, core::Instant now)
 {
     target.congested(now);
--- a/src/dispatch/targetset.h
+++ b/src/dispatch/targetset.h
@@ -26,6 +26,9 @@
     Target *find(const TargetId &id);
     const Targets &serving(const core::ServiceId &service) const;
 
+    // Adapts the target's concurrency limit to a service time. Slow is a target that takes longer
+    // than the others of its service, since a change of the work itself shows on all of them.
+    void observe(Target &target, absl::Duration time, absl::Duration typical, core::Instant now);
     void failed(Target &target, core::Instant now);
     void minionFailed(Target &target, core::Instant now);
 
--- a/test/dispatch/tst_dispatcher.cpp
+++ b/test/dispatch/tst_dispatcher.cpp
@@ -11,11 +11,19 @@
 const core::ServiceId Service("desk");
 const core::MinionId Minion("minion");
 
+DispatcherSettings twoChoices()
+{
+    DispatcherSettings settings;
+    settings.routing = Routing::TwoChoices;
+    return settings;
+}
+
 // One dispatcher with helpers that sort its actions.
 class Fixture
 {
 public:
-    explicit Fixture(DispatcherSettings settings = {})
+    // Without agents there are no grants, so the queues are tested with two choices.
+    explicit Fixture(DispatcherSettings settings = twoChoices())
         : m_dispatcher(std::move(settings), std::mt19937_64(1))
     { }
 
@@ -208,7 +216,7 @@
 
 TEST_CASE("requests are shed early with a code and a hint")
 {
-    DispatcherSettings settings;
+    DispatcherSettings settings = twoChoices();
     settings.queueLimit = 5;
     Fixture fixture(settings);
     CHECK(fixture.outcomes[fixture.arrive()].code == ResultCode::NoTarget);
@@ -392,3 +400,53 @@
     CHECK(status.retried <= first * 0.1 + 10);
     CHECK(status.retried >= first * 0.1 - 1);
 }
+
+// Found by the comparison with the naive router, seed 11: requests that became longer lowered the
+// limit of a healthy target, and slots stayed empty in front of a queue.
+TEST_CASE("work that becomes longer everywhere does not lower concurrency limits")
+{
+    Fixture fixture;
+    fixture.deadline = absl::Minutes(1);
+    const int targets = GENERATE(1, 2);
+    for (int i = 0; i < targets; ++i)
+        fixture.apply(fixture.announcement(i, 2));
+    for (int i = 0; i < 3; ++i) {
+        fixture.arrive();
+        fixture.now += absl::Milliseconds(1);
+        fixture.answer();
+    }
+    for (int i = 0; i < 40; ++i)
+        fixture.arrive();
+    for (int i = 0; i < 30; ++i) {
+        CHECK(fixture.dispatched.size() == static_cast<std::size_t>(2 * targets));
+        fixture.now += absl::Milliseconds(40);
+        fixture.answer();
+    }
+}
+
+TEST_CASE("a target slower than the others gets fewer requests at a time")
+{
+    Fixture fixture;
+    fixture.deadline = absl::Minutes(1);
+    for (int i = 0; i < 3; ++i)
+        fixture.apply(fixture.announcement(i, 8));
+    for (int i = 0; i < 200; ++i)
+        fixture.arrive();
+    const auto slow = [](const DispatchMessage &m) { return m.target == Fixture::target(0); };
+    // Targets 1 and 2 answer 23 times while target 0 answers once.
+    for (int round = 0; round < 1200; ++round) {
+        fixture.now += absl::Milliseconds(1);
+        auto &open = fixture.dispatched;
+        const bool slowTurn = round % 24 == 0;
+        const auto it = std::find_if(open.begin(), open.end(),
+                                     [&](const auto &m) { return slow(m) == slowTurn; });
+        if (it == open.end())
+            continue;
+        std::rotate(open.begin(), it, it + 1);
+        fixture.answer();
+        fixture.arrive();
+    }
+    const auto open = std::count_if(fixture.dispatched.begin(), fixture.dispatched.end(), slow);
+    CHECK(open < 8);
+    CHECK(open >= 1);
+}
