Route without grants when agents do not grant slots

Late binding waited up to 100 ms at the start of each queue for grants that an agent without grant support never sends. It now waits once and then routes like two choices until the first grant arrives.

--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -279,6 +279,7 @@
             served[result.request.account] += 1;
     }
     std::vector<double> values;
+    values.reserve(Accounts.size());
     for (const std::string &account : Accounts)
         values.push_back(served[account]);
     lines.push_back({design.name + "_flood_jain", jain(values), "fraction", {}, {}});
--- a/src/dispatch/router.cpp
+++ b/src/dispatch/router.cpp
@@ -14,8 +14,8 @@
 // of requests shorter than the asking period stayed empty in front of full queues.
 constexpr int AskedTurnovers = 8;
 
-// Without a grant for this long, requests go to targets with reported free slots all the same: the
-// messages may be lost, or the agents may not grant.
+// Without a grant for this long, requests go to targets with reported free slots all the same,
+// because messages may be lost.
 constexpr absl::Duration GrantPatience = absl::Milliseconds(100);
 
 bool avoided(const Target &target, const Need &need, std::size_t targets)
@@ -93,14 +93,18 @@
     Demand &demand = m_demands[targets.front()->info().service];
     if (best) {
         demand.lastGrant = now;
+        m_agentsGrant = true;
         best->useGrant(need);
         return best;
     }
     m_granted = false;
-    if (demand.asked != Waiting() && now - demand.lastGrant < GrantPatience)
+    const bool waits = demand.asked != Waiting();
+    if (waits && now - demand.lastGrant < GrantPatience && !m_gaveUp)
         return nullptr;
-    const Targets candidates = nearestWithRoom(
-        targets, need, [&](const Target &target) { return target.knownRoom(need, now); });
+    m_gaveUp = !m_agentsGrant && (waits || m_gaveUp);
+    const Targets candidates = nearestWithRoom(targets, need, [&](const Target &target) {
+        return m_gaveUp ? target.room(need, now) : target.knownRoom(need, now);
+    });
     return lessLoadedOfTwo(candidates, m_generator, now);
 }
 
--- a/src/dispatch/router.h
+++ b/src/dispatch/router.h
@@ -81,6 +81,9 @@
 
     std::mt19937_64 m_generator;
     bool m_granted = false;
+    // Agents without grants are routed to as by TwoChoices, after waiting once in vain.
+    bool m_agentsGrant = false;
+    bool m_gaveUp = false;
     absl::btree_map<core::ServiceId, Demand> m_demands;
 };
 
--- a/test/dispatch/tst_dispatcher.cpp
+++ b/test/dispatch/tst_dispatcher.cpp
@@ -312,6 +312,22 @@
     }
 }
 
+// Guards against a stop of the service when grants are lost or agents do not grant.
+TEST_CASE("late binding without grants still uses free slots")
+{
+    Fixture fixture(DispatcherSettings{});
+    fixture.deadline = absl::Minutes(1);
+    fixture.apply(fixture.announcement(0, 2));
+    for (int i = 0; i < 100; ++i)
+        fixture.arrive();
+    fixture.advance(absl::Milliseconds(100));
+    for (int i = 0; i < 50; ++i) {
+        REQUIRE(fixture.dispatched.size() == 2);
+        fixture.advance(absl::Milliseconds(10));
+        fixture.answer();
+    }
+}
+
 TEST_CASE("a starting target gets few requests")
 {
     Fixture fixture;
