--- a/src/dispatch/router.h
+++ b/src/dispatch/router.h
@@ -71,6 +71,8 @@
     {
         Waiting asked;
         core::Instant askedAt = absl::InfinitePast();
+        // When a grant was used, or when the requests began to wait.
+        core::Instant lastGrant = absl::InfinitePast();
         std::vector<TargetId> targets;
     };
 
@@ -79,6 +81,9 @@
 
     std::mt19937_64 m_generator;
     bool m_granted = false;
+    // Agents without grants are routed to as by TwoChoices, after waiting once in vain.
+    bool m_agentsGrant = false;
+    bool m_gaveUp = false;
     absl::btree_map<core::ServiceId, Demand> m_demands;
 };
 
