--- a/test/platform/tst_httpadapters.cpp
+++ b/test/platform/tst_httpadapters.cpp
@@ -142,6 +142,8 @@
     const auto found = store.fetch(key);
     REQUIRE(found);
     CHECK(*found == bytes);
+    // Not the start of the key up to a character with a meaning in URLs.
+    CHECK_FALSE(*store.fetch("snapshot/a b"));
     REQUIRE(store.put(key, ""));
     CHECK(store.fetch(key) == std::optional<std::string>(""));
 
