--- a/include/oleandercross/scheduling/job.h
+++ b/include/oleandercross/scheduling/job.h
@@ -79,6 +79,8 @@
     // The placement that is held, or reserved while other gangs stop; empty if there is none.
     Placement placement;
     bool reserved = false;
+    // The reservation is the one of the oldest large gang, which nothing behind it may delay.
+    bool oldestLarge = false;
     // Per-task size in force, larger than declared after it was outgrown.
     core::Resources perTask;
     // Accelerator time received so far.
--- a/src/scheduling/admission.cpp
+++ b/src/scheduling/admission.cpp
@@ -180,6 +180,7 @@
     view.hold = job.hold;
     view.attempt = job.attempt;
     view.reserved = job.reserved;
+    view.oldestLarge = m_oldest == &job;
     view.perTask = job.perTask;
     view.attained = attained(job);
     view.failures = job.failures;
--- a/src/scheduling/decide.cpp
+++ b/src/scheduling/decide.cpp
@@ -75,6 +75,7 @@
     // A claim may drop reservations, which frees capacity for jobs that were tried before.
     for (int round = 0; round < PassesPerEvent && m_passNeeded; ++round) {
         m_passNeeded = false;
+        m_stopAttempts = 0;
         pass();
     }
 }
--- a/src/scheduling/preempt.cpp
+++ b/src/scheduling/preempt.cpp
@@ -165,6 +165,8 @@
     const std::vector<Job *> stopping = victims(*layout, job.perTask, borrowed, complete);
     if (!complete) {
         cluster.release(*layout);
+        if (displaced != nullptr)
+            tryReservation(*displaced);
         return false;
     }
     job.hold = Hold::Guaranteed;
