Count a gang as stopped only when its resources are free

Cause: the leader placed a claim on workers whose agents still held the stopped gang's resources, was refused, and retried with back-off; a task list could overtake the stop before it. Change: StopTask is answered StillRunning until the tasks are gone; calls of one ledger step to the worker keep their order.

--- a/include/oleandercross/daemon/taskrunner.h
+++ b/include/oleandercross/daemon/taskrunner.h
@@ -46,6 +46,7 @@
     void apply(const gang::LedgerEvent &event);
     void execute(std::vector<gang::LedgerAction> actions);
 
+    void runAction(const gang::LedgerAction &action);
     void run(const gang::StartWorkerTask &action);
     void run(const gang::StopWorkerTask &action);
     void run(const gang::RenewTaskLeases &action);
--- a/src/daemon/taskrunner.cpp
+++ b/src/daemon/taskrunner.cpp
@@ -125,11 +125,27 @@
 {
     if (!m_worker)
         return;
+    // Calls to the worker keep their order, so that a list shows what a stop before it did. Calls
+    // to other processes may hang and run on their own.
+    std::vector<gang::LedgerAction> workerCalls;
     for (gang::LedgerAction &action : actions) {
-        m_executor.post([this, action = std::move(action)] {
-            std::visit([this](const auto &a) { run(a); }, action);
-        });
+        if (std::holds_alternative<gang::PollPeer>(action)
+            || std::holds_alternative<gang::SendTaskEvent>(action))
+            m_executor.post([this, action = std::move(action)] { runAction(action); });
+        else
+            workerCalls.push_back(std::move(action));
     }
+    if (workerCalls.empty())
+        return;
+    m_executor.post([this, calls = std::move(workerCalls)] {
+        for (const gang::LedgerAction &action : calls)
+            runAction(action);
+    });
+}
+
+void TaskRunner::runAction(const gang::LedgerAction &action)
+{
+    std::visit([this](const auto &a) { run(a); }, action);
 }
 
 void TaskRunner::run(const gang::StartWorkerTask &action)
--- a/src/gang/ledger.cpp
+++ b/src/gang/ledger.cpp
@@ -213,8 +213,8 @@
         finish(*gang, "abort");
     else
         stop(*gang, "abort", TaskEvent::Kind::Stopped, {core::ResultCode::Cancelled, why});
-    // No peer and only a long lease limits how long a lone member can still run.
-    if (gang->solo() && (!gang->ended() || hasStray(key)))
+    // The leader places other gangs here as soon as this one counts as stopped.
+    if (!gang->ended() || hasStray(key))
         refuse(core::ResultCode::StillRunning, "the worker has not stopped the task yet");
 }
 
