--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -78,6 +78,7 @@
 {
     std::string name;
     MakeRoute make;
+    VirtualDispatch::Grants grants = VirtualDispatch::Grants::Pushed;
 };
 
 MakeRoute dispatcher(dispatch::Routing routing)
@@ -103,6 +104,8 @@
     };
     return {{"two_choices", dispatcher(dispatch::Routing::TwoChoices)},
             {"late_binding", dispatcher(dispatch::Routing::LateBinding)},
+            {"late_binding_replies", dispatcher(dispatch::Routing::LateBinding),
+             VirtualDispatch::Grants::WithReplies},
             {"naive", naive}};
 }
 
@@ -197,9 +200,9 @@
     // More long work than the slots that it may use.
     constexpr double ShortLoad = 0.15;
     constexpr double LongLoad = 0.8;
-    const auto without =
-        VirtualDispatch(design.make, seed).run(mixedLoad(seed, ShortLoad, 0, Seconds));
-    VirtualDispatch driver(design.make, seed);
+    const auto without = VirtualDispatch(design.make, seed, design.grants)
+                             .run(mixedLoad(seed, ShortLoad, 0, Seconds));
+    VirtualDispatch driver(design.make, seed, design.grants);
     const auto with = driver.run(mixedLoad(seed, ShortLoad, LongLoad, Seconds));
     lines.push_back({design.name + "_short_p99_with_long",
                      quantile(shortLatencies(with), 0.99),
@@ -231,14 +234,15 @@
 {
     constexpr double Before = 5;
     constexpr double Until = 9;
-    const auto atCapacity = VirtualDispatch(design.make, seed).run(mixedLoad(seed, 1, 0, Until));
+    const auto atCapacity =
+        VirtualDispatch(design.make, seed, design.grants).run(mixedLoad(seed, 1, 0, Until));
     Draw draw(seed);
     std::vector<LoadRequest> requests;
     for (const std::string &account : Accounts) {
         add(requests, draw, account, 0.8 / 4, false, 0, Until);
         add(requests, draw, account, 9.2 / 4, false, Before, Until);
     }
-    VirtualDispatch driver(design.make, seed);
+    VirtualDispatch driver(design.make, seed, design.grants);
     const auto results = driver.run(sorted(std::move(requests)));
     lines.push_back({design.name + "_burst_goodput",
                      goodput(results, Before, Until),
@@ -272,7 +276,8 @@
     std::vector<LoadRequest> requests;
     for (const std::string &account : Accounts)
         add(requests, draw, account, account == "a" ? 5 : 0.3, false, 0, Seconds);
-    const auto results = VirtualDispatch(design.make, seed).run(sorted(std::move(requests)));
+    const auto results =
+        VirtualDispatch(design.make, seed, design.grants).run(sorted(std::move(requests)));
     std::map<std::string, double> served;
     for (const LoadResult &result : results) {
         if (result.inDeadline() && result.request.at >= WarmUp)
--- a/bench/virtualdispatch.cpp
+++ b/bench/virtualdispatch.cpp
@@ -15,7 +15,8 @@
 
 } // namespace
 
-VirtualDispatch::VirtualDispatch(const MakeRoute &makeRoute, std::uint64_t seed)
+VirtualDispatch::VirtualDispatch(const MakeRoute &makeRoute, std::uint64_t seed, Grants grants)
+    : m_grants(grants)
 {
     for (int i = 0; i < Minions; ++i) {
         Agent agent;
@@ -107,7 +108,7 @@
             m_agents[agent].admission->demand(core::EntryId(std::to_string(entry)),
                                               slots.target.minion, slots.slots, slots.shortSlots,
                                               m_now);
-            grantSlots(agent);
+            grantSlots(agent, entry);
         });
     }
 }
@@ -142,21 +143,27 @@
             tell(entry,
                  dispatch::DispatchAnswered{message.id, message.attempt, {true, "answer"}, load});
         });
-    grantSlots(index);
+    grantSlots(index, entry);
 }
 
-void VirtualDispatch::grantSlots(int index)
+void VirtualDispatch::grantSlots(int index, int replyTo)
 {
     const Agent &agent = m_agents[index];
-    for (const dispatch::SlotGrant &grant : agent.admission->grant(m_now)) {
-        const int entry = std::stoi(grant.entry.str());
-        later(distance(entry, index), [this, entry, grant, target = agent.target] {
-            tell(entry,
-                 dispatch::SlotsGranted{target, grant.slots, grant.shortSlots, grant.validFor});
-        });
+    for (const dispatch::SlotGrant &grant : agent.admission->grant(m_now))
+        m_pendingGrants[{index, std::stoi(grant.entry.str())}].push_back(
+            {agent.target, grant.slots, grant.shortSlots, grant.validFor});
+    for (int entry = 0; entry < Entries; ++entry) {
+        if (m_grants == Grants::Pushed || entry == replyTo)
+            deliverGrants(index, entry);
     }
 }
 
+void VirtualDispatch::deliverGrants(int index, int entry)
+{
+    for (const dispatch::SlotsGranted &grant : std::exchange(m_pendingGrants[{index, entry}], {}))
+        later(distance(entry, index), [this, entry, grant] { tell(entry, grant); });
+}
+
 void VirtualDispatch::tick()
 {
     for (int entry = 0; entry < Entries; ++entry)
--- a/bench/virtualdispatch.h
+++ b/bench/virtualdispatch.h
@@ -46,7 +46,10 @@
 class VirtualDispatch
 {
 public:
-    VirtualDispatch(const MakeRoute &makeRoute, std::uint64_t seed);
+    // How grants reach entries: in messages of their own, or only with the next reply to the entry.
+    enum class Grants { Pushed, WithReplies };
+
+    VirtualDispatch(const MakeRoute &makeRoute, std::uint64_t seed, Grants grants = Grants::Pushed);
 
     // Results in order of arrival.
     std::vector<LoadResult> run(std::vector<LoadRequest> load);
@@ -86,7 +89,8 @@
     void execute(int entry, const dispatch::Action &action);
     void atAgent(int entry, int agent, const dispatch::DispatchMessage &message);
     void ended(int entry, int agent, const dispatch::DispatchMessage &message);
-    void grantSlots(int agent);
+    void grantSlots(int agent, int replyTo);
+    void deliverGrants(int agent, int entry);
     void tick();
     void heartbeat();
 
@@ -99,6 +103,9 @@
     std::vector<Agent> m_agents;
     std::map<core::AgentId, int> m_agentIndex;
     std::map<core::RequestId, int> m_index;
+    Grants m_grants;
+    // By agent and entry, to be sent.
+    std::map<std::pair<int, int>, std::vector<dispatch::SlotsGranted>> m_pendingGrants;
     std::vector<LoadResult> m_results;
     std::size_t m_open = 0;
     std::int64_t m_refusals = 0;
