--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -223,11 +223,17 @@
                      {}});
     lines.push_back(
         {design.name + "_long_answered", answeredShare(with, true), "fraction", {}, {}});
+    const double requests = static_cast<double>(with.size());
     lines.push_back({design.name + "_refusals",
-                     static_cast<double>(driver.refusals()) / static_cast<double>(with.size()),
+                     static_cast<double>(driver.refusals()) / requests,
                      "fraction",
                      {},
                      {}});
+    lines.push_back({design.name + "_slot_messages",
+                     static_cast<double>(driver.slotMessages()) / requests,
+                     "per_request",
+                     {},
+                     {}});
 }
 
 void burst(const Design &design, std::uint64_t seed, std::vector<Line> &lines)
@@ -267,6 +273,12 @@
                      "fraction",
                      {},
                      {}});
+    lines.push_back(
+        {design.name + "_burst_slot_messages",
+         static_cast<double>(driver.slotMessages()) / static_cast<double>(accepted.size()),
+         "per_accepted",
+         {},
+         {}});
 }
 
 void flood(const Design &design, std::uint64_t seed, std::vector<Line> &lines)
--- a/bench/virtualdispatch.cpp
+++ b/bench/virtualdispatch.cpp
@@ -104,6 +104,7 @@
         });
     } else if (const auto *slots = std::get_if<dispatch::AskSlots>(&action)) {
         const int agent = m_agentIndex.at(slots->target.agent);
+        ++m_slotMessages;
         later(distance(entry, agent), [this, entry, agent, slots = *slots] {
             m_agents[agent].admission->demand(core::EntryId(std::to_string(entry)),
                                               slots.target.minion, slots.slots, slots.shortSlots,
@@ -160,8 +161,10 @@
 
 void VirtualDispatch::deliverGrants(int index, int entry)
 {
-    for (const dispatch::SlotsGranted &grant : std::exchange(m_pendingGrants[{index, entry}], {}))
+    for (const dispatch::SlotsGranted &grant : std::exchange(m_pendingGrants[{index, entry}], {})) {
+        m_slotMessages += m_grants == Grants::Pushed ? 1 : 0;
         later(distance(entry, index), [this, entry, grant] { tell(entry, grant); });
+    }
 }
 
 void VirtualDispatch::tick()
--- a/bench/virtualdispatch.h
+++ b/bench/virtualdispatch.h
@@ -61,6 +61,8 @@
     static constexpr double Capacity = Minions * Slots;
 
     std::int64_t refusals() const { return m_refusals; }
+    // AskSlots and SlotsGranted.
+    std::int64_t slotMessages() const { return m_slotMessages; }
 
 private:
     struct Agent
@@ -109,6 +111,7 @@
     std::vector<LoadResult> m_results;
     std::size_t m_open = 0;
     std::int64_t m_refusals = 0;
+    std::int64_t m_slotMessages = 0;
 };
 
 } // namespace oleandercross::bench
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -371,7 +371,7 @@
 {
     const auto it = m_requests.find(id);
     const Request &request = it->second;
-    if (request.phase == Phase::Waiting)
+    if (request.queued)
         queues(request.arrival.service).of(request.shortWork).remove(request.arrival.account, id);
     m_deadlines.erase({request.arrival.deadline, id});
     m_asking.erase(id);
--- a/src/dispatch/dispatcherprivate.h
+++ b/src/dispatch/dispatcherprivate.h
@@ -29,6 +29,7 @@
     ServiceTime expected;
     bool shortWork = true;
     Phase phase = Phase::Waiting;
+    bool queued = false;
     // The latest attempt, where it was sent and when.
     int attempt = 0;
     TargetId target;
--- a/src/dispatch/dispatcherqueue.cpp
+++ b/src/dispatch/dispatcherqueue.cpp
@@ -93,6 +93,7 @@
 {
     const RequestArrived &arrival = request.arrival;
     request.phase = detail::Phase::Waiting;
+    request.queued = true;
     detail::FairQueue &queue = queues(arrival.service).of(request.shortWork);
     detail::QueuedRequest queued = {arrival.id, arrival.account,
                                     absl::ToDoubleSeconds(request.expected.mean)};
@@ -139,6 +140,7 @@
     Request &request = m_requests.at(next->id);
     if (m_now + request.expected.typical >= request.arrival.deadline) {
         queue.pop();
+        request.queued = false;
         notRun(request, ResultCode::DeadlineTooClose, expectedWait(request));
         return true;
     }
@@ -149,6 +151,7 @@
     if (!target)
         return false;
     queue.pop();
+    request.queued = false;
     send(request, *target);
     return true;
 }
