Grant slots to entries over the wire

Change: entries send their demand per minion, agents grant free slots in the reply and, when a slot becomes free, in messages of their own.

--- a/include/oleandercross/daemon/messages.h
+++ b/include/oleandercross/daemon/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include <oleandercross/dispatch/message.h>
+#include <oleandercross/dispatch/admission.h>
+#include <oleandercross/dispatch/dispatcher.h>
 
 #include <json/value.h>
 
@@ -28,6 +29,10 @@
 Json::Value encode(const dispatch::FateReport &value);
 dispatch::FateReport decodeFateReport(const Json::Value &value);
 
+// Slots that an agent grants to an entry, in the reply to `demand` or in `slotsGranted`.
+Json::Value encodeGrant(const dispatch::TargetId &target, const dispatch::SlotGrant &grant);
+dispatch::SlotsGranted decodeGrant(const Json::Value &value);
+
 // The reply to `dispatch`: how far the request got, and the load of the target afterwards.
 struct DispatchReply
 {
--- a/include/oleandercross/daemon/requestgateway.h
+++ b/include/oleandercross/daemon/requestgateway.h
@@ -40,6 +40,8 @@
                    const telemetry::Tracer &tracer);
     ~RequestGateway();
 
+    // Adds the handler of `slotsGranted`.
+    void addHandlers(rpc::Server &server);
     void start();
     void stop();
 
@@ -81,6 +83,8 @@
     dispatch::Event execute(const dispatch::DispatchRequest &action, Waiter &waiter);
     dispatch::FateReport askFate(const dispatch::FateQuery &query);
     void cancelAtTarget(const dispatch::CancelAtTarget &action);
+    void askSlots(const dispatch::AskSlots &action);
+    void learnGrants(const Json::Value &grants);
     void tick();
     void watchCallers();
 
--- a/include/oleandercross/daemon/requestrunner.h
+++ b/include/oleandercross/daemon/requestrunner.h
@@ -5,6 +5,7 @@
 #include <oleandercross/daemon/messages.h>
 #include <oleandercross/dispatch/requesttable.h>
 #include <oleandercross/platform/minionclient.h>
+#include <oleandercross/rpc/rpc.h>
 #include <oleandercross/telemetry/metrics.h>
 #include <oleandercross/telemetry/tracer.h>
 
@@ -37,12 +38,14 @@
     using MinionClients = std::map<core::MinionId, std::shared_ptr<platform::MinionClient>>;
 
     RequestRunner(const config::Settings &settings, std::int64_t incarnation, MinionClients clients,
-                  telemetry::Metrics &metrics, const telemetry::Tracer &tracer);
+                  rpc::Client &client, telemetry::Metrics &metrics,
+                  const telemetry::Tracer &tracer);
 
-    // Handlers of the messages `dispatch`, `fate` and `cancelRequest`.
+    // Handlers of the messages `dispatch`, `fate`, `cancelRequest` and `demand`.
     std::optional<Json::Value> dispatch(const Json::Value &params);
     std::optional<Json::Value> fate(const Json::Value &params);
     std::optional<Json::Value> cancel(const Json::Value &params);
+    std::optional<Json::Value> demand(const Json::Value &params);
 
     // An entry confirmed the configuration in force.
     void configurationConfirmed();
@@ -60,6 +63,10 @@
     int unsettled() const;
 
 private:
+    using Grants = std::map<core::EntryId, Json::Value>;
+
+    Grants grantSlots() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void sendGrants(const Grants &grants);
     void execute(const dispatch::DispatchMessage &message, const std::string &body,
                  const std::string &traceparent);
     dispatch::FateReport waitForEnd(const dispatch::FateQuery &query, absl::Duration limit)
@@ -72,7 +79,10 @@
     const core::SteadyClock m_clock;
     const core::Instant m_started;
     const std::vector<config::MinionSettings> m_minions;
+    const core::AgentId m_agent;
+    const std::int64_t m_incarnation;
     const MinionClients m_clients;
+    rpc::Client &m_client;
     telemetry::Metrics &m_metrics;
     const telemetry::Tracer &m_tracer;
     mutable absl::Mutex m_mutex;
@@ -83,9 +93,12 @@
     // Ended requests of which no reply has told, with the time of the end.
     std::map<core::RequestId, core::Instant> m_undelivered ABSL_GUARDED_BY(m_mutex);
     std::map<core::MinionId, bool> m_draining ABSL_GUARDED_BY(m_mutex);
+    // Where entries with demand take grants.
+    std::map<core::EntryId, http::Endpoint> m_entries ABSL_GUARDED_BY(m_mutex);
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
     // One thread per slot, so that an admitted request starts at once.
     core::Executor m_executor;
+    core::Executor m_grantExecutor;
 };
 
 } // namespace oleandercross::daemon
--- a/src/daemon/agentdaemon.cpp
+++ b/src/daemon/agentdaemon.cpp
@@ -60,8 +60,8 @@
         , m_tracer(makeTracer(settings, m_platformPool))
         , m_client(clientOptions(settings), settings.sharedKey)
         , m_server(rpcOptions(settings), settings.sharedKey)
-        , m_requests(settings, m_incarnation, minionClients(settings, m_platformPool), m_metrics,
-                     *m_tracer)
+        , m_requests(settings, m_incarnation, minionClients(settings, m_platformPool), m_client,
+                     m_metrics, *m_tracer)
         , m_tasks(settings, m_incarnation, workerControl(settings, m_platformPool), m_client,
                   m_metrics)
         , m_heartbeater(settings, m_incarnation, m_client, m_requests, m_tasks, m_metrics)
@@ -99,6 +99,7 @@
         m_server.add("fate", [this](const Json::Value &p) { return m_requests.fate(p); });
         m_server.add("cancelRequest",
                      [this](const Json::Value &p) { return m_requests.cancel(p); });
+        m_server.add("demand", [this](const Json::Value &p) { return m_requests.demand(p); });
         m_tasks.addHandlers(m_server);
         http::Server &http = m_server.httpServer();
         http.route("GET", "/healthz", [](const http::Request &) {
--- a/src/daemon/entrydaemon.cpp
+++ b/src/daemon/entrydaemon.cpp
@@ -84,6 +84,7 @@
     {
         m_cluster.addHandlers(m_rpcServer);
         m_leader.addHandlers(m_rpcServer);
+        m_requests.addHandlers(m_rpcServer);
         m_cluster.subscribe([this](const AgentInfo &info, bool alive) {
             m_requests.agentChanged(info, alive);
             m_leader.agentChanged(info, alive);
--- a/src/daemon/messages.cpp
+++ b/src/daemon/messages.cpp
@@ -159,6 +159,22 @@
     return report;
 }
 
+Json::Value encodeGrant(const dispatch::TargetId &target, const dispatch::SlotGrant &grant)
+{
+    Json::Value out;
+    out["target"] = encode(target);
+    out["slots"] = grant.slots;
+    out["shortSlots"] = grant.shortSlots;
+    out["validForUs"] = encodeDuration(grant.validFor);
+    return out;
+}
+
+dispatch::SlotsGranted decodeGrant(const Json::Value &value)
+{
+    return {decodeTargetId(member(value, "target")), intOf(value, "slots"),
+            intOf(value, "shortSlots"), decodeDuration(value, "validForUs")};
+}
+
 Json::Value encode(const DispatchReply &value)
 {
     Json::Value out;
--- a/src/daemon/requestgateway.cpp
+++ b/src/daemon/requestgateway.cpp
@@ -13,13 +13,15 @@
 
 namespace {
 
-constexpr int Threads = 4;
+constexpr int Threads = 8;
 constexpr absl::Duration TickPeriod = absl::Milliseconds(10);
 constexpr absl::Duration CallerCheckPeriod = absl::Milliseconds(100);
 // Agents answer within 1 s, so a call that takes longer is on a silent connection.
 constexpr absl::Duration CallTimeout = absl::Milliseconds(1800);
 constexpr absl::Duration FateHold = absl::Milliseconds(900);
 constexpr absl::Duration CancelTimeout = absl::Seconds(1);
+// Demands are repeated every 50 ms while requests wait.
+constexpr absl::Duration DemandTimeout = absl::Milliseconds(200);
 constexpr absl::Duration ClaimTimeout = absl::Seconds(2);
 // Most attempts under one key, each after the one before provably did not run.
 constexpr int MaxClaimAttempts = 4;
@@ -61,6 +63,14 @@
     stop();
 }
 
+void RequestGateway::addHandlers(rpc::Server &server)
+{
+    server.add("slotsGranted", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        learnGrants(core::member(params, "grants"));
+        return Json::Value(Json::objectValue);
+    });
+}
+
 void RequestGateway::start()
 {
     m_executor.every(TickPeriod, [this] { tick(); });
@@ -191,6 +201,10 @@
         m_executor.post([this, cancel = *cancel] { cancelAtTarget(cancel); });
         return;
     }
+    if (const auto *ask = std::get_if<dispatch::AskSlots>(&action)) {
+        m_executor.post([this, ask = *ask] { askSlots(ask); });
+        return;
+    }
     core::RequestId id;
     if (const auto *dispatch = std::get_if<dispatch::DispatchRequest>(&action))
         id = dispatch->message.id;
@@ -299,6 +313,31 @@
     m_client.call(agent->rpc, "cancelRequest", std::move(params), CancelTimeout);
 }
 
+void RequestGateway::askSlots(const dispatch::AskSlots &action)
+{
+    const auto agent = m_cluster.agent(action.target.agent);
+    if (!agent)
+        return;
+    Json::Value params;
+    params["entry"] = m_settings.id;
+    params["address"] = http::toString(m_settings.rpcListen);
+    params["minion"] = action.target.minion.str();
+    params["incarnation"] = static_cast<Json::Int64>(action.target.incarnation);
+    params["slots"] = action.slots;
+    params["shortSlots"] = action.shortSlots;
+    m_metrics.add("demands_sent");
+    const auto reply = m_client.call(agent->rpc, "demand", std::move(params), DemandTimeout);
+    if (reply)
+        learnGrants(core::member(*reply, "grants"));
+}
+
+void RequestGateway::learnGrants(const Json::Value &grants)
+{
+    absl::MutexLock lock(&m_mutex);
+    for (const Json::Value &grant : grants)
+        apply(decodeGrant(grant));
+}
+
 void RequestGateway::tick()
 {
     absl::MutexLock lock(&m_mutex);
--- a/src/daemon/requestrunner.cpp
+++ b/src/daemon/requestrunner.cpp
@@ -14,6 +14,9 @@
 constexpr absl::Duration MaxHold = absl::Seconds(1);
 // Entries ask again within 2 s of a lost reply.
 constexpr absl::Duration DeliveryLimit = absl::Seconds(4);
+// Grants are only valid for some 50 ms.
+constexpr absl::Duration GrantTimeout = absl::Milliseconds(200);
+constexpr int GrantThreads = 4;
 // Slots of each minion that only short work may use.
 constexpr int ShortSlots = 2;
 
@@ -48,16 +51,20 @@
 } // namespace
 
 RequestRunner::RequestRunner(const config::Settings &settings, std::int64_t incarnation,
-                             MinionClients clients, telemetry::Metrics &metrics,
-                             const telemetry::Tracer &tracer)
+                             MinionClients clients, rpc::Client &client,
+                             telemetry::Metrics &metrics, const telemetry::Tracer &tracer)
     : m_started(m_clock.now())
     , m_minions(settings.minions)
+    , m_agent(settings.id)
+    , m_incarnation(incarnation)
     , m_clients(std::move(clients))
+    , m_client(client)
     , m_metrics(metrics)
     , m_tracer(tracer)
     , m_admission(admissionSettings(settings, incarnation), m_started)
     , m_table({}, m_admission)
     , m_executor(std::max(1, totalSlots(settings)))
+    , m_grantExecutor(GrantThreads)
 {
     absl::MutexLock lock(&m_mutex);
     for (const config::MinionSettings &minion : m_minions)
@@ -114,6 +121,58 @@
     return Json::Value(Json::objectValue);
 }
 
+std::optional<Json::Value> RequestRunner::demand(const Json::Value &params)
+{
+    const core::EntryId entry(core::stringMember(params, "entry"));
+    const core::MinionId minion(core::stringMember(params, "minion"));
+    const auto address = http::parseEndpoint(core::stringMember(params, "address"));
+    if (!address || core::intMember(params, "incarnation") != m_incarnation)
+        return core::fail(core::ResultCode::StaleIncarnation, "the agent restarted");
+    Grants grants;
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_entries[entry] = *address;
+        m_admission.demand(entry, minion, static_cast<int>(core::intMember(params, "slots")),
+                           static_cast<int>(core::intMember(params, "shortSlots")), m_clock.now());
+        grants = grantSlots();
+    }
+    Json::Value reply;
+    const auto own = grants.find(entry);
+    if (own != grants.end()) {
+        reply["grants"] = own->second;
+        grants.erase(own);
+    }
+    sendGrants(grants);
+    return reply;
+}
+
+RequestRunner::Grants RequestRunner::grantSlots()
+{
+    Grants grants;
+    for (const dispatch::SlotGrant &grant : m_admission.grant(m_clock.now())) {
+        const dispatch::TargetId target{m_agent, m_incarnation, grant.minion};
+        grants[grant.entry].append(encodeGrant(target, grant));
+    }
+    return grants;
+}
+
+void RequestRunner::sendGrants(const Grants &grants)
+{
+    for (const auto &[entry, granted] : grants) {
+        http::Endpoint address;
+        {
+            absl::MutexLock lock(&m_mutex);
+            address = m_entries[entry];
+        }
+        m_metrics.add("grants_sent");
+        m_grantExecutor.post([this, address, granted = granted] {
+            Json::Value message;
+            message["grants"] = granted;
+            m_client.call(address, "slotsGranted", std::move(message), GrantTimeout);
+        });
+    }
+}
+
 dispatch::FateReport RequestRunner::waitForEnd(const dispatch::FateQuery &query,
                                                absl::Duration limit)
 {
@@ -152,17 +211,22 @@
     const core::Instant now = m_clock.now();
     m_metrics.observe("minion_seconds", now - begin);
 
-    absl::MutexLock lock(&m_mutex);
-    if (answer)
-        m_table.finish(message.id, {answer->succeeded, answer->body}, now);
-    else if (code == core::ResultCode::ConnectionFailed || core::provablyNotRun(code))
-        m_table.finishNotRun(message.id, core::ResultCode::NoTarget, now);
-    else
-        m_table.finishUnknown(message.id, now);
-    m_executing.erase(message.id);
-    std::erase_if(m_undelivered,
-                  [now](const auto &entry) { return now - entry.second > DeliveryLimit; });
-    m_undelivered[message.id] = now;
+    Grants grants;
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (answer)
+            m_table.finish(message.id, {answer->succeeded, answer->body}, now);
+        else if (code == core::ResultCode::ConnectionFailed || core::provablyNotRun(code))
+            m_table.finishNotRun(message.id, core::ResultCode::NoTarget, now);
+        else
+            m_table.finishUnknown(message.id, now);
+        m_executing.erase(message.id);
+        std::erase_if(m_undelivered,
+                      [now](const auto &entry) { return now - entry.second > DeliveryLimit; });
+        m_undelivered[message.id] = now;
+        grants = grantSlots();
+    }
+    sendGrants(grants);
 }
 
 void RequestRunner::configurationConfirmed()
