--- a/test/fuzz/world.cpp
+++ b/test/fuzz/world.cpp
@@ -116,7 +116,7 @@
 
 absl::Duration World::latency()
 {
-    return absl::Milliseconds(1 + pick(15));
+    return absl::Milliseconds(1 + pick(15 + m_extraLatencyMs));
 }
 
 bool World::chance(double probability)
@@ -232,6 +232,9 @@
     case StepKind::NetworkLossy:
         m_messageLoss = step.b / 100.0;
         break;
+    case StepKind::NetworkSlow:
+        m_extraLatencyMs = 7 * step.b;
+        break;
     case StepKind::CrashWorker:
         for (auto &[id, task] : agent.worker) {
             if (running(task))
@@ -265,6 +268,7 @@
     m_storeDown = false;
     m_storeLoss = 0;
     m_messageLoss = 0;
+    m_extraLatencyMs = 0;
     m_cuts.clear();
     for (AgentNode &agent : m_agents) {
         agent.process.actionsLeft = -1;
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -36,6 +36,8 @@
     StoreUp,
     StoreLossy,
     NetworkLossy,
+    // Every message and call takes up to 7 b milliseconds longer.
+    NetworkSlow,
     CrashWorker,
     SilenceWorker,
     HandOver,
@@ -202,6 +204,7 @@
     bool m_storeDown = false;
     double m_storeLoss = 0;
     double m_messageLoss = 0;
+    int m_extraLatencyMs = 0;
     std::map<std::pair<std::string, std::string>, Instant> m_cuts;
     std::vector<gang::GangKey> m_gangs;
     int m_jobs = 0;
