--- a/test/fuzz/world.cpp
+++ b/test/fuzz/world.cpp
@@ -173,8 +173,7 @@
                 m_gangs[m_gangs.size() - 1 - step.a % std::min<std::size_t>(m_gangs.size(), 4)];
             for (AgentNode &each : m_agents) {
                 for (auto &[id, task] : each.worker) {
-                    const auto identity = gang::parseTaskId(id);
-                    if (identity->key != key || !running(task))
+                    if (task.identity.key != key || !running(task))
                         continue;
                     at(absl::Milliseconds(pick(1000)), [this, &task] {
                         if (running(task))
@@ -340,7 +339,7 @@
             const bool runs = running(task);
             if (!runs && task.status.state != platform::TaskState::Succeeded)
                 continue;
-            const auto identity = *gang::parseTaskId(id);
+            const gang::TaskIdentity &identity = task.identity;
             Count &count = counts[{identity.key, identity.epoch}];
             count.running += runs ? 1 : 0;
             ++count.held;
--- a/test/fuzz/world.h
+++ b/test/fuzz/world.h
@@ -102,6 +102,7 @@
     {
         platform::TaskStatus status;
         Instant leaseEnd;
+        gang::TaskIdentity identity;
     };
 
     struct AgentNode
--- a/test/fuzz/worldagents.cpp
+++ b/test/fuzz/worldagents.cpp
@@ -103,7 +103,7 @@
     status.job = task.job;
     status.declared = task.resources;
     status.accelerators = task.accelerators;
-    agent.worker[task.taskId] = {status, m_now + task.lease};
+    agent.worker[task.taskId] = {status, m_now + task.lease, identity};
     at(task.lease, [] {});
 }
 
