--- a/test/fuzz/world.cpp
+++ b/test/fuzz/world.cpp
@@ -116,7 +116,7 @@
 
 absl::Duration World::latency()
 {
-    return absl::Milliseconds(1 + pick(15));
+    return absl::Milliseconds(1 + pick(15 + m_extraLatencyMs));
 }
 
 bool World::chance(double probability)
@@ -173,8 +173,7 @@
                 m_gangs[m_gangs.size() - 1 - step.a % std::min<std::size_t>(m_gangs.size(), 4)];
             for (AgentNode &each : m_agents) {
                 for (auto &[id, task] : each.worker) {
-                    const auto identity = gang::parseTaskId(id);
-                    if (identity->key != key || !running(task))
+                    if (task.identity.key != key || !running(task))
                         continue;
                     at(absl::Milliseconds(pick(1000)), [this, &task] {
                         if (running(task))
@@ -232,6 +231,9 @@
     case StepKind::NetworkLossy:
         m_messageLoss = step.b / 100.0;
         break;
+    case StepKind::NetworkSlow:
+        m_extraLatencyMs = 7 * step.b;
+        break;
     case StepKind::CrashWorker:
         for (auto &[id, task] : agent.worker) {
             if (running(task))
@@ -265,6 +267,7 @@
     m_storeDown = false;
     m_storeLoss = 0;
     m_messageLoss = 0;
+    m_extraLatencyMs = 0;
     m_cuts.clear();
     for (AgentNode &agent : m_agents) {
         agent.process.actionsLeft = -1;
@@ -336,7 +339,7 @@
             const bool runs = running(task);
             if (!runs && task.status.state != platform::TaskState::Succeeded)
                 continue;
-            const auto identity = *gang::parseTaskId(id);
+            const gang::TaskIdentity &identity = task.identity;
             Count &count = counts[{identity.key, identity.epoch}];
             count.running += runs ? 1 : 0;
             ++count.held;
