--- a/test/http/tst_clientpool.cpp
+++ b/test/http/tst_clientpool.cpp
@@ -115,6 +115,7 @@
     }));
     CAPTURE(c.name);
     std::atomic<int> requests = 0;
+    std::atomic<bool> sentAgain = false;
     test::RawPeer peer([&](test::RawConnection &connection) {
         while (!connection.receiveUntil("\r\n\r\n").empty()) {
             const std::string answer =
@@ -124,6 +125,7 @@
             if (again && c.secondAnswerMs > 0) {
                 absl::SleepFor(absl::Milliseconds(c.secondAnswerMs));
                 connection.send(answer);
+                sentAgain = true;
             }
         }
     });
@@ -133,7 +135,8 @@
     CHECK(first.has_value() == c.accept);
     if (!first)
         CHECK(core::lastReason().code == ResultCode::BadAnswer);
-    absl::SleepFor(absl::Milliseconds(100));
+    while (c.secondAnswerMs > 0 && !sentAgain)
+        absl::SleepFor(absl::Milliseconds(1));
     const auto second = pool.send(peer.endpoint(), getRequest(), absl::Seconds(5));
     REQUIRE(second);
     CHECK(second->body == "2");
@@ -165,7 +168,7 @@
         connection.receiveUntil("\r\n\r\n");
         // Long enough for the other caller to open a connection as well.
         if (silent.size() < 2)
-            absl::SleepFor(absl::Milliseconds(200));
+            absl::SleepFor(absl::Milliseconds(500));
         connection.send(Answer);
         if (silent.size() < 2)
             silent.push_back(std::move(connection));
--- a/test/http/tst_server.cpp
+++ b/test/http/tst_server.cpp
@@ -133,7 +133,7 @@
     started.WaitForNotification();
     const test::RawConnection second({"127.0.0.1", server.port()});
     REQUIRE(second.send("POST /hold HTTP/1.1\r\nContent-Length: 0\r\n\r\n"));
-    absl::SleepFor(absl::Milliseconds(200));
+    absl::SleepFor(absl::Milliseconds(500));
     release.Notify();
     CHECK(first.receiveUntil("\r\n\r\n").find("Connection: close") != std::string::npos);
     const std::string response = second.receiveUntil("\r\n\r\n");
--- a/test/platform/tst_httpadapters.cpp
+++ b/test/platform/tst_httpadapters.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
+// For calls that end by their timeout, and for all others.
 constexpr absl::Duration ShortTimeout = absl::Milliseconds(300);
+constexpr absl::Duration LongTimeout = absl::Seconds(10);
 
 platform::Transaction put(const std::string &id, const std::string &key, const std::string &value)
 {
@@ -58,28 +60,30 @@
         std::string fault;
         ResultCode code;
         bool applied;
+        absl::Duration timeout = LongTimeout;
     };
     const auto c = GENERATE(values<Case>({
         {R"({"refuse": 1})", ResultCode::StoreUnavailable, false},
         {R"({"outage": "refuse", "outage_ms": 60000})", ResultCode::StoreUnavailable, false},
         {R"({"close": 1})", ResultCode::OutcomeUnknown, false},
-        {R"({"ignore": 1})", ResultCode::OutcomeUnknown, false},
+        {R"({"ignore": 1})", ResultCode::OutcomeUnknown, false, ShortTimeout},
         {R"({"lose": 1})", ResultCode::OutcomeUnknown, true},
-        {R"({"stall": 1})", ResultCode::OutcomeUnknown, true},
+        {R"({"stall": 1})", ResultCode::OutcomeUnknown, true, ShortTimeout},
         {R"({"cut": 1})", ResultCode::OutcomeUnknown, true},
         {R"({"shorten": 1})", ResultCode::OutcomeUnknown, true},
-        {R"({"late": 1, "by_ms": 1000})", ResultCode::OutcomeUnknown, true},
+        {R"({"late": 1, "by_ms": 1000})", ResultCode::OutcomeUnknown, true, ShortTimeout},
     }));
     CAPTURE(c.fault);
     test::Served<standin::TableRole> tables;
     http::ClientPool pool({});
-    platform::HttpTableService service(pool, tables.server.endpoint(), ShortTimeout);
+    platform::HttpTableService service(pool, tables.server.endpoint(), c.timeout);
     tables.fault(c.fault);
     const platform::Transaction transaction = put("w1", "a", "x");
     CHECK_FALSE(service.write(transaction));
     CHECK(core::lastReason().code == c.code);
     tables.fault(R"({"clear": true})");
-    const auto applied = service.applied(transaction);
+    platform::HttpTableService reader(pool, tables.server.endpoint(), LongTimeout);
+    const auto applied = reader.applied(transaction);
     REQUIRE(applied);
     CHECK(*applied == c.applied);
 }
@@ -89,7 +93,7 @@
 {
     test::Served<standin::TableRole> tables;
     http::ClientPool pool({});
-    platform::HttpTableService service(pool, tables.server.endpoint(), ShortTimeout);
+    platform::HttpTableService service(pool, tables.server.endpoint(), LongTimeout);
     const platform::Transaction first = put("w1", "a", "x");
     REQUIRE(service.write(first));
     REQUIRE(service.write({"other", {}, {{"a", "changed"}}, {}}));
@@ -129,7 +133,7 @@
 {
     test::Served<standin::TableRole> objects;
     http::ClientPool pool({});
-    platform::HttpObjectStore store(pool, objects.server.endpoint(), ShortTimeout);
+    platform::HttpObjectStore store(pool, objects.server.endpoint(), LongTimeout);
     const std::string key = "snapshot/a b&c=d/%41";
     std::string bytes(100000, 'x');
     bytes[7] = '\0';
@@ -187,7 +191,8 @@
     minion.fault(c.fault);
     const platform::MinionRequest request{core::RequestId("r1"), core::AccountId("a"),
                                           core::ServiceId("s"), R"({"echo": "hello"})", ""};
-    const auto answer = client.execute(request, ShortTimeout);
+    const bool timesOut = c.code == ResultCode::Timeout;
+    const auto answer = client.execute(request, timesOut ? ShortTimeout : LongTimeout);
     CHECK(answer.has_value() == !c.code.has_value());
     if (c.code)
         CHECK(core::lastReason().code == *c.code);
@@ -224,7 +229,7 @@
     test::Served<standin::MinionRole> minion(8);
     http::ClientPool pool({});
     platform::HttpMinionClient client(pool, minion.server.endpoint());
-    CHECK(client.healthy(ShortTimeout));
+    CHECK(client.healthy(LongTimeout));
     const auto failed = client.execute({core::RequestId("r1"), core::AccountId("a"),
                                         core::ServiceId("s"), R"({"fail": true})", ""},
                                        absl::Seconds(5));
--- a/test/platform/tst_workercontrol.cpp
+++ b/test/platform/tst_workercontrol.cpp
@@ -80,7 +80,9 @@
     CAPTURE(c.fault);
     test::Served<standin::WorkerRole> worker(absl::ZeroDuration());
     http::ClientPool pool({});
-    platform::HttpWorkerControl control(pool, worker.server.endpoint(), absl::Milliseconds(300));
+    platform::HttpWorkerControl control(
+        pool, worker.server.endpoint(),
+        c.code == core::ResultCode::Timeout ? absl::Milliseconds(300) : absl::Seconds(10));
     worker.fault(c.fault);
     CHECK_FALSE(control.start(taskStart("t1", "never")));
     CHECK(core::lastReason().code == c.code);
