Wake one thread of StoreWriter for each event

Every submit and every answer woke all five threads. CPU time of a write, stand-in included, on the busy machine: 253, 252, 252 us before; 152, 155, 205 us after; without the writer 121 to 180 us in the same runs (oleandercross-test "[.measure]"). A thread that takes a call wakes the next one if more writes wait.

--- a/include/oleandercross/platform/detail/writequeue.h
+++ b/include/oleandercross/platform/detail/writequeue.h
@@ -15,6 +15,7 @@
 struct StoreCall
 {
     std::uint64_t id = 0;
+    WritePriority priority = WritePriority::Rest;
     bool isRead = false;
     std::string key;
     Transaction transaction;
@@ -58,6 +59,9 @@
     // The writes that ended since the last call.
     std::vector<FinishedWrite> takeFinished();
 
+    // True if a write has no call in progress.
+    bool hasWaiting() const { return m_calling < m_pending.size(); }
+
     bool hasFinished() const { return !m_finished.empty(); }
 
     StoreWriterStatistics statistics() const;
@@ -122,6 +126,7 @@
     TokenBucket m_reads;
     std::mt19937_64 m_random;
     std::uint64_t m_lastId = 0;
+    std::size_t m_calling = 0;
     std::vector<Slot> m_slots;
     std::map<Key, PendingWrite> m_pending;
     std::map<std::uint64_t, WritePriority> m_priorities;
--- a/src/platform/storewriter.cpp
+++ b/src/platform/storewriter.cpp
@@ -58,6 +58,7 @@
             absl::MutexLock lock(&mutex);
             m_stopping = true;
             queue.stop();
+            m_leaseChanged.SignalAll();
             m_changed.SignalAll();
         }
         deliver();
@@ -74,7 +75,7 @@
             m_dones[queue.submit(std::move(transaction), priority, deadline)] = std::move(done);
             if (m_stopping)
                 queue.stop();
-            m_changed.SignalAll();
+            wake(priority);
         }
         deliver();
     }
@@ -133,8 +134,12 @@
             const core::Instant now = clock.now();
             queue.expire(now);
             std::optional<detail::StoreCall> call = queue.nextCall(now, leaseOnly);
-            if (call)
+            if (call) {
+                // The other threads do not know of writes that became due meanwhile.
+                if (queue.hasWaiting())
+                    m_changed.Signal();
                 return call;
+            }
             if (queue.hasFinished()) {
                 mutex.Unlock();
                 deliver();
@@ -142,7 +147,8 @@
                 continue;
             }
             const absl::Duration wait = queue.nextDue(now, leaseOnly) - now;
-            m_changed.WaitWithTimeout(&mutex, std::clamp(wait, absl::ZeroDuration(), MaxWait));
+            absl::CondVar &changed = leaseOnly ? m_leaseChanged : m_changed;
+            changed.WaitWithTimeout(&mutex, std::clamp(wait, absl::ZeroDuration(), MaxWait));
         }
         return std::nullopt;
     }
@@ -153,14 +159,23 @@
             const auto row = tables.read(call.key);
             absl::MutexLock lock(&mutex);
             queue.onRead(call.id, row, clock.now());
-            m_changed.SignalAll();
+            wake(call.priority);
             return;
         }
         const auto version = tables.write(call.transaction);
         const core::Reason reason = version ? core::Reason() : core::lastReason();
         absl::MutexLock lock(&mutex);
         queue.onWrite(call.id, version, reason, clock.now());
-        m_changed.SignalAll();
+        wake(call.priority);
+    }
+
+    // One thread is enough, since it wakes the next one if there is more to do.
+    void wake(WritePriority priority) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        if (priority == WritePriority::Lease)
+            m_leaseChanged.Signal();
+        if (queue.hasWaiting())
+            m_changed.Signal();
     }
 
     // Calls back without the lock, so that callers may submit further writes.
@@ -179,6 +194,7 @@
     }
 
     absl::CondVar m_changed;
+    absl::CondVar m_leaseChanged;
     bool m_stopping ABSL_GUARDED_BY(mutex) = false;
     absl::flat_hash_map<std::uint64_t, Done> m_dones ABSL_GUARDED_BY(mutex);
     std::vector<std::thread> m_threads;
--- a/src/platform/writequeue.cpp
+++ b/src/platform/writequeue.cpp
@@ -120,8 +120,10 @@
 StoreCall WriteQueue::callFor(PendingWrite &write)
 {
     write.calling = true;
+    ++m_calling;
     StoreCall call;
     call.id = write.id;
+    call.priority = write.priority;
     call.isRead = write.step == Step::ReadMarker;
     if (call.isRead) {
         ++m_statistics.readCalls;
@@ -193,6 +195,7 @@
     if (!write)
         return nullptr;
     write->calling = false;
+    --m_calling;
     if (!write->abandoned)
         return write;
     releaseSlot(*write);
--- a/test/platform/tst_writequeue.cpp
+++ b/test/platform/tst_writequeue.cpp
@@ -321,9 +321,9 @@
             const StoreCall call = driver.next();
             const core::Instant before = driver.now;
             driver.answer(call, ResultCode::StoreUnavailable);
-            driver.next();
+            const StoreCall again = driver.next();
             result.push_back(driver.now - before);
-            driver.answer({call.id, call.isRead, "", {}}, ResultCode::StoreUnavailable);
+            driver.answer(again, ResultCode::StoreUnavailable);
         }
         return result;
     };
