Count the bytes of HTTP connections

Server counts what it reads and writes; ClientPool reads the kernel's counts of a connection after each exchange, because the library hides its stream. Entries and agents export the sums as bytes_received and bytes_sent on /metrics; an entry refreshes them once a second. Server connections with TLS are not counted.

--- a/include/oleandercross/http/clientpool.h
+++ b/include/oleandercross/http/clientpool.h
@@ -33,6 +33,9 @@
     std::optional<Response> send(const Endpoint &endpoint, const Request &request,
                                  absl::Duration timeout, const ResponseCheck &check = {});
 
+    // Bytes of all exchanges that ended on an open connection.
+    Traffic traffic() const;
+
     // Closes the idle connections to an endpoint.
     void forget(const Endpoint &endpoint);
 
--- a/include/oleandercross/http/server.h
+++ b/include/oleandercross/http/server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleandercross/http/message.h>
+#include <oleandercross/http/traffic.h>
 
 #include <absl/time/time.h>
 
@@ -58,6 +59,9 @@
     // The bound port, after start().
     int port() const;
 
+    // Bytes of all connections since the start; connections with TLS are not counted.
+    Traffic traffic() const;
+
     // Answers the requests in flight, closes idle connections and joins all threads.
     void stop();
 
--- a/include/oleandercross/rpc/rpc.h
+++ b/include/oleandercross/rpc/rpc.h
@@ -52,6 +52,8 @@
     std::optional<Json::Value> call(const http::Endpoint &endpoint, const std::string &method,
                                     Json::Value params, absl::Duration timeout);
 
+    http::Traffic traffic() const;
+
 private:
     class Private;
     std::unique_ptr<Private> d;
--- a/src/daemon/agentdaemon.cpp
+++ b/src/daemon/agentdaemon.cpp
@@ -108,9 +108,16 @@
             return m_heartbeater.ready() ? http::Response{200, "{\"status\":\"ready\"}\n"}
                                          : http::Response{503, "{\"status\":\"not ready\"}\n"};
         });
-        http.route("GET", "/metrics", [this](const http::Request &) {
-            return http::Response{200, m_metrics.text(), "text/plain"};
-        });
+        http.route("GET", "/metrics", [this](const http::Request &) { return metricsResponse(); });
+    }
+
+    http::Response metricsResponse()
+    {
+        const http::Traffic traffic =
+            m_platformPool.traffic() + m_client.traffic() + m_server.httpServer().traffic();
+        m_metrics.set("bytes_received", traffic.received);
+        m_metrics.set("bytes_sent", traffic.sent);
+        return {200, m_metrics.text(), "text/plain"};
     }
 
     const core::SteadyClock m_clock;
--- a/src/daemon/entrydaemon.cpp
+++ b/src/daemon/entrydaemon.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr absl::Duration RefreshPeriod = absl::Seconds(1);
+constexpr absl::Duration TrafficPeriod = absl::Seconds(1);
 constexpr absl::Duration ClaimExpiryPeriod = absl::Minutes(1);
 constexpr int ClaimsPerExpiry = 100;
 constexpr absl::Duration DrainPoll = absl::Milliseconds(20);
@@ -95,6 +96,7 @@
         m_requests.start();
         m_leader.start();
         m_executor.every(RefreshPeriod, [this] { refresh(); });
+        m_executor.every(TrafficPeriod, [this] { countTraffic(); });
         m_executor.every(ClaimExpiryPeriod, [this] { m_claims.expire(ClaimsPerExpiry); });
         m_api.setReady(true);
         return true;
@@ -143,6 +145,14 @@
         m_requests.setLimits(current->manifest->accounts, live);
     }
 
+    void countTraffic()
+    {
+        const http::Traffic traffic = m_platformPool.traffic() + m_client.traffic()
+            + m_rpcServer.httpServer().traffic() + m_server.traffic();
+        m_metrics.set("bytes_received", traffic.received);
+        m_metrics.set("bytes_sent", traffic.sent);
+    }
+
     const core::SteadyClock m_clock;
     const std::int64_t m_incarnation;
     std::int64_t m_revisionSeen = 0;
--- a/src/http/clientpool.cpp
+++ b/src/http/clientpool.cpp
@@ -1,5 +1,7 @@
 #include <oleandercross/http/clientpool.h>
 
+#include "sockettraffic.h"
+
 #include <oleandercross/core/clock.h>
 #include <oleandercross/core/resultcode.h>
 
@@ -11,6 +13,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <atomic>
 #include <map>
 #include <thread>
 
@@ -24,6 +27,8 @@
 {
     std::unique_ptr<httplib::Client> client;
     core::Instant since;
+    // What was counted on the connection so far.
+    Traffic traffic;
 };
 
 void setSocketOptions(int socket)
@@ -155,7 +160,7 @@
 class ClientPool::Private
 {
 public:
-    std::unique_ptr<httplib::Client> take(const Endpoint &endpoint)
+    IdleClient take(const Endpoint &endpoint)
     {
         absl::MutexLock lock(&mutex);
         std::vector<IdleClient> &clients = idle[endpoint];
@@ -164,17 +169,17 @@
             IdleClient last = std::move(clients.back());
             clients.pop_back();
             if (last.since >= oldest && quiet(*last.client))
-                return std::move(last.client);
+                return last;
         }
-        return nullptr;
+        return {};
     }
 
-    void giveBack(const Endpoint &endpoint, std::unique_ptr<httplib::Client> client)
+    void giveBack(const Endpoint &endpoint, IdleClient client)
     {
         absl::MutexLock lock(&mutex);
         std::vector<IdleClient> &clients = idle[endpoint];
         if (static_cast<int>(clients.size()) < options.maxIdlePerEndpoint)
-            clients.push_back({std::move(client), clock.now()});
+            clients.push_back(std::move(client));
     }
 
     std::unique_ptr<httplib::Client> create(const Endpoint &endpoint) const
@@ -195,8 +200,22 @@
         return client;
     }
 
+    // Adds what the connection transferred since it was counted last.
+    void count(IdleClient &client)
+    {
+        const Traffic total = detail::socketTraffic(client.client->socket());
+        // A connection that the exchange opened anew starts from zero.
+        const Traffic before =
+            total.received < client.traffic.received ? Traffic{} : client.traffic;
+        received += std::max<std::int64_t>(0, total.received - before.received);
+        sent += std::max<std::int64_t>(0, total.sent - before.sent);
+        client.traffic = total;
+    }
+
     ClientOptions options;
     core::SteadyClock clock;
+    std::atomic<std::int64_t> received = 0;
+    std::atomic<std::int64_t> sent = 0;
     Watchdog watchdog;
     absl::Mutex mutex;
     absl::btree_map<Endpoint, std::vector<IdleClient>> idle ABSL_GUARDED_BY(mutex);
@@ -215,9 +234,10 @@
 {
     if (timeout <= absl::ZeroDuration())
         return core::fail(core::ResultCode::ConnectionFailed, "no time left to send");
-    std::unique_ptr<httplib::Client> client = d->take(endpoint);
-    if (!client)
-        client = d->create(endpoint);
+    IdleClient taken = d->take(endpoint);
+    if (!taken.client)
+        taken.client = d->create(endpoint);
+    httplib::Client *client = taken.client.get();
     client->set_connection_timeout(
         absl::ToChronoMilliseconds(std::min(timeout, d->options.connectTimeout)));
     client->set_read_timeout(absl::ToChronoMilliseconds(timeout));
@@ -240,9 +260,10 @@
         return !tooLarge;
     };
     const core::Instant deadline = d->clock.now() + timeout;
-    d->watchdog.add(client.get(), deadline);
+    d->watchdog.add(client, deadline);
     const httplib::Result result = client->send(message);
-    d->watchdog.remove(client.get(), deadline);
+    d->watchdog.remove(client, deadline);
+    d->count(taken);
     if (!result) {
         core::ResultCode code = codeOf(result.error());
         const bool lost = code == core::ResultCode::ConnectionLost;
@@ -257,11 +278,18 @@
     if (check && !check(response))
         return core::fail(core::ResultCode::BadAnswer,
                           toString(endpoint) + ": the response belongs to another request");
-    if (absl::AsciiStrToLower(result->get_header_value("Connection")) != "close")
-        d->giveBack(endpoint, std::move(client));
+    if (absl::AsciiStrToLower(result->get_header_value("Connection")) != "close") {
+        taken.since = d->clock.now();
+        d->giveBack(endpoint, std::move(taken));
+    }
     return response;
 }
 
+Traffic ClientPool::traffic() const
+{
+    return {d->received, d->sent};
+}
+
 void ClientPool::forget(const Endpoint &endpoint)
 {
     absl::MutexLock lock(&d->mutex);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -51,12 +51,21 @@
     return poll(&fd, 1, static_cast<int>(absl::ToInt64Milliseconds(timeout))) > 0;
 }
 
+// Counts the bytes of all connections of a server.
+struct TrafficCounter
+{
+    std::atomic<std::int64_t> received = 0;
+    std::atomic<std::int64_t> sent = 0;
+};
+
 // The library's own stream is not part of its public interface.
 class SocketStream : public httplib::Stream
 {
 public:
-    SocketStream(int socket, absl::Duration readTimeout, absl::Duration writeTimeout)
+    SocketStream(int socket, TrafficCounter &traffic, absl::Duration readTimeout,
+                 absl::Duration writeTimeout)
         : m_socket(socket)
+        , m_traffic(traffic)
         , m_readTimeout(readTimeout)
         , m_writeTimeout(writeTimeout)
     { }
@@ -80,6 +89,7 @@
             const ssize_t n = recv(m_socket, m_buffer, sizeof(m_buffer), 0);
             if (n <= 0)
                 return n;
+            m_traffic.received += n;
             m_offset = 0;
             m_filled = static_cast<std::size_t>(n);
         }
@@ -95,7 +105,9 @@
             m_writeUntil = m_clock.now() + m_writeTimeout;
         if (!is_writable())
             return -1;
-        return ::send(m_socket, data, size, MSG_NOSIGNAL);
+        const ssize_t n = ::send(m_socket, data, size, MSG_NOSIGNAL);
+        m_traffic.sent += std::max<ssize_t>(n, 0);
+        return n;
     }
 
     void get_remote_ip_and_port(std::string &ip, int &port) const override
@@ -141,6 +153,7 @@
 
     const core::SteadyClock m_clock;
     const int m_socket;
+    TrafficCounter &m_traffic;
     const absl::Duration m_readTimeout;
     const absl::Duration m_writeTimeout;
     core::Instant m_readUntil = absl::InfiniteFuture();
@@ -171,13 +184,15 @@
 
     void stopKeepAlive() { m_stopping = true; }
 
+    Traffic traffic() const { return {m_traffic.received, m_traffic.sent}; }
+
     // The library listens with a backlog of 5, which drops connections in a burst.
     void raiseBacklog() { ::listen(svr_sock_, ListenBacklog); }
 
 private:
     bool process_and_close_socket(socket_t socket) override
     {
-        SocketStream stream(socket, m_readTimeout, m_writeTimeout);
+        SocketStream stream(socket, m_traffic, m_readTimeout, m_writeTimeout);
         if (detail::ConnectionThreads::refusing())
             refuse(stream);
         else
@@ -250,6 +265,7 @@
     const absl::Duration m_writeTimeout;
     const absl::Duration m_keepAlive;
     std::atomic<bool> m_stopping = false;
+    TrafficCounter m_traffic;
 };
 
 Request toRequest(const httplib::Request &from)
@@ -382,6 +398,12 @@
     return d->port;
 }
 
+Traffic Server::traffic() const
+{
+    const auto *plain = dynamic_cast<const PlainServer *>(d->server.get());
+    return plain ? plain->traffic() : Traffic{};
+}
+
 void Server::stop()
 {
     if (!d->thread.joinable())
--- a/src/rpc/rpc.cpp
+++ b/src/rpc/rpc.cpp
@@ -111,6 +111,11 @@
 
 Client::~Client() = default;
 
+http::Traffic Client::traffic() const
+{
+    return d->pool.traffic();
+}
+
 std::optional<Json::Value> Client::call(const http::Endpoint &endpoint, const std::string &method,
                                         Json::Value params, absl::Duration timeout)
 {
--- a/test/http/tst_clientpool.cpp
+++ b/test/http/tst_clientpool.cpp
@@ -156,3 +156,32 @@
         absl::SleepFor(absl::Milliseconds(5));
     }
 }
+
+TEST_CASE("both sides of reused connections count the same bytes")
+{
+    http::ServerOptions options;
+    options.listen = {"127.0.0.1", 0};
+    http::Server server(options);
+    server.route("POST", "/", [](const http::Request &request) {
+        return http::Response{200, request.body + request.body};
+    });
+    REQUIRE(server.start());
+    const http::Endpoint endpoint = {"127.0.0.1", server.port()};
+    http::ClientPool pool({});
+    http::Request request;
+    request.method = "POST";
+    request.path = "/";
+    request.body = std::string(10000, 'x');
+    constexpr int Exchanges = 3;
+    for (int i = 0; i < Exchanges; ++i)
+        REQUIRE(pool.send(endpoint, request, absl::Seconds(5)));
+    // A new connection, so that the counts of two connections add up.
+    pool.forget(endpoint);
+    REQUIRE(pool.send(endpoint, request, absl::Seconds(5)));
+    const http::Traffic client = pool.traffic();
+    const http::Traffic served = server.traffic();
+    CHECK(client.sent == served.received);
+    CHECK(client.received == served.sent);
+    CHECK(client.sent > (Exchanges + 1) * 10000);
+    CHECK(client.received > (Exchanges + 1) * 20000);
+}
