--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -3,6 +3,7 @@
 #include <CLI/CLI.hpp>
 
 #include <cstdio>
+#include <exception>
 #include <map>
 
 namespace oleandercross::bench {
@@ -74,5 +75,10 @@
     app.add_option("--account-mix", options.accountMix, "whose load to generate")
         ->check(CLI::IsMember({"wrekin", "prairie"}));
     CLI11_PARSE(app, argc, argv);
-    return run(measures().at(verb), options);
+    try {
+        return run(measures().at(verb), options);
+    } catch (const std::exception &error) {
+        std::fprintf(stderr, "%s not measured: %s\n", verb.c_str(), error.what());
+        return 1;
+    }
 }
