--- a/test/http/tst_clientpool.cpp
+++ b/test/http/tst_clientpool.cpp
@@ -183,3 +183,32 @@
     CHECK(pool.send(peer.endpoint(), getRequest(), absl::Seconds(5)));
     CHECK(peer.accepted() == 3);
 }
+
+TEST_CASE("both sides of reused connections count the same bytes")
+{
+    http::ServerOptions options;
+    options.listen = {"127.0.0.1", 0};
+    http::Server server(options);
+    server.route("POST", "/", [](const http::Request &request) {
+        return http::Response{200, request.body + request.body};
+    });
+    REQUIRE(server.start());
+    const http::Endpoint endpoint = {"127.0.0.1", server.port()};
+    http::ClientPool pool({});
+    http::Request request;
+    request.method = "POST";
+    request.path = "/";
+    request.body = std::string(10000, 'x');
+    constexpr int Exchanges = 3;
+    for (int i = 0; i < Exchanges; ++i)
+        REQUIRE(pool.send(endpoint, request, absl::Seconds(5)));
+    // A new connection, so that the counts of two connections add up.
+    pool.forget(endpoint);
+    REQUIRE(pool.send(endpoint, request, absl::Seconds(5)));
+    const http::Traffic client = pool.traffic();
+    const http::Traffic served = server.traffic();
+    CHECK(client.sent == served.received);
+    CHECK(client.received == served.sent);
+    CHECK(client.sent > (Exchanges + 1) * 10000);
+    CHECK(client.received > (Exchanges + 1) * 20000);
+}
