Measure urgent claims and decisions

Small work no longer binds whole cells, work that cannot be moved is packed together, small jobs do not stop large gangs, and the oldest large gang stops work that loses little.

--- a/bench/jobs.h
+++ b/bench/jobs.h
@@ -37,14 +37,24 @@
 {
     // Seconds from submission to completion, by job.
     std::vector<double> completion;
+    // Seconds from submission to the first time that all tasks run, by job.
+    std::vector<double> start;
     // Fragmented share of all accelerators, averaged over the time between first and last arrival.
     double fragmentation = 0;
     int preemptions = 0;
 };
 
+struct RunOptions
+{
+    absl::Duration tick = absl::Seconds(10);
+    // Time that a checkpoint takes.
+    absl::Duration checkpoint = absl::Seconds(3);
+};
+
 // Runs the load in virtual time with the scheduler, and with first-in first-out order where the
 // head of the queue waits for the first workers that have room, as a naive baseline.
-Outcome runScheduler(const LoadedCluster &cluster, const std::vector<LoadedJob> &jobs);
+Outcome runScheduler(const LoadedCluster &cluster, const std::vector<LoadedJob> &jobs,
+                     const RunOptions &options = {});
 Outcome runFifoFirstFit(const LoadedCluster &cluster, const std::vector<LoadedJob> &jobs);
 
 // Share of free accelerators that the average job of the load cannot use, as in FGD (ATC 2023).
--- a/include/oleandercross/scheduling/event.h
+++ b/include/oleandercross/scheduling/event.h
@@ -121,7 +121,7 @@
     bool succeeded = true;
 };
 
-// Time passed; expected at least once a second.
+// Time passed; expected every 100 ms, since an urgent job waits for the end of a grace period.
 struct Tick
 { };
 
--- a/include/oleandercross/scheduling/scheduler.h
+++ b/include/oleandercross/scheduling/scheduler.h
@@ -18,9 +18,12 @@
     // A waiting large gang rises one level each time it has waited this long.
     absl::Duration ageing = absl::Hours(1);
     // A large gang that has waited this long may reserve accelerators.
-    absl::Duration reserveAfter = absl::Minutes(20);
+    absl::Duration reserveAfter = absl::Minutes(2);
     // A job is not pre-empted for the order of the queue before it has run this long.
-    absl::Duration quantum = absl::Minutes(5);
+    absl::Duration quantum = absl::Minutes(2);
+    // A job without checkpoints may be stopped for the oldest large gang until it has run this
+    // long.
+    absl::Duration smallLoss = absl::Minutes(30);
     // Most pre-emptions of a job for the order of the queue or defragmentation.
     int maxPreemptions = 6;
     // Time for a checkpoint before the stop.
--- a/src/scheduling/admission.cpp
+++ b/src/scheduling/admission.cpp
@@ -94,7 +94,7 @@
         return layout.has_value();
     detail::Cluster trial = scratch;
     const int account = trial.accountIndex(job.spec.account);
-    return trial.claimInPlace(account, job.perTask, *layout)
+    return trial.claimInPlace(account, job.perTask, *layout, false)
         || trial.takeSurplus(job.perTask, *layout)
         || trial.claimAnywhere(account, job.shape(), {}).has_value();
 }
@@ -137,12 +137,12 @@
     return std::max(0, level(job) - steps);
 }
 
-// A gang that needs at least a whole worker.
+// A gang that needs more than a whole worker.
 bool Scheduler::Private::isLarge(const Job &job) const
 {
     constexpr int DefaultWorkerSize = 8;
     const int planned = cluster.plannedAccelerators();
-    return job.accelerators() >= std::max(2, planned > 0 ? planned : DefaultWorkerSize);
+    return job.accelerators() > std::max(1, planned > 0 ? planned : DefaultWorkerSize);
 }
 
 void Scheduler::Private::enqueue(Job &job)
--- a/src/scheduling/claims.cpp
+++ b/src/scheduling/claims.cpp
@@ -118,10 +118,14 @@
     return false;
 }
 
-bool Cluster::claimInPlace(int account, const core::Resources &perTask, Layout &layout)
+bool Cluster::claimInPlace(int account, const core::Resources &perTask, Layout &layout,
+                           bool sparing)
 {
     if (account < 0)
         return false;
+    absl::flat_hash_map<int, int> filled;
+    for (const TaskHold &hold : layout)
+        filled[hold.worker] += width(hold.worker, perTask);
     for (TaskHold &hold : layout) {
         const int needed = width(hold.worker, perTask);
         const Slots around = hold.accelerators != 0
@@ -131,6 +135,9 @@
         for (const config::Level level : AllLevels) {
             if (claimed || needed <= 0 || cellSize(level) < needed || around == 0)
                 continue;
+            const int whole = count(m_workers[static_cast<std::size_t>(hold.worker)].all);
+            if (sparing && 2 * filled[hold.worker] < std::min(cellSize(level), whole))
+                continue;
             claimed =
                 bindAround(account, level, hold.worker, around) && claimTask(account, needed, hold);
         }
--- a/src/scheduling/cluster.h
+++ b/src/scheduling/cluster.h
@@ -26,6 +26,8 @@
     core::Resources perTask;
     Adjacency adjacency = Adjacency::DataCentre;
     bool hard = false;
+    // The job cannot be moved once it runs.
+    bool fixed = false;
 
     friend bool operator==(const Shape &, const Shape &) = default;
 
@@ -34,7 +36,8 @@
     friend H AbslHashValue(H state, const Shape &shape)
     {
         return H::combine(std::move(state), shape.tasks, shape.perTask.accelerators,
-                          shape.perTask.cores, shape.perTask.memoryMb, shape.adjacency, shape.hard);
+                          shape.perTask.cores, shape.perTask.memoryMb, shape.adjacency, shape.hard,
+                          shape.fixed);
     }
 };
 
@@ -68,6 +71,8 @@
     Slots reserved = 0;
     Slots bound = 0;
     Slots surplus = 0;
+    // Used by gangs that cannot be moved.
+    Slots fixed = 0;
     int freeCores = 0;
     std::int64_t freeMemory = 0;
     int reservedCores = 0;
@@ -142,7 +147,8 @@
 
     // Claims slots of the account's cells that contain the accelerators of the layout, binding
     // cells as needed. Changes nothing on failure.
-    bool claimInPlace(int account, const core::Resources &perTask, Layout &layout);
+    // A sparing claim binds only cells of which the gang fills at least half.
+    bool claimInPlace(int account, const core::Resources &perTask, Layout &layout, bool sparing);
     // Finds and claims a layout in the account's cells regardless of borrowers.
     std::optional<Layout> claimAnywhere(int account, const Shape &shape,
                                         const std::vector<int> &avoid);
--- a/src/scheduling/decide.cpp
+++ b/src/scheduling/decide.cpp
@@ -154,7 +154,7 @@
         return false;
     const bool claims = job.perTask.accelerators > 0 || !job.spec.repeatable;
     const int account = cluster.accountIndex(job.spec.account);
-    if (claims && cluster.claimInPlace(account, job.perTask, *layout)) {
+    if (claims && cluster.claimInPlace(account, job.perTask, *layout, job.spec.repeatable)) {
         take(job, std::move(*layout), Hold::Guaranteed);
         return true;
     }
@@ -229,7 +229,7 @@
                 || job->perTask.accelerators == 0 || left-- <= 0)
                 continue;
             const int account = cluster.accountIndex(job->spec.account);
-            if (cluster.claimInPlace(account, job->perTask, job->layout))
+            if (cluster.claimInPlace(account, job->perTask, job->layout, true))
                 job->hold = Hold::Guaranteed;
         }
     }
--- a/src/scheduling/lifecycle.cpp
+++ b/src/scheduling/lifecycle.cpp
@@ -40,6 +40,8 @@
     for (const detail::TaskHold &task : job.layout) {
         WorkerState &state = worker(task.worker);
         state.used = take ? state.used | task.accelerators : state.used & ~task.accelerators;
+        const detail::Slots fixed = job.fixed() ? task.accelerators : 0;
+        state.fixed = take ? state.fixed | fixed : state.fixed & ~fixed;
         state.freeCores -= sign * job.perTask.cores;
         state.freeMemory -= sign * job.perTask.memoryMb;
         const auto it = std::find(state.gangs.begin(), state.gangs.end(), &job);
--- a/src/scheduling/placer.cpp
+++ b/src/scheduling/placer.cpp
@@ -86,12 +86,14 @@
         return static_cast<int>(capacity);
     }
 
-    // Order of preference: work without accelerators goes where there are none, other work where
-    // the fewest are left over.
-    std::tuple<int, int, int> tightness(std::size_t worker) const
+    // Order of preference: work without accelerators goes where there are none. Work that cannot
+    // be moved goes where there is such work already, so that other workers can be cleared for
+    // large gangs. Other work goes where the fewest accelerators are left over.
+    std::tuple<int, int, int, int> tightness(std::size_t worker) const
     {
         const bool wasteful = m_shape.perTask.accelerators == 0 && m_workers[worker].all != 0;
-        return {wasteful ? 1 : 0, count(m_view.slots[worker]), m_view.cores[worker]};
+        const int alike = m_shape.fixed ? count(m_workers[worker].fixed) : 0;
+        return {wasteful ? 1 : 0, -alike, count(m_view.slots[worker]), m_view.cores[worker]};
     }
 
     void fill(std::size_t worker, int tasks, Layout &layout) const
--- a/src/scheduling/preempt.cpp
+++ b/src/scheduling/preempt.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+// Most accelerators of a stopped gang for each that the waiting job needs.
+constexpr int MaxStoppedPerNeeded = 2;
+
 // Moves of running jobs are rare, since each costs a checkpoint and a start.
 constexpr absl::Duration DefragmentEvery = absl::Seconds(30);
 
@@ -192,12 +195,23 @@
     const bool allowedHold = victim.hold == Hold::Borrowed
         || (victim.hold == Hold::Guaranteed && victim.spec.account == job.spec.account);
     // Accelerators are not given up for the cores of a job that needs none.
-    const bool worthwhile = job.perTask.accelerators > 0 || victim.perTask.accelerators == 0;
+    // A large gang is hard to place again, so a small job does not stop it.
+    const bool worthwhile = victim.accelerators() <= MaxStoppedPerNeeded * job.accelerators();
     return allowedHold && worthwhile && victim.state == JobState::Running && victim.spec.repeatable
         && victim.spec.checkpointable && !victim.spec.urgent
         && victim.preemptions < policy.maxPreemptions && m_now - victim.startedAt >= policy.quantum;
 }
 
+// The oldest large gang also stops work that starts over, as long as it loses little.
+bool Scheduler::Private::mayStopForReservation(const Job &victim, const Job &job) const
+{
+    const bool losesLittle = victim.hold == Hold::Borrowed && victim.state == JobState::Running
+        && victim.spec.repeatable && !victim.spec.checkpointable && !victim.spec.urgent
+        && victim.preemptions < policy.maxPreemptions
+        && m_now - victim.startedAt < policy.smallLoss;
+    return losesLittle || mayStopForOrder(victim, job);
+}
+
 // Stops jobs of higher levels, those of the highest level first.
 bool Scheduler::Private::tryOrder(Job &job)
 {
@@ -303,16 +317,22 @@
 // behind it in the queue cannot delay it.
 bool Scheduler::Private::tryReservation(Job &job)
 {
-    const auto withdrawn = [&](const Job &gang) {
+    const auto yields = [&](const Job &gang) {
         return gang.hold == Hold::Borrowed
             || (gang.hold == Hold::Guaranteed && gang.spec.repeatable
                 && gang.spec.account == job.spec.account);
     };
-    const auto stoppable = [&](const Job &gang) { return mayStopForOrder(gang, job); };
-    std::optional<Layout> layout =
-        place(cluster, viewWithout(stoppable), job.shape(), avoided(job));
+    const auto stoppable = [&](const Job &gang) { return mayStopForReservation(gang, job); };
+    // Work that becomes stoppable with time is better than work that only ends by itself.
+    const auto stoppableLater = [&](const Job &gang) {
+        return yields(gang) && gang.spec.checkpointable && gang.preemptions < policy.maxPreemptions;
+    };
+    const std::vector<int> avoid = avoided(job);
+    std::optional<Layout> layout = place(cluster, viewWithout(stoppable), job.shape(), avoid);
+    if (!layout)
+        layout = place(cluster, viewWithout(stoppableLater), job.shape(), avoid);
     if (!layout)
-        layout = place(cluster, viewWithout(withdrawn), job.shape(), avoided(job));
+        layout = place(cluster, viewWithout(yields), job.shape(), avoid);
     if (!layout)
         return false;
     bool complete = false;
@@ -334,7 +354,7 @@
     for (const auto &[index, share] : sharesByWorker(job.layout)) {
         for (Job *gang : worker(index).gangs) {
             const bool overlaps = (shareOf(*gang, index).accelerators & share.accelerators) != 0;
-            if (overlaps && mayStopForOrder(*gang, job))
+            if (overlaps && mayStopForReservation(*gang, job))
                 stopping.push_back(gang);
         }
     }
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -4,6 +4,13 @@
 
 namespace oleandercross::scheduling {
 
+namespace {
+
+// Time between reviews of what changes slowly; ticks are more frequent.
+constexpr absl::Duration ReviewPeriod = absl::Seconds(1);
+
+} // namespace
+
 Scheduler::Private::Private(core::DataCentreId dataCentre, Policy policy)
     : dataCentre(std::move(dataCentre))
     , policy(std::move(policy))
@@ -66,6 +73,9 @@
               [](const Job *a, const Job *b) { return a->sequence < b->sequence; });
     for (Job *job : due)
         stepDeadline(*job);
+    if (m_now < m_nextReview)
+        return;
+    m_nextReview = m_now + ReviewPeriod;
     stepHealth();
     age();
     moveDrained();
--- a/src/scheduling/scheduler_p.h
+++ b/src/scheduling/scheduler_p.h
@@ -69,7 +69,12 @@
 
     int accelerators() const { return spec.tasks * perTask.accelerators; }
     bool started() const { return state != JobState::Waiting; }
-    Shape shape() const { return {spec.tasks, perTask, spec.adjacency, spec.adjacencyHard}; }
+    // Stopping it loses its work.
+    bool fixed() const { return !spec.repeatable || !spec.checkpointable; }
+    Shape shape() const
+    {
+        return {spec.tasks, perTask, spec.adjacency, spec.adjacencyHard, fixed()};
+    }
 };
 
 // Evidence about a worker since its last success.
@@ -204,6 +209,7 @@
     std::vector<Job *> victims(const Layout &layout, const core::Resources &perTask,
                                Eligible eligible, bool &complete);
     bool mayStopForOrder(const Job &victim, const Job &job) const;
+    bool mayStopForReservation(const Job &victim, const Job &job) const;
     bool replaceable(const std::vector<Job *> &victims, const Layout &layout,
                      const core::Resources &perTask);
     void take(Job &job, Layout layout, Hold hold);
@@ -247,6 +253,7 @@
     detail::View m_view;
     bool m_viewStale = true;
     int m_stopAttempts = 0;
+    core::Instant m_nextReview = absl::InfinitePast();
     core::Instant m_nextDefragment = absl::InfinitePast();
     friend class Scheduler;
 };
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -239,7 +239,7 @@
         return;
     }
     const int account = cluster.accountIndex(job.spec.account);
-    if (cluster.claimInPlace(account, job.perTask, job.layout)) {
+    if (cluster.claimInPlace(account, job.perTask, job.layout, job.spec.repeatable)) {
         job.hold = Hold::Guaranteed;
     } else if (job.spec.repeatable) {
         job.hold = Hold::Borrowed;
