Bound the time of a decision

Claims tried each worker by scanning all of them, and shares of gangs were computed from layouts again and again.

--- a/include/oleandercross/scheduling/scheduler.h
+++ b/include/oleandercross/scheduling/scheduler.h
@@ -41,7 +41,7 @@
     // Time between throttling a task that exceeds its memory and its requeue.
     absl::Duration throttleTime = absl::Seconds(30);
     // Most placements tried for waiting jobs in one pass over the queue.
-    int attemptsPerPass = 256;
+    int attemptsPerPass = 64;
 };
 
 // Why a job is not running and what would let it start.
--- a/src/scheduling/claims.cpp
+++ b/src/scheduling/claims.cpp
@@ -202,6 +202,22 @@
     return false;
 }
 
+// Accelerators that the account can still claim, at most.
+int Cluster::unclaimed(int account) const
+{
+    int total = 0;
+    for (const Cell &cell : m_cells) {
+        if (cell.account != account)
+            continue;
+        if (!cell.bound())
+            total += cell.level == config::Level::Rack ? MaxSlots * m_planned.workersPerRack
+                                                       : cellSize(cell.level);
+        for (const CellPart &part : cell.parts)
+            total += count(part.slots & ~part.claimed);
+    }
+    return total;
+}
+
 // Searches the account's cells, bound and unbound, for a layout in one domain.
 class ClaimSearch
 {
@@ -213,18 +229,21 @@
         , m_avoid(avoid)
     { }
 
-    // Tries the workers that satisfy `inDomain`; the layout is claimed on success.
-    template <typename InDomain>
-    bool tryDomain(InDomain inDomain, Layout &layout)
+    // Tries the given workers, in ascending order; the layout is claimed on success.
+    bool tryDomain(const std::vector<int> &workers, Layout &layout)
     {
         m_domain.clear();
-        for (std::size_t i = 0; i < m_cluster.m_workers.size(); ++i) {
-            const WorkerState &worker = m_cluster.m_workers[i];
-            const bool avoided =
-                std::find(m_avoid.begin(), m_avoid.end(), static_cast<int>(i)) != m_avoid.end();
-            if (worker.usable() && worker.all != 0 && !avoided && inDomain(worker))
-                m_domain.push_back(static_cast<int>(i));
+        int room = 0;
+        for (const int index : workers) {
+            const bool avoided = std::find(m_avoid.begin(), m_avoid.end(), index) != m_avoid.end();
+            const int width = m_cluster.width(index, m_shape.perTask);
+            if (avoided || !state(index).usable() || width <= 0 || width > count(state(index).all))
+                continue;
+            room += count(state(index).all) / width;
+            m_domain.push_back(index);
         }
+        if (room < m_shape.tasks)
+            return false;
         layout.clear();
         for (int task = 0; task < m_shape.tasks; ++task) {
             TaskHold hold;
@@ -386,53 +405,52 @@
 std::optional<Layout> Cluster::claimAnywhere(int account, const Shape &shape,
                                              const std::vector<int> &avoid)
 {
-    if (account < 0)
+    if (account < 0 || unclaimed(account) < shape.tasks)
         return std::nullopt;
     ClaimSearch search(*this, account, shape, avoid);
     Layout layout;
     int best = -1;
     int bestOccupied = 0;
-    const auto tryEach = [&](int domains, auto inDomain) {
-        for (int domain = 0; domain < domains; ++domain) {
-            const auto member = [&](const WorkerState &worker) { return inDomain(worker, domain); };
-            if (!search.tryDomain(member, layout))
+    // Enough candidates to find one with few borrowers, and a bound for the time of a decision.
+    constexpr int MaxCandidates = 8;
+    const auto tryEach = [&](const std::vector<std::vector<int>> &domains) {
+        int candidates = 0;
+        for (std::size_t domain = 0; domain < domains.size(); ++domain) {
+            if (!search.tryDomain(domains[domain], layout))
                 continue;
             const int occupied = search.occupied(layout);
             release(layout);
             if (best < 0 || occupied < bestOccupied) {
-                best = domain;
+                best = static_cast<int>(domain);
                 bestOccupied = occupied;
             }
-            if (occupied == 0)
+            if (occupied == 0 || ++candidates >= MaxCandidates)
                 break;
         }
-        if (best < 0)
-            return false;
-        const int chosen = best;
-        return search.tryDomain([&](const WorkerState &worker) { return inDomain(worker, chosen); },
-                                layout);
+        return best >= 0 && search.tryDomain(domains[static_cast<std::size_t>(best)], layout);
     };
-    const WorkerState *first = m_workers.data();
+    std::vector<std::vector<int>> domains;
     if (shape.adjacency == Adjacency::Worker) {
-        const auto member = [first](const WorkerState &worker, int domain) {
-            return &worker - first == domain;
-        };
-        if (tryEach(static_cast<int>(m_workers.size()), member))
+        for (std::size_t i = 0; i < m_workers.size(); ++i)
+            domains.push_back({static_cast<int>(i)});
+        if (tryEach(domains))
             return layout;
         if (shape.hard)
             return std::nullopt;
     }
+    domains.assign(m_racks.size(), {});
+    std::vector<int> everywhere;
+    for (std::size_t i = 0; i < m_workers.size(); ++i) {
+        domains[static_cast<std::size_t>(m_workers[i].rack)].push_back(static_cast<int>(i));
+        everywhere.push_back(static_cast<int>(i));
+    }
     if (shape.adjacency != Adjacency::DataCentre) {
-        const auto member = [](const WorkerState &worker, int domain) {
-            return worker.rack == domain;
-        };
-        if (tryEach(rackCount(), member))
+        if (tryEach(domains))
             return layout;
         if (shape.hard)
             return std::nullopt;
     }
-    const auto everywhere = [](const WorkerState &, int) { return true; };
-    if (tryEach(1, everywhere))
+    if (tryEach({everywhere}))
         return layout;
     return std::nullopt;
 }
--- a/src/scheduling/cluster.h
+++ b/src/scheduling/cluster.h
@@ -177,6 +177,7 @@
     std::vector<CellPart> rackParts(int worker) const;
     bool wholeAndFree(const WorkerState &worker) const;
     int cellSize(config::Level level) const;
+    int unclaimed(int account) const;
     LevelCounts unplaced(LevelCounts wanted) const;
 
     std::vector<WorkerState> m_workers;
--- a/src/scheduling/decide.cpp
+++ b/src/scheduling/decide.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Most attempts per pass that look for work to stop, the costliest kind.
-constexpr int StopAttemptsPerPass = 8;
+constexpr int StopAttemptsPerPass = 4;
 constexpr int SurplusAttempts = 8;
 constexpr int PassesPerEvent = 3;
 constexpr int PromotionsPerTick = 64;
@@ -85,17 +85,20 @@
 {
     std::vector<Job *> waiting;
     waiting.reserve(m_queue.size());
-    for (const auto &[key, job] : m_queue) {
-        if (!job->reserved)
-            waiting.push_back(job);
+    const auto from = m_resume ? m_queue.lower_bound(*m_resume) : m_queue.begin();
+    for (auto it = from; it != m_queue.end(); ++it) {
+        if (!it->second->reserved)
+            waiting.push_back(it->second);
     }
+    // After the rest of the queue its head is tried again.
+    m_passNeeded |= m_resume.has_value();
+    m_resume.reset();
     m_failedAttempts.clear();
     Job *oldest = nullptr;
     int attempts = 0;
     for (Job *job : waiting) {
         if (attempts >= policy.attemptsPerPass) {
-            // The rest is tried in the next pass; what failed has been recorded as failed.
-            m_passNeeded = true;
+            m_resume = job->key;
             break;
         }
         if (job->started() || job->reserved || !permitted(*job))
--- a/src/scheduling/lifecycle.cpp
+++ b/src/scheduling/lifecycle.cpp
@@ -37,6 +37,8 @@
 void Scheduler::Private::hold(Job &job, bool take)
 {
     const int sign = take ? 1 : -1;
+    if (take)
+        job.shares = detail::sharesOf(job.layout);
     for (const detail::TaskHold &task : job.layout) {
         WorkerState &state = worker(task.worker);
         state.used = take ? state.used | task.accelerators : state.used & ~task.accelerators;
@@ -57,6 +59,8 @@
 void Scheduler::Private::reserve(Job &job, bool take)
 {
     const int sign = take ? 1 : -1;
+    if (take)
+        job.shares = detail::sharesOf(job.layout);
     for (const detail::TaskHold &task : job.layout) {
         WorkerState &state = worker(task.worker);
         state.reserved =
--- a/src/scheduling/preempt.cpp
+++ b/src/scheduling/preempt.cpp
@@ -6,6 +6,7 @@
 namespace oleandercross::scheduling {
 
 using detail::Layout;
+using detail::Share;
 using detail::Slots;
 using detail::View;
 using detail::Wait;
@@ -18,36 +19,30 @@
 // Moves of running jobs are rare, since each costs a checkpoint and a start.
 constexpr absl::Duration DefragmentEvery = absl::Seconds(30);
 
-struct Share
-{
-    Slots accelerators = 0;
-    int tasks = 0;
-};
-
 Share shareOf(const detail::Job &job, int worker)
 {
-    Share share;
-    for (const detail::TaskHold &task : job.layout) {
-        if (task.worker != worker)
-            continue;
-        share.accelerators |= task.accelerators;
-        ++share.tasks;
-    }
-    return share;
+    const auto it = std::lower_bound(job.shares.begin(), job.shares.end(), worker,
+                                     [](const Share &share, int w) { return share.worker < w; });
+    return it != job.shares.end() && it->worker == worker ? *it : Share{};
 }
 
-absl::btree_map<int, Share> sharesByWorker(const Layout &layout)
+} // namespace
+
+std::vector<Share> detail::sharesOf(const Layout &layout)
 {
-    absl::btree_map<int, Share> shares;
-    for (const detail::TaskHold &task : layout) {
-        shares[task.worker].accelerators |= task.accelerators;
-        ++shares[task.worker].tasks;
+    std::vector<Share> shares;
+    for (const TaskHold &task : layout) {
+        const auto it =
+            std::lower_bound(shares.begin(), shares.end(), task.worker,
+                             [](const Share &share, int w) { return share.worker < w; });
+        const bool known = it != shares.end() && it->worker == task.worker;
+        Share &share = known ? *it : *shares.insert(it, Share{task.worker, 0, 0});
+        share.accelerators |= task.accelerators;
+        ++share.tasks;
     }
     return shares;
 }
 
-} // namespace
-
 // Free capacity together with that of gangs that are stopping or may be stopped.
 template <typename Eligible>
 View Scheduler::Private::viewWithout(Eligible eligible)
@@ -85,11 +80,11 @@
         return std::find(chosen.begin(), chosen.end(), job) != chosen.end();
     };
     complete = true;
-    const auto shares = sharesByWorker(layout);
-    for (const auto &[index, wanted] : shares) {
+    const std::vector<Share> shares = detail::sharesOf(layout);
+    for (const Share &wanted : shares) {
+        const int index = wanted.worker;
         for (Job *gang : worker(index).gangs) {
-            const bool overlaps =
-                (shareOf(*gang, index).accelerators & shares.at(index).accelerators) != 0;
+            const bool overlaps = (shareOf(*gang, index).accelerators & wanted.accelerators) != 0;
             if (!overlaps || gang->state == JobState::Stopping || isChosen(gang))
                 continue;
             if (eligible(*gang))
@@ -98,8 +93,8 @@
                 complete = false;
         }
     }
-    for (const auto &[place, wanted] : shares) {
-        const int index = place;
+    for (const Share &wanted : shares) {
+        const int index = wanted.worker;
         const WorkerState &state = worker(index);
         int cores = state.freeCores - state.reservedCores - perTask.cores * wanted.tasks;
         std::int64_t memory =
@@ -145,9 +140,10 @@
     std::optional<Layout> layout = cluster.claimAnywhere(account, job.shape(), avoided(job));
     if (!layout)
         return false;
-    const auto shares = sharesByWorker(*layout);
+    const std::vector<Share> shares = detail::sharesOf(*layout);
     Job *displaced = nullptr;
-    for (const auto &[index, share] : shares) {
+    for (const Share &share : shares) {
+        const int index = share.worker;
         const std::vector<Job *> reservations = worker(index).reservations;
         for (Job *other : reservations) {
             const WorkerState &state = worker(index);
@@ -176,7 +172,8 @@
     // A waiting urgent job shortens checkpoints that are already under way.
     const absl::Duration grace = job.spec.urgent ? policy.urgentGrace : policy.grace;
     if (job.spec.urgent) {
-        for (const auto &[index, share] : shares) {
+        for (const Share &share : shares) {
+            const int index = share.worker;
             for (Job *gang : worker(index).gangs) {
                 if (gang->checkpointing)
                     gang->deadline = std::min(gang->deadline, m_now + grace);
@@ -351,7 +348,8 @@
         return;
     Job &job = *m_oldest;
     std::vector<Job *> stopping;
-    for (const auto &[index, share] : sharesByWorker(job.layout)) {
+    for (const Share &share : job.shares) {
+        const int index = share.worker;
         for (Job *gang : worker(index).gangs) {
             const bool overlaps = (shareOf(*gang, index).accelerators & share.accelerators) != 0;
             if (overlaps && mayStopForReservation(*gang, job))
--- a/src/scheduling/scheduler_p.h
+++ b/src/scheduling/scheduler_p.h
@@ -33,6 +33,14 @@
 // Position in the queue: urgent jobs first, then by level, then by age.
 using QueueKey = std::tuple<int, int, std::uint64_t>;
 
+// The part of a gang on one worker.
+struct Share
+{
+    int worker = -1;
+    Slots accelerators = 0;
+    int tasks = 0;
+};
+
 struct Job
 {
     JobSpec spec;
@@ -41,6 +49,8 @@
     Hold hold = Hold::None;
     int attempt = 0;
     Layout layout;
+    // The layout by worker, in ascending order, while it is held or reserved.
+    std::vector<Share> shares;
     // Waits with a reservation for other gangs to stop.
     bool reserved = false;
     std::uint64_t sequence = 0;
@@ -92,6 +102,8 @@
 // Identifies placements that fail alike within one pass.
 using AttemptKey = std::tuple<Shape, core::AccountId, core::TeamId, int, bool, bool>;
 
+std::vector<Share> sharesOf(const Layout &layout);
+
 } // namespace oleandercross::scheduling::detail
 
 namespace oleandercross::scheduling {
@@ -245,6 +257,8 @@
     absl::flat_hash_map<core::AccountId, ShortfallChanged> m_shortfalls;
     // Set when capacity may have become free, so that the whole queue is tried.
     bool m_passNeeded = false;
+    // Where the latest pass was cut short; the next one goes on from there.
+    std::optional<detail::QueueKey> m_resume;
     bool m_cellsFreed = false;
     bool m_shortfallStale = true;
     std::vector<Job *> m_new;
