--- a/src/scheduling/preempt.cpp
+++ b/src/scheduling/preempt.cpp
@@ -6,45 +6,43 @@
 namespace oleandercross::scheduling {
 
 using detail::Layout;
+using detail::Share;
 using detail::Slots;
 using detail::View;
 using detail::Wait;
 
 namespace {
 
+// Most accelerators of a stopped gang for each that the waiting job needs.
+constexpr int MaxStoppedPerNeeded = 2;
+
 // Moves of running jobs are rare, since each costs a checkpoint and a start.
 constexpr absl::Duration DefragmentEvery = absl::Seconds(30);
 
-struct Share
-{
-    Slots accelerators = 0;
-    int tasks = 0;
-};
-
 Share shareOf(const detail::Job &job, int worker)
 {
-    Share share;
-    for (const detail::TaskHold &task : job.layout) {
-        if (task.worker != worker)
-            continue;
-        share.accelerators |= task.accelerators;
-        ++share.tasks;
-    }
-    return share;
+    const auto it = std::lower_bound(job.shares.begin(), job.shares.end(), worker,
+                                     [](const Share &share, int w) { return share.worker < w; });
+    return it != job.shares.end() && it->worker == worker ? *it : Share{};
 }
 
-absl::btree_map<int, Share> sharesByWorker(const Layout &layout)
+} // namespace
+
+std::vector<Share> detail::sharesOf(const Layout &layout)
 {
-    absl::btree_map<int, Share> shares;
-    for (const detail::TaskHold &task : layout) {
-        shares[task.worker].accelerators |= task.accelerators;
-        ++shares[task.worker].tasks;
+    std::vector<Share> shares;
+    for (const TaskHold &task : layout) {
+        const auto it =
+            std::lower_bound(shares.begin(), shares.end(), task.worker,
+                             [](const Share &share, int w) { return share.worker < w; });
+        const bool known = it != shares.end() && it->worker == task.worker;
+        Share &share = known ? *it : *shares.insert(it, Share{task.worker, 0, 0});
+        share.accelerators |= task.accelerators;
+        ++share.tasks;
     }
     return shares;
 }
 
-} // namespace
-
 // Free capacity together with that of gangs that are stopping or may be stopped.
 template <typename Eligible>
 View Scheduler::Private::viewWithout(Eligible eligible)
@@ -82,11 +80,11 @@
         return std::find(chosen.begin(), chosen.end(), job) != chosen.end();
     };
     complete = true;
-    const auto shares = sharesByWorker(layout);
-    for (const auto &[index, wanted] : shares) {
+    const std::vector<Share> shares = detail::sharesOf(layout);
+    for (const Share &wanted : shares) {
+        const int index = wanted.worker;
         for (Job *gang : worker(index).gangs) {
-            const bool overlaps =
-                (shareOf(*gang, index).accelerators & shares.at(index).accelerators) != 0;
+            const bool overlaps = (shareOf(*gang, index).accelerators & wanted.accelerators) != 0;
             if (!overlaps || gang->state == JobState::Stopping || isChosen(gang))
                 continue;
             if (eligible(*gang))
@@ -95,8 +93,8 @@
                 complete = false;
         }
     }
-    for (const auto &[place, wanted] : shares) {
-        const int index = place;
+    for (const Share &wanted : shares) {
+        const int index = wanted.worker;
         const WorkerState &state = worker(index);
         int cores = state.freeCores - state.reservedCores - perTask.cores * wanted.tasks;
         std::int64_t memory =
@@ -142,9 +140,10 @@
     std::optional<Layout> layout = cluster.claimAnywhere(account, job.shape(), avoided(job));
     if (!layout)
         return false;
-    const auto shares = sharesByWorker(*layout);
+    const std::vector<Share> shares = detail::sharesOf(*layout);
     Job *displaced = nullptr;
-    for (const auto &[index, share] : shares) {
+    for (const Share &share : shares) {
+        const int index = share.worker;
         const std::vector<Job *> reservations = worker(index).reservations;
         for (Job *other : reservations) {
             const WorkerState &state = worker(index);
@@ -173,7 +172,8 @@
     // A waiting urgent job shortens checkpoints that are already under way.
     const absl::Duration grace = job.spec.urgent ? policy.urgentGrace : policy.grace;
     if (job.spec.urgent) {
-        for (const auto &[index, share] : shares) {
+        for (const Share &share : shares) {
+            const int index = share.worker;
             for (Job *gang : worker(index).gangs) {
                 if (gang->checkpointing)
                     gang->deadline = std::min(gang->deadline, m_now + grace);
@@ -192,12 +192,23 @@
     const bool allowedHold = victim.hold == Hold::Borrowed
         || (victim.hold == Hold::Guaranteed && victim.spec.account == job.spec.account);
     // Accelerators are not given up for the cores of a job that needs none.
-    const bool worthwhile = job.perTask.accelerators > 0 || victim.perTask.accelerators == 0;
+    // A large gang is hard to place again, so a small job does not stop it.
+    const bool worthwhile = victim.accelerators() <= MaxStoppedPerNeeded * job.accelerators();
     return allowedHold && worthwhile && victim.state == JobState::Running && victim.spec.repeatable
         && victim.spec.checkpointable && !victim.spec.urgent
         && victim.preemptions < policy.maxPreemptions && m_now - victim.startedAt >= policy.quantum;
 }
 
+// The oldest large gang also stops work that starts over, as long as it loses little.
+bool Scheduler::Private::mayStopForReservation(const Job &victim, const Job &job) const
+{
+    const bool losesLittle = victim.hold == Hold::Borrowed && victim.state == JobState::Running
+        && victim.spec.repeatable && !victim.spec.checkpointable && !victim.spec.urgent
+        && victim.preemptions < policy.maxPreemptions
+        && m_now - victim.startedAt < policy.smallLoss;
+    return losesLittle || mayStopForOrder(victim, job);
+}
+
 // Stops jobs of higher levels, those of the highest level first.
 bool Scheduler::Private::tryOrder(Job &job)
 {
@@ -303,16 +314,22 @@
 // behind it in the queue cannot delay it.
 bool Scheduler::Private::tryReservation(Job &job)
 {
-    const auto withdrawn = [&](const Job &gang) {
+    const auto yields = [&](const Job &gang) {
         return gang.hold == Hold::Borrowed
             || (gang.hold == Hold::Guaranteed && gang.spec.repeatable
                 && gang.spec.account == job.spec.account);
     };
-    const auto stoppable = [&](const Job &gang) { return mayStopForOrder(gang, job); };
-    std::optional<Layout> layout =
-        place(cluster, viewWithout(stoppable), job.shape(), avoided(job));
+    const auto stoppable = [&](const Job &gang) { return mayStopForReservation(gang, job); };
+    // Work that becomes stoppable with time is better than work that only ends by itself.
+    const auto stoppableLater = [&](const Job &gang) {
+        return yields(gang) && gang.spec.checkpointable && gang.preemptions < policy.maxPreemptions;
+    };
+    const std::vector<int> avoid = avoided(job);
+    std::optional<Layout> layout = place(cluster, viewWithout(stoppable), job.shape(), avoid);
+    if (!layout)
+        layout = place(cluster, viewWithout(stoppableLater), job.shape(), avoid);
     if (!layout)
-        layout = place(cluster, viewWithout(withdrawn), job.shape(), avoided(job));
+        layout = place(cluster, viewWithout(yields), job.shape(), avoid);
     if (!layout)
         return false;
     bool complete = false;
@@ -331,10 +348,11 @@
         return;
     Job &job = *m_oldest;
     std::vector<Job *> stopping;
-    for (const auto &[index, share] : sharesByWorker(job.layout)) {
+    for (const Share &share : job.shares) {
+        const int index = share.worker;
         for (Job *gang : worker(index).gangs) {
             const bool overlaps = (shareOf(*gang, index).accelerators & share.accelerators) != 0;
-            if (overlaps && mayStopForOrder(*gang, job))
+            if (overlaps && mayStopForReservation(*gang, job))
                 stopping.push_back(gang);
         }
     }
--- a/src/scheduling/scheduler_p.h
+++ b/src/scheduling/scheduler_p.h
@@ -33,6 +33,14 @@
 // Position in the queue: urgent jobs first, then by level, then by age.
 using QueueKey = std::tuple<int, int, std::uint64_t>;
 
+// The part of a gang on one worker.
+struct Share
+{
+    int worker = -1;
+    Slots accelerators = 0;
+    int tasks = 0;
+};
+
 struct Job
 {
     JobSpec spec;
@@ -41,6 +49,8 @@
     Hold hold = Hold::None;
     int attempt = 0;
     Layout layout;
+    // The layout by worker, in ascending order, while it is held or reserved.
+    std::vector<Share> shares;
     // Waits with a reservation for other gangs to stop.
     bool reserved = false;
     std::uint64_t sequence = 0;
@@ -69,7 +79,12 @@
 
     int accelerators() const { return spec.tasks * perTask.accelerators; }
     bool started() const { return state != JobState::Waiting; }
-    Shape shape() const { return {spec.tasks, perTask, spec.adjacency, spec.adjacencyHard}; }
+    // Stopping it loses its work.
+    bool fixed() const { return !spec.repeatable || !spec.checkpointable; }
+    Shape shape() const
+    {
+        return {spec.tasks, perTask, spec.adjacency, spec.adjacencyHard, fixed()};
+    }
 };
 
 // Evidence about a worker since its last success.
@@ -87,6 +102,8 @@
 // Identifies placements that fail alike within one pass.
 using AttemptKey = std::tuple<Shape, core::AccountId, core::TeamId, int, bool, bool>;
 
+std::vector<Share> sharesOf(const Layout &layout);
+
 } // namespace oleandercross::scheduling::detail
 
 namespace oleandercross::scheduling {
@@ -204,6 +221,7 @@
     std::vector<Job *> victims(const Layout &layout, const core::Resources &perTask,
                                Eligible eligible, bool &complete);
     bool mayStopForOrder(const Job &victim, const Job &job) const;
+    bool mayStopForReservation(const Job &victim, const Job &job) const;
     bool replaceable(const std::vector<Job *> &victims, const Layout &layout,
                      const core::Resources &perTask);
     void take(Job &job, Layout layout, Hold hold);
@@ -239,6 +257,8 @@
     absl::flat_hash_map<core::AccountId, ShortfallChanged> m_shortfalls;
     // Set when capacity may have become free, so that the whole queue is tried.
     bool m_passNeeded = false;
+    // Where the latest pass was cut short; the next one goes on from there.
+    std::optional<detail::QueueKey> m_resume;
     bool m_cellsFreed = false;
     bool m_shortfallStale = true;
     std::vector<Job *> m_new;
@@ -247,6 +267,7 @@
     detail::View m_view;
     bool m_viewStale = true;
     int m_stopAttempts = 0;
+    core::Instant m_nextReview = absl::InfinitePast();
     core::Instant m_nextDefragment = absl::InfinitePast();
     friend class Scheduler;
 };
