Keep accepted jobs that arrive at the end of an outage

Cause: an entry stores a job as soon as the store answers, while the leader learns up to a second later, from its next lease renewal, that the outage is over. Told of the job in between, it passed the job to the scheduler, which refuses new jobs in an outage, and the accepted job ended as failed with StoreUnavailable ("the job cannot be recorded").

Ruled out: a lost write (the row was there), stuck store connections (later calls were answered at once), quotas (another job of the account that was sent 2 s later ran).

Change: Term::addJob() reports "not taken over" while the scheduler counts the store as unavailable; the sender or the scan of the rows adds the job afterwards.

--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -388,6 +388,9 @@
     absl::MutexLock lock(&m_mutex);
     if (m_stopping || m_jobs.count(id) > 0)
         return true;
+    // The scheduler would fail the job, which is accepted, until it knows that the outage is over.
+    if (!m_storeAvailable)
+        return false;
     const JobRecord &record = m_jobs.emplace(id, std::move(*job)).first->second.record;
     const scheduling::JobSpec spec = record.spec;
     const bool cancelled = record.cancelRequested;
