Refuse jobs as not run in a silent store outage

Cause: JobService::submit() always sent the write.

Ruled out: a wrong outcome of the store writer; a write that was sent and never answered cannot be called not run.

Before an outage is noticed, a silent store still gives "unknown".

Before: 401 for a job submitted in a silent outage. After: 310, and the job never started (support/faults store-outage-silent).

--- a/src/daemon/jobservice.cpp
+++ b/src/daemon/jobservice.cpp
@@ -122,6 +122,9 @@
     record->spec.account = account.name;
     record->submittedAtMicros = core::wallClockMicros();
 
+    // A write that a silent store does not answer would leave the outcome unknown.
+    if (!m_cluster.storeAvailable())
+        return fail(ResultCode::StoreUnavailable, "the table service does not answer");
     platform::Transaction transaction;
     // A job under the same key may have ended already.
     transaction.conditions = {{jobKey(record->dataCentre, record->spec.id), 0},
