Refuse unknown fields of a manifest commit

Cause: POST /v1/manifest ignored members that it did not know, unlike POST /v1/jobs, so that a misspelt field was dropped silently.

Change: an unknown member, or a body that is not an object, gets BadField (202).

Before: {"parent":1,"writeId":"w","yaml":"x","unknown":1} got 103 for its YAML.

--- a/src/daemon/entryapi.cpp
+++ b/src/daemon/entryapi.cpp
@@ -52,6 +52,17 @@
            });
 }
 
+// The first member that a commit does not have; empty if there is none.
+std::string unknownCommitField(const Json::Value &commit)
+{
+    constexpr std::array Known = {"parent", "writeId", "yaml", "comment"};
+    for (const std::string &field : commit.getMemberNames()) {
+        if (std::find(Known.begin(), Known.end(), field) == Known.end())
+            return field;
+    }
+    return {};
+}
+
 Json::Value encodeShortfall(const core::DataCentreId &dataCentre,
                             const scheduling::ShortfallChanged &shortfall)
 {
@@ -328,6 +339,11 @@
     const std::optional<Json::Value> body = core::parseJson(request.body);
     if (!body)
         return errorResponse(core::lastReason());
+    if (!body->isObject())
+        return errorResponse({ResultCode::BadField, "the commit must be a JSON object"});
+    const std::string unknown = unknownCommitField(*body);
+    if (!unknown.empty())
+        return errorResponse({ResultCode::BadField, "unknown field '" + unknown + "'"});
     CommitRequest commit;
     commit.parent = core::intMember(*body, "parent", -1);
     commit.writeId = core::stringMember(*body, "writeId");
