Count executions per echo and limit faults to a path

The attempts of one caller's request have different ids, so executions per id cannot show that a request ran twice. Minions now also count per echo. A fault for the table service can be limited to a path, so that a lost answer hits a write instead of the next read of any process. cluster.py tells a refused connection, where nothing was sent, from a broken one.

--- a/support/cluster.py
+++ b/support/cluster.py
@@ -1,5 +1,6 @@
 """Runs a small cluster of real processes on loopback for the demo and the fault tests."""
 
+import http.client
 import json
 import os
 import pathlib
@@ -20,7 +21,8 @@
 
 
 class Answer:
-    """Outcome of one HTTP call; status 0 means that the connection broke."""
+    """Outcome of one HTTP call; status 0 means that the connection broke, or with the text
+    "refused" that there was none."""
 
     def __init__(self, status, headers, text):
         self.status = status
@@ -35,9 +37,9 @@
 
     @property
     def outcome(self):
-        """answered, not run, unknown, error, or broken."""
+        """answered, not run, unknown, error, broken, or no connection."""
         if self.status == 0:
-            return "broken"
+            return "no connection" if self.text == "refused" else "broken"
         if self.status < 300:
             return "answered"
         return self.json().get("outcome", "error")
@@ -52,7 +54,10 @@
             return Answer(response.status, dict(response.headers), response.read().decode())
     except urllib.error.HTTPError as error:
         return Answer(error.code, dict(error.headers), error.read().decode())
-    except (OSError, ValueError):
+    except urllib.error.URLError as error:
+        refused = isinstance(error.reason, ConnectionRefusedError)
+        return Answer(0, {}, "refused" if refused else "")
+    except (OSError, ValueError, http.client.HTTPException):
         return Answer(0, {}, "")
 
 
--- a/support/standin/faults.cpp
+++ b/support/standin/faults.cpp
@@ -46,6 +46,7 @@
         m_rates.clear();
         m_outageUntil = absl::InfinitePast();
         m_delay = absl::ZeroDuration();
+        m_path.clear();
         m_failTasks = false;
     }
     m_outage = core::stringMember(json, "outage", m_outage);
@@ -57,6 +58,7 @@
         m_delay = absl::Milliseconds(core::intMember(json, "delay_ms"));
     if (json.isMember("by_ms"))
         m_by = absl::Milliseconds(core::intMember(json, "by_ms"));
+    m_path = core::stringMember(json, "path", m_path);
     m_failTasks = core::boolMember(json, "fail_tasks", m_failTasks);
     return applyKinds(json);
 }
@@ -87,6 +89,7 @@
     json["outage"] = m_outage;
     json["delay_ms"] = static_cast<Json::Int64>(absl::ToInt64Milliseconds(m_delay));
     json["by_ms"] = static_cast<Json::Int64>(absl::ToInt64Milliseconds(m_by));
+    json["path"] = m_path;
     json["fail_tasks"] = m_failTasks;
     for (const auto &[name, count] : m_next)
         json[name] = count;
@@ -108,7 +111,7 @@
     return std::uniform_real_distribution<double>()(m_random) < rate->second;
 }
 
-FaultPlan Faults::next()
+FaultPlan Faults::next(const std::string &path)
 {
     absl::MutexLock lock(&m_mutex);
     FaultPlan plan;
@@ -120,6 +123,8 @@
         plan.ignore = m_outage == "silent";
         return plan;
     }
+    if (!m_path.empty() && m_path != path)
+        return plan;
     // One request meets at most one fault, so that counts stay exact.
     for (const Kind &kind : Kinds) {
         if (take(kind.name)) {
--- a/support/standin/faults.h
+++ b/support/standin/faults.h
@@ -45,15 +45,16 @@
 {
 public:
     // Applies {"outage_ms": N, "outage": "refuse|close|silent", "delay_ms": N, "by_ms": N,
-    // "KIND": N next requests, "rates": {"KIND": probability}, "seed": N, "fail_tasks": bool,
-    // "clear": true}. Absent members leave their fault as it is. False for a bad member.
+    // "path": PATH, "KIND": N next requests, "rates": {"KIND": probability}, "seed": N,
+    // "fail_tasks": bool, "clear": true}. Absent members leave their fault as it is; with a path,
+    // kinds and rates apply to requests for it only. False for a bad member.
     bool apply(const Json::Value &json);
 
     // What is still pending, in the same form.
     Json::Value json() const;
 
     // Decides about the next request and counts it.
-    FaultPlan next();
+    FaultPlan next(const std::string &path = {});
 
     bool failTasks() const;
 
@@ -69,6 +70,8 @@
     std::string m_outage ABSL_GUARDED_BY(m_mutex) = "refuse";
     absl::Duration m_delay ABSL_GUARDED_BY(m_mutex);
     absl::Duration m_by ABSL_GUARDED_BY(m_mutex) = absl::Milliseconds(500);
+    // Empty for all.
+    std::string m_path ABSL_GUARDED_BY(m_mutex);
     bool m_failTasks ABSL_GUARDED_BY(m_mutex) = false;
 };
 
--- a/support/standin/faultserver.cpp
+++ b/support/standin/faultserver.cpp
@@ -114,7 +114,7 @@
             return answerFault(request);
         if (request.path == "/counts")
             return handler(request);
-        currentPlan = faults.next();
+        currentPlan = faults.next(request.path);
         if (currentPlan.refuse)
             return jsonResponse(503, Json::objectValue);
         if (currentPlan.close || currentPlan.ignore)
--- a/support/standin/minionrole.cpp
+++ b/support/standin/minionrole.cpp
@@ -36,19 +36,22 @@
     const Json::Value body = core::parseJson(request.body).value_or(Json::Value());
     const std::int64_t workMs =
         std::clamp<std::int64_t>(core::intMember(body, "work_ms"), 0, MaxWorkMs);
-    begin(id);
+    const std::string echo = core::stringMember(body, "echo");
+    begin(id, echo);
     const bool finished = wait(id, absl::Milliseconds(workMs));
     Json::Value answer;
-    answer["echo"] = core::stringMember(body, "echo");
+    answer["echo"] = echo;
     answer["request_id"] = id;
     answer["cancelled"] = !finished;
     return jsonResponse(finished && !core::boolMember(body, "fail") ? 200 : 422, answer);
 }
 
-void MinionRole::begin(const std::string &id)
+void MinionRole::begin(const std::string &id, const std::string &echo)
 {
     absl::MutexLock lock(&m_mutex);
     ++m_executions[id];
+    if (!echo.empty())
+        ++m_echoes[echo];
     ++m_running;
     m_maxRunning = std::max(m_maxRunning, m_running);
     if (m_running > m_slots)
@@ -85,6 +88,9 @@
         answer["executions"][id] = count;
         total += count;
     }
+    answer["echoes"] = Json::objectValue;
+    for (const auto &[echo, count] : m_echoes)
+        answer["echoes"][echo] = count;
     answer["total"] = total;
     answer["slots"] = m_slots;
     answer["running"] = m_running;
