--- a/include/oleandercross/dispatch/admission.h
+++ b/include/oleandercross/dispatch/admission.h
@@ -56,7 +56,7 @@
     void release(const core::RequestId &id);
 
     // Records how many slots an entry wants, `shortSlots` of them for short work. Replaces its
-    // earlier demand; zero also takes back its unused grants. Demands lapse after 200 ms.
+    // earlier demand; zero also takes back its unused grants. Demands lapse after 400 ms.
     void demand(const core::EntryId &entry, const core::MinionId &minion, int slots, int shortSlots,
                 core::Instant now);
     // Grants free slots to entries with demand, in turn. Call after demand() and release().
--- a/src/dispatch/admission.cpp
+++ b/src/dispatch/admission.cpp
@@ -16,8 +16,8 @@
 
 // Covers a round trip between data centres and a busy entry. An unused grant wastes its slot.
 constexpr absl::Duration GrantValidity = absl::Milliseconds(50);
-// Entries repeat their demand every 50 ms while requests wait.
-constexpr absl::Duration DemandValidity = absl::Milliseconds(200);
+// Entries repeat their demand every 100 ms while requests wait.
+constexpr absl::Duration DemandValidity = absl::Milliseconds(400);
 
 struct Grant
 {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -133,8 +133,11 @@
 
 void Dispatcher::Private::on(const SlotsGranted &event)
 {
-    if (Target *target = m_targets.find(event.target))
-        target->grant(event, m_now);
+    Target *target = m_targets.find(event.target);
+    if (!target)
+        return;
+    target->grant(event, m_now);
+    m_router->granted(target->info().service, event);
 }
 
 detail::Request *Dispatcher::Private::current(const core::RequestId &id, int attempt)
--- a/src/dispatch/router.cpp
+++ b/src/dispatch/router.cpp
@@ -7,12 +7,12 @@
 namespace {
 
 // Lost messages are made good by asking again.
-constexpr absl::Duration AskPeriod = absl::Milliseconds(50);
+constexpr absl::Duration AskPeriod = absl::Milliseconds(100);
 // Slots asked for per waiting request; Sparrow found two probes per task sufficient.
 constexpr int AsksPerRequest = 2;
 // Times that a target's slots may be granted to this entry before it asks again. With fewer, slots
 // of requests shorter than the asking period stayed empty in front of full queues.
-constexpr int AskedTurnovers = 8;
+constexpr int AskedTurnovers = 16;
 
 // Without a grant for this long, requests go to targets with reported free slots all the same,
 // because messages may be lost.
@@ -50,12 +50,6 @@
     return b->backlog(now) < a->backlog(now) ? b : a;
 }
 
-// True if telling the agents the new number would hardly change what they grant.
-bool closeEnough(int asked, int needed)
-{
-    return (asked == 0) == (needed == 0) && needed <= 2 * asked && asked <= 2 * needed;
-}
-
 } // namespace
 
 std::vector<AskSlots> Router::waiting(const core::ServiceId &, const Targets &, const Waiting &,
@@ -98,12 +92,16 @@
         return best;
     }
     m_granted = false;
-    const bool waits = demand.asked != Waiting();
-    if (waits && now - demand.lastGrant < GrantPatience && !m_gaveUp)
-        return nullptr;
-    m_gaveUp = !m_agentsGrant && (waits || m_gaveUp);
+    // Long work that waits does not keep short work from free slots.
+    const Waiting asked = demand.asked();
+    const bool waits = (need.shortWork ? asked.shortWork : asked.longWork) > 0;
+    const bool patient = waits && now - demand.lastGrant < GrantPatience;
+    m_gaveUp = !m_agentsGrant && ((waits && !patient) || m_gaveUp);
     const Targets candidates = nearestWithRoom(targets, need, [&](const Target &target) {
-        return m_gaveUp ? target.room(need, now) : target.knownRoom(need, now);
+        if (m_gaveUp)
+            return target.room(need, now);
+        // A target that was asked grants its free slots.
+        return patient && demand.askedOf(target.id()) ? 0 : target.knownRoom(need, now);
     });
     return lessLoadedOfTwo(candidates, m_generator, now);
 }
@@ -114,38 +112,94 @@
     Demand &demand = m_demands[service];
     if (waiting == Waiting())
         return withdraw(demand, targets, now);
-    if (now - demand.askedAt < AskPeriod && closeEnough(demand.asked.shortWork, waiting.shortWork)
-        && closeEnough(demand.asked.longWork, waiting.longWork))
-        return {};
     std::vector<AskSlots> messages;
-    for (const TargetId &id : demand.targets)
-        messages.push_back({id, 0, 0});
+    if (waiting.shortWork == 0)
+        giveBackShort(demand, targets, now, messages);
+    // Fewer waiting requests are told with the next repetition.
+    const bool repeat = now - demand.askedAt >= AskPeriod;
+    const Waiting asked = demand.asked();
+    const bool moreShort = waiting.shortWork > asked.shortWork;
+    const bool moreLong = waiting.longWork > asked.longWork;
+    if (!repeat && !moreShort && !moreLong)
+        return messages;
+    if (!demand.open())
+        demand.lastGrant = now;
+    const auto before = demand.perTarget;
+    if (repeat)
+        demand.askedAt = now;
+    if (repeat || moreShort)
+        spread(demand, targets, &Waiting::shortWork, waiting.shortWork);
+    if (repeat || moreLong)
+        spread(demand, targets, &Waiting::longWork, waiting.longWork);
+    for (const auto &[id, asked] : demand.perTarget) {
+        const auto known = before.find(id);
+        const bool renewed = repeat && asked != Waiting();
+        if (renewed || known == before.end() || known->second != asked)
+            messages.push_back({id, asked.shortWork + asked.longWork, asked.shortWork});
+    }
+    absl::erase_if(demand.perTarget, [](const auto &entry) { return entry.second == Waiting(); });
+    return messages;
+}
+
+bool LateBinding::Demand::askedOf(const TargetId &id) const
+{
+    const auto it = perTarget.find(id);
+    return it != perTarget.end() && it->second != Waiting();
+}
+
+void LateBinding::granted(const core::ServiceId &service, const SlotsGranted &grant)
+{
+    Demand &demand = m_demands[service];
+    const auto it = demand.perTarget.find(grant.target);
+    if (it == demand.perTarget.end())
+        return;
+    Waiting &asked = it->second;
+    asked.shortWork = std::max(0, asked.shortWork - grant.shortSlots);
+    asked.longWork = std::max(0, asked.longWork - (grant.slots - grant.shortSlots));
+}
+
+Waiting LateBinding::Demand::asked() const
+{
+    Waiting sum;
+    for (const auto &[id, asked] : perTarget) {
+        sum.shortWork += asked.shortWork;
+        sum.longWork += asked.longWork;
+    }
+    return sum;
+}
+
+void LateBinding::spread(Demand &demand, const Targets &targets, int Waiting::*kind, int waiting)
+{
+    for (auto &[id, asked] : demand.perTarget)
+        asked.*kind = 0;
     Targets chosen = targets;
     std::shuffle(chosen.begin(), chosen.end(), m_generator);
-    const int total = AsksPerRequest * (waiting.shortWork + waiting.longWork);
+    const int total = AsksPerRequest * waiting;
     chosen.resize(std::min(chosen.size(), static_cast<std::size_t>(total)));
-    demand.lastGrant = demand.asked == Waiting() ? now : demand.lastGrant;
-    demand.asked = waiting;
-    demand.askedAt = now;
-    demand.targets.clear();
     const int count = std::max<int>(1, static_cast<int>(chosen.size()));
-    for (const Target *target : chosen) {
-        const int slots =
+    for (const Target *target : chosen)
+        demand.perTarget[target->id()].*kind =
             std::min(AskedTurnovers * target->info().slots, (total + count - 1) / count);
-        const int shortSlots =
-            std::min(slots, (AsksPerRequest * waiting.shortWork + count - 1) / count);
-        std::erase_if(messages, [&](const AskSlots &m) { return m.target == target->id(); });
-        messages.push_back({target->id(), slots, shortSlots});
-        demand.targets.push_back(target->id());
+}
+
+// Slots granted for short work are of no use to the long requests that wait.
+void LateBinding::giveBackShort(Demand &demand, const Targets &targets, core::Instant now,
+                                std::vector<AskSlots> &messages)
+{
+    for (Target *target : targets) {
+        if (!target->hasShortGrant(now))
+            continue;
+        target->dropGrants(now);
+        demand.perTarget.erase(target->id());
+        messages.push_back({target->id(), 0, 0});
     }
-    return messages;
 }
 
 std::vector<AskSlots> LateBinding::withdraw(Demand &demand, const Targets &targets,
                                             core::Instant now)
 {
     std::vector<AskSlots> messages;
-    for (const TargetId &id : demand.targets)
+    for (const auto &[id, asked] : demand.perTarget)
         messages.push_back({id, 0, 0});
     for (Target *target : targets) {
         const auto same = [&](const AskSlots &m) { return m.target == target->id(); };
--- a/src/dispatch/router.h
+++ b/src/dispatch/router.h
@@ -29,6 +29,9 @@
     // Whether the last choice uses a granted slot.
     virtual bool lastChoiceGranted() const { return false; }
 
+    // An agent granted slots of a service.
+    virtual void granted(const core::ServiceId &, const SlotsGranted &) { }
+
     // Called after each event with the requests that still wait. Returns messages to agents.
     virtual std::vector<AskSlots> waiting(const core::ServiceId &service, const Targets &targets,
                                           const Waiting &waiting, core::Instant now);
@@ -63,21 +66,31 @@
 
     Target *choose(const Targets &targets, const Need &need, core::Instant now) override;
     bool lastChoiceGranted() const override { return m_granted; }
+    void granted(const core::ServiceId &service, const SlotsGranted &grant) override;
     std::vector<AskSlots> waiting(const core::ServiceId &service, const Targets &targets,
                                   const Waiting &waiting, core::Instant now) override;
 
 private:
+    // What was asked for the requests of one service.
     struct Demand
     {
-        Waiting asked;
         core::Instant askedAt = absl::InfinitePast();
         // When a grant was used, or when the requests began to wait.
         core::Instant lastGrant = absl::InfinitePast();
-        std::vector<TargetId> targets;
+        // Slots asked for and not granted yet.
+        absl::btree_map<TargetId, Waiting> perTarget;
+
+        bool open() const { return askedAt != absl::InfinitePast(); }
+        Waiting asked() const;
+        bool askedOf(const TargetId &id) const;
     };
 
     static std::vector<AskSlots> withdraw(Demand &demand, const Targets &targets,
                                           core::Instant now);
+    static void giveBackShort(Demand &demand, const Targets &targets, core::Instant now,
+                              std::vector<AskSlots> &messages);
+    // Sets one kind of demand at random targets, two slots per waiting request.
+    void spread(Demand &demand, const Targets &targets, int Waiting::*kind, int waiting);
 
     std::mt19937_64 m_generator;
     bool m_granted = false;
--- a/src/dispatch/target.h
+++ b/src/dispatch/target.h
@@ -78,6 +78,10 @@
     // Whether a granted slot is left for the request.
     bool hasGrant(const Need &need, core::Instant now) const;
     void useGrant(const Need &need);
+    bool hasShortGrant(core::Instant now) const
+    {
+        return now < m_grantedUntil && m_grantedShort > 0;
+    }
     // Gives up unused grants. Returns false if there were none.
     bool dropGrants(core::Instant now);
     core::Instant grantedUntil() const { return m_grantedUntil; }
