--- a/test/support/dispatchharness.h
+++ b/test/support/dispatchharness.h
@@ -155,6 +155,7 @@
     void cancel(unsigned a);
     void deliver(std::size_t index);
     void lose(std::size_t index);
+    void delay(std::size_t index);
     void duplicate(std::size_t index);
     void finish(Agent &agent, std::size_t index, unsigned how);
     void holdEnds(unsigned a, unsigned b);
@@ -252,7 +253,7 @@
         break;
     case Step::Lose:
         if (!m_messages.empty())
-            lose(step.a % m_messages.size());
+            step.b % 2 == 0 ? lose(step.a % m_messages.size()) : delay(step.a % m_messages.size());
         break;
     case Step::Duplicate:
         if (!m_messages.empty())
@@ -491,6 +492,13 @@
                 dispatch::FateLearned{ask->query.id, ask->attempt, {}});
 }
 
+// The sender sees a time-out, but the message still arrives some time.
+inline void DispatchHarness::delay(std::size_t index)
+{
+    duplicate(index);
+    lose(index);
+}
+
 inline void DispatchHarness::duplicate(std::size_t index)
 {
     Message &message = m_messages[index];
