--- a/test/dispatch/tst_dispatcher.cpp
+++ b/test/dispatch/tst_dispatcher.cpp
@@ -1,7 +1,9 @@
-#include "support/dispatchharness.h"
+#include <oleandercross/dispatch/dispatcher.h>
 
 #include <catch2/catch.hpp>
 
+#include <map>
+
 using namespace oleandercross;
 using namespace oleandercross::dispatch;
 using core::ResultCode;
--- a/test/fuzz/fuzz_dispatch.cpp
+++ b/test/fuzz/fuzz_dispatch.cpp
@@ -1,4 +1,4 @@
-#include "support/dispatchharness.h"
+#include "dispatchharness.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
