Let reservations pass over work that only ends by itself

The single reservation was held up for hours by long work that could not be stopped. It now avoids such work until the gang has waited for the ageing time, which rises from 1 to 6 hours.

--- a/include/oleandercross/scheduling/scheduler.h
+++ b/include/oleandercross/scheduling/scheduler.h
@@ -16,7 +16,7 @@
     // Accelerator time at which a job leaves each level of the queue.
     std::vector<absl::Duration> levels = {absl::Minutes(20), absl::Hours(4)};
     // A waiting large gang rises one level each time it has waited this long.
-    absl::Duration ageing = absl::Hours(1);
+    absl::Duration ageing = absl::Hours(6);
     // A large gang that has waited this long may reserve accelerators.
     absl::Duration reserveAfter = absl::Minutes(2);
     // A job is not pre-empted for the order of the queue before it has run this long.
@@ -41,7 +41,7 @@
     // Time between throttling a task that exceeds its memory and its requeue.
     absl::Duration throttleTime = absl::Seconds(30);
     // Most placements tried for waiting jobs in one pass over the queue.
-    int attemptsPerPass = 64;
+    int attemptsPerPass = 128;
 };
 
 // Why a job is not running and what would let it start.
--- a/src/scheduling/decide.cpp
+++ b/src/scheduling/decide.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Most attempts per pass that look for work to stop, the costliest kind.
-constexpr int StopAttemptsPerPass = 4;
+constexpr int StopAttemptsPerPass = 8;
 constexpr int SurplusAttempts = 8;
 constexpr int PassesPerEvent = 3;
 constexpr int PromotionsPerTick = 64;
--- a/src/scheduling/preempt.cpp
+++ b/src/scheduling/preempt.cpp
@@ -328,7 +328,8 @@
     std::optional<Layout> layout = place(cluster, viewWithout(stoppable), job.shape(), avoid);
     if (!layout)
         layout = place(cluster, viewWithout(stoppableLater), job.shape(), avoid);
-    if (!layout)
+    // Work that only ends by itself may hold a reservation up for long.
+    if (!layout && m_now - job.waitingSince > policy.ageing)
         layout = place(cluster, viewWithout(yields), job.shape(), avoid);
     if (!layout)
         return false;
