Keep claims on cells that stay bound when one is withdrawn

Work that cannot be stopped lost all its claims when one of its cells was withdrawn, so that a neighbour's release later left a shape that could not be placed.

--- a/src/scheduling/scheduler_p.h
+++ b/src/scheduling/scheduler_p.h
@@ -156,7 +156,7 @@
                       const core::Resources &resources);
     void retireCells(int worker);
     void retireCell(int cell);
-    void demote(Job &job);
+    void demote(Job &job, int cell);
     void reportShortfall();
     void adopt(Job &job, const RestoredJob &restored);
     Layout layoutOf(const Placement &placement, const core::Resources &perTask,
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -146,25 +146,35 @@
         if (job->reserved)
             dropReservation(*job);
         else
-            demote(*job);
+            demote(*job, cell);
     }
     cluster.unbind(cell);
     m_cellsFreed = true;
     m_shortfallStale = true;
 }
 
-// Takes a running job's guarantee away; work that cannot be stopped becomes surplus work.
-void Scheduler::Private::demote(Job &job)
+// Takes a cell away from a running job. Work that cannot be stopped becomes surplus work there and
+// keeps its claims on other cells, which could not be placed elsewhere while it runs.
+void Scheduler::Private::demote(Job &job, int cell)
 {
-    cluster.release(job.layout);
     m_cellsFreed = true;
     if (job.spec.repeatable || job.state == JobState::Stopping) {
+        cluster.release(job.layout);
         job.hold = Hold::Borrowed;
         return;
     }
-    job.hold = Hold::Surplus;
-    if (!cluster.takeSurplus(job.perTask, job.layout))
-        cluster.forceSurplus(job.perTask, job.layout);
+    for (detail::TaskHold &task : job.layout) {
+        if (task.cell != cell)
+            continue;
+        Layout alone(1, task);
+        cluster.release(alone);
+        if (!cluster.takeSurplus(job.perTask, alone))
+            cluster.forceSurplus(job.perTask, alone);
+        task = alone.front();
+    }
+    const bool claims = std::any_of(job.layout.begin(), job.layout.end(),
+                                    [](const auto &task) { return task.cell >= 0; });
+    job.hold = claims ? Hold::Guaranteed : Hold::Surplus;
     m_shortfallStale = true;
 }
 
@@ -208,8 +218,10 @@
             if (index >= 0 && index < detail::MaxSlots)
                 hold.accelerators |= Slots{1} << index;
         }
-        hold.accelerators &= state.all & ~state.used & ~here;
-        matches = matches && detail::count(hold.accelerators) == perTask.accelerators;
+        // Accelerators that the worker has lost stay held, since it may get them back.
+        hold.accelerators &= ~state.used & ~here;
+        matches = matches && (hold.accelerators & ~state.all) == 0
+            && detail::count(hold.accelerators) == perTask.accelerators;
         here |= hold.accelerators;
         layout.push_back(hold);
     }
