Reduce the network traffic of entries

Cause: entries exchange the loads of all agents that ever sent them a heartbeat, once a second, although heartbeats come less often, so that most were repeated; and the heartbeat period was computed from the size of the JSON parameters, without HTTP headers and JSON-RPC members. Ruled out by counters per connection pool: the platform's services (under 3 KB/s) and the callers' HTTP API.

An exchange now has the loads that were heard since the last accepted exchange with that peer, from agents whose home is this entry; it has all of them again after a refused one. The heartbeat's size includes 500 bytes of overhead.

--- a/include/oleandercross/daemon/clusterview.h
+++ b/include/oleandercross/daemon/clusterview.h
@@ -118,6 +118,8 @@
 
     void exchangeWith(const config::EntryAddress &peer);
     Json::Value news(const config::EntryAddress &peer) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void addLoads(Json::Value &message, const core::EntryId &peer) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void learnNews(const Json::Value &news);
     bool storeFresh() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void heardFrom(const core::EntryId &peer, bool storeFresh)
@@ -140,6 +142,9 @@
     std::map<core::AgentId, std::shared_ptr<const AgentInfo>> m_infos ABSL_GUARDED_BY(m_mutex);
     // Static state of the agents that send their heartbeats here.
     std::map<core::AgentId, Json::Value> m_states ABSL_GUARDED_BY(m_mutex);
+    // When the loads of an agent were last heard from itself, and up to when each peer has them.
+    std::map<core::AgentId, core::Instant> m_loadsHeard ABSL_GUARDED_BY(m_mutex);
+    std::map<core::EntryId, core::Instant> m_loadsTold ABSL_GUARDED_BY(m_mutex);
     std::map<core::DataCentreId, LeaderInfo> m_leaders ABSL_GUARDED_BY(m_mutex);
     std::map<core::DataCentreId, absl::Duration> m_roundTrips ABSL_GUARDED_BY(m_mutex);
     std::map<core::EntryId, std::int64_t> m_entryRevisions ABSL_GUARDED_BY(m_mutex);
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -19,6 +19,8 @@
 constexpr int Threads = 8;
 constexpr absl::Duration TickPeriod = absl::Milliseconds(250);
 constexpr absl::Duration ExchangeTimeout = absl::Milliseconds(900);
+// HTTP headers and JSON-RPC members of a heartbeat and its reply.
+constexpr int HeartbeatOverheadBytes = 500;
 // Age of a read of the store, or of a message, up to which it counts as recent.
 constexpr absl::Duration RecentLimit = absl::Seconds(3);
 // A peer's round trip is smoothed over about this many exchanges.
@@ -261,7 +263,8 @@
             return reply;
         }
         record.state = core::writeJson(known->second);
-        const int bytes = static_cast<int>(core::writeJson(params).size()) * 2;
+        const int bytes =
+            static_cast<int>(core::writeJson(params).size()) * 2 + HeartbeatOverheadBytes;
         if (m_directory.heartbeat(record, bytes, m_clock.now())
             == membership::HeartbeatVerdict::Stale) {
             Json::Value reply;
@@ -271,6 +274,10 @@
     }
     m_metrics.add("heartbeats_received");
     update(record, loads);
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_loadsHeard[record.agent] = m_clock.now();
+    }
     return heartbeatReply(params, false);
 }
 
@@ -316,21 +323,33 @@
     const auto leader = m_leaders.find(m_settings.dataCentre);
     if (leader != m_leaders.end())
         message["leader"] = encode(leader->second);
-    if (peer.dataCentre == m_settings.dataCentre) {
-        for (const auto &[id, state] : m_states) {
-            const auto info = m_infos.find(id);
-            if (info != m_infos.end())
-                message["loads"][id.str()] = encodeLoads(*info->second);
-        }
-    }
+    if (peer.dataCentre == m_settings.dataCentre)
+        addLoads(message, peer.id);
     return message;
 }
 
+// Loads of own agents that the peer does not have yet. An agent that moved to another entry is
+// reported by that one.
+void ClusterView::addLoads(Json::Value &message, const core::EntryId &peer) const
+{
+    const auto told = m_loadsTold.find(peer);
+    for (const auto &[id, heardAt] : m_loadsHeard) {
+        if (told != m_loadsTold.end() && heardAt < told->second)
+            continue;
+        const auto info = m_infos.find(id);
+        const auto view = m_directory.agent(id);
+        if (info != m_infos.end() && view && view->home.str() == m_settings.id)
+            message["loads"][id.str()] = encodeLoads(*info->second);
+    }
+}
+
 void ClusterView::exchangeWith(const config::EntryAddress &peer)
 {
     Json::Value message;
+    core::Instant gatheredAt;
     {
         absl::MutexLock lock(&m_mutex);
+        gatheredAt = m_clock.now();
         message = news(peer);
     }
     const core::Instant sentAt = m_clock.now();
@@ -341,10 +360,13 @@
     }
     const absl::Duration roundTrip = m_clock.now() - sentAt;
     absl::MutexLock lock(&m_mutex);
-    if (boolMember(*reply, "accepted"))
+    if (boolMember(*reply, "accepted")) {
         m_directory.acknowledged(peer.id, intMember(message["summary"], "version"));
-    else
+        m_loadsTold[peer.id] = gatheredAt;
+    } else {
         m_directory.forgetAcknowledged(peer.id);
+        m_loadsTold.erase(peer.id);
+    }
     m_entryRevisions[peer.id] = intMember(*reply, "revision");
     heardFrom(peer.id, boolMember(*reply, "storeFresh"));
     absl::Duration &smoothed = m_roundTrips.emplace(peer.dataCentre, roundTrip).first->second;
@@ -472,6 +494,7 @@
             if (agentLost && info != m_infos.end()) {
                 lost.push_back(info->second);
                 m_states.erase(info->first);
+                m_loadsHeard.erase(info->first);
                 m_infos.erase(info);
             }
         }
