Bound dispatch calls by the deadline and separate the calls to peers

Cause: an answer could be delivered after the caller's deadline; peers that hang could delay an agent's lease renewals; an entry called itself ready before it knew a target; exchanges with far entries had a fixed period. Change: time-outs follow the request's time left, a request that still runs is reported as such, watch calls have threads of their own, readiness waits for a target, exchange periods come from the directory.

--- a/include/oleandercross/daemon/taskrunner.h
+++ b/include/oleandercross/daemon/taskrunner.h
@@ -69,6 +69,7 @@
     core::ResultCode m_gate ABSL_GUARDED_BY(m_mutex) = core::ResultCode::Ok;
     // What the leader was last told of each task.
     std::map<std::string, platform::TaskStatus> m_reported ABSL_GUARDED_BY(m_mutex);
+    core::Executor m_peerExecutor;
     core::Executor m_executor;
 };
 
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -230,8 +230,13 @@
     m_executor.every(TickPeriod, [this] { tick(); });
     m_executor.every(FarAnnouncePeriod, [this] { announceFar(); });
     for (const config::EntryAddress &peer : m_settings.entries) {
-        if (peer.id.str() != m_settings.id)
-            m_executor.every(membership::ExchangePeriod, [this, peer] { exchangeWith(peer); });
+        if (peer.id.str() != m_settings.id) {
+            m_executor.repeat([this, peer] {
+                exchangeWith(peer);
+                absl::MutexLock lock(&m_mutex);
+                return m_directory.exchangePeriod(peer.dataCentre);
+            });
+        }
     }
 }
 
@@ -367,7 +372,9 @@
         return;
     }
     const absl::Duration roundTrip = m_clock.now() - sentAt;
+    const std::size_t bytes = core::writeJson(message).size() + core::writeJson(*reply).size();
     absl::MutexLock lock(&m_mutex);
+    m_directory.exchanged(static_cast<int>(bytes));
     if (boolMember(*reply, "accepted")) {
         m_directory.acknowledged(peer.id, intMember(message["summary"], "version"));
         m_loadsTold[peer.id] = gatheredAt;
--- a/src/daemon/entryapi.cpp
+++ b/src/daemon/entryapi.cpp
@@ -112,7 +112,8 @@
         return http::Response{200, "{\"status\":\"running\"}\n"};
     });
     server.route("GET", "/readyz", [this](const http::Request &) {
-        const bool ready = m_ready && m_manifests.current();
+        // An entry that has just started knows no targets until it has heard of the agents.
+        const bool ready = m_ready && m_manifests.current() && m_requests.status().targets > 0;
         return ready ? http::Response{200, "{\"status\":\"ready\"}\n"}
                      : http::Response{503, "{\"status\":\"not ready\"}\n"};
     });
--- a/src/daemon/requestgateway.cpp
+++ b/src/daemon/requestgateway.cpp
@@ -18,6 +18,8 @@
 constexpr absl::Duration CallerCheckPeriod = absl::Milliseconds(100);
 // Agents answer within 1 s, so a call that takes longer is on a silent connection.
 constexpr absl::Duration CallTimeout = absl::Milliseconds(1800);
+// An answer that comes just in time still has to travel.
+constexpr absl::Duration AnswerMargin = absl::Milliseconds(100);
 constexpr absl::Duration FateHold = absl::Milliseconds(900);
 constexpr absl::Duration CancelTimeout = absl::Seconds(1);
 // Demands are repeated every 50 ms while requests wait.
@@ -260,13 +262,14 @@
     params["body"] = request.body;
     params["traceparent"] = telemetry::Tracer::traceparent(*span);
     m_metrics.add("dispatches_sent");
-    const auto answer = m_client.call(agent->rpc, "dispatch", std::move(params), CallTimeout);
+    const absl::Duration timeout = std::min(CallTimeout, message.timeLeft + AnswerMargin);
+    const auto answer = m_client.call(agent->rpc, "dispatch", std::move(params), timeout);
     if (!answer) {
         const core::ResultCode code = core::lastReason().code;
         m_metrics.add("dispatches_failed");
         if (code == core::ResultCode::ConnectionFailed || core::provablyNotRun(code))
             return dispatch::DispatchRefused{message.id, message.attempt, code, std::nullopt};
-        return dispatch::DispatchUnknown{message.id, message.attempt};
+        return dispatch::DispatchUnknown{message.id, message.attempt, false};
     }
     DispatchReply reply = decodeDispatchReply(*answer);
     const dispatch::FateQuery query{message.id, message.target, message.agentUptime};
@@ -281,7 +284,8 @@
         return dispatch::DispatchRefused{message.id, message.attempt, reply.report.code,
                                          reply.load};
     default:
-        return dispatch::DispatchUnknown{message.id, message.attempt};
+        return dispatch::DispatchUnknown{message.id, message.attempt,
+                                         reply.report.fate == dispatch::Fate::Running};
     }
 }
 
@@ -310,6 +314,7 @@
         return;
     Json::Value params;
     params["id"] = action.id.str();
+    params["agentUptimeUs"] = encodeDuration(action.agentUptime);
     m_client.call(agent->rpc, "cancelRequest", std::move(params), CancelTimeout);
 }
 
--- a/src/daemon/requestrunner.cpp
+++ b/src/daemon/requestrunner.cpp
@@ -113,7 +113,7 @@
     core::MinionId minion;
     {
         absl::MutexLock lock(&m_mutex);
-        minion = m_table.cancel(id, m_clock.now());
+        minion = m_table.cancel(id, m_clock.now(), decodeDuration(params, "agentUptimeUs"));
     }
     const auto client = m_clients.find(minion);
     if (client != m_clients.end())
--- a/src/daemon/taskrunner.cpp
+++ b/src/daemon/taskrunner.cpp
@@ -8,7 +8,9 @@
 
 namespace {
 
-constexpr int Threads = 6;
+// Peers that hang must not delay ticks and lease renewals, so they have threads of their own.
+constexpr int PeerThreads = 6;
+constexpr int WorkerThreads = 4;
 constexpr absl::Duration TickPeriod = absl::Milliseconds(200);
 constexpr absl::Duration EventTimeout = absl::Seconds(2);
 
@@ -53,7 +55,8 @@
     , m_client(client)
     , m_metrics(metrics)
     , m_ledger(ledgerSettings(settings, incarnation))
-    , m_executor(Threads)
+    , m_peerExecutor(PeerThreads)
+    , m_executor(WorkerThreads)
 { }
 
 TaskRunner::~TaskRunner()
@@ -98,6 +101,7 @@
 void TaskRunner::stop()
 {
     m_executor.stop();
+    m_peerExecutor.stop();
 }
 
 std::optional<Json::Value> TaskRunner::handle(const gang::LedgerEvent &event)
@@ -131,7 +135,7 @@
     for (gang::LedgerAction &action : actions) {
         if (std::holds_alternative<gang::PollPeer>(action)
             || std::holds_alternative<gang::SendTaskEvent>(action))
-            m_executor.post([this, action = std::move(action)] { runAction(action); });
+            m_peerExecutor.post([this, action = std::move(action)] { runAction(action); });
         else
             workerCalls.push_back(std::move(action));
     }
