Check the state charts at program start

Cause: an invalid chart was found only when it was first used. Change: the daemon refuses to start with ChartInvalid.

--- a/src/daemon/main_daemon.cpp
+++ b/src/daemon/main_daemon.cpp
@@ -1,6 +1,7 @@
 #include <oleandercross/config/settings.h>
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/daemon/process.h>
+#include <oleandercross/statechart/statechart.h>
 #include <oleandercross/telemetry/log.h>
 
 #include <CLI/CLI.hpp>
@@ -32,6 +33,8 @@
     const auto settings = config::loadSettings(settingsFile, role);
     if (!settings)
         return report(core::lastReason());
+    if (!statechart::StateChart::checkAll())
+        return report(core::lastReason());
     telemetry::initLog(settings->id);
     const auto process =
         role == config::Role::Entry ? daemon::makeEntry(*settings) : daemon::makeAgent(*settings);
