--- a/src/daemon/agentdaemon.cpp
+++ b/src/daemon/agentdaemon.cpp
@@ -1,3 +1,5 @@
+#include "options.h"
+
 #include <oleandercross/daemon/clusterview.h>
 #include <oleandercross/daemon/heartbeater.h>
 #include <oleandercross/daemon/process.h>
@@ -17,24 +19,6 @@
 // Entries see the drain with the next heartbeat; new work stops within 2 s.
 constexpr absl::Duration AnnounceDrain = absl::Milliseconds(1500);
 
-http::ServerOptions rpcOptions(const config::Settings &settings)
-{
-    http::ServerOptions options;
-    options.listen = settings.rpcListen;
-    options.maxConnections = settings.maxConnections;
-    // A message wraps a caller's body.
-    options.maxBodyBytes = settings.maxBodyBytes * 2;
-    options.tls = settings.tls;
-    return options;
-}
-
-http::ClientOptions clientOptions(const config::Settings &settings)
-{
-    http::ClientOptions options;
-    options.tls = settings.tls;
-    return options;
-}
-
 RequestRunner::MinionClients minionClients(const config::Settings &settings, http::ClientPool &pool)
 {
     RequestRunner::MinionClients clients;
@@ -58,8 +42,8 @@
         : m_incarnation(core::wallClockMicros())
         , m_platformPool(http::ClientOptions{})
         , m_tracer(makeTracer(settings, m_platformPool))
-        , m_client(clientOptions(settings), settings.sharedKey)
-        , m_server(rpcOptions(settings), settings.sharedKey)
+        , m_client(rpcClientOptions(settings), settings.sharedKey)
+        , m_server(rpcServerOptions(settings), settings.sharedKey)
         , m_requests(settings, m_incarnation, minionClients(settings, m_platformPool), m_client,
                      m_metrics, *m_tracer)
         , m_tasks(settings, m_incarnation, workerControl(settings, m_platformPool), m_client,
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -1,8 +1,9 @@
 #include <oleandercross/daemon/clusterview.h>
 
+#include "clustermessages.h"
+
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
-#include <oleandercross/daemon/gangmessages.h>
 #include <oleandercross/telemetry/log.h>
 
 #include <algorithm>
@@ -34,168 +35,8 @@
             incarnation, 0};
 }
 
-Json::Value encode(const membership::AgentRecord &record)
-{
-    Json::Value out;
-    out["agent"] = record.agent.str();
-    out["dataCentre"] = record.dataCentre.str();
-    out["address"] = record.address;
-    out["incarnation"] = static_cast<Json::Int64>(record.incarnation);
-    out["sequence"] = static_cast<Json::Int64>(record.sequence);
-    out["state"] = record.state;
-    return out;
-}
-
-membership::AgentRecord decodeAgentRecord(const Json::Value &value)
-{
-    return {core::AgentId(stringMember(value, "agent")),
-            core::DataCentreId(stringMember(value, "dataCentre")),
-            stringMember(value, "address"),
-            intMember(value, "incarnation"),
-            intMember(value, "sequence"),
-            stringMember(value, "state")};
-}
-
-Json::Value encode(const membership::EntryRecord &record)
-{
-    Json::Value out;
-    out["entry"] = record.entry.str();
-    out["dataCentre"] = record.dataCentre.str();
-    out["address"] = record.address;
-    out["incarnation"] = static_cast<Json::Int64>(record.incarnation);
-    out["sequence"] = static_cast<Json::Int64>(record.sequence);
-    return out;
-}
-
-membership::EntryRecord decodeEntryRecord(const Json::Value &value)
-{
-    return {core::EntryId(stringMember(value, "entry")),
-            core::DataCentreId(stringMember(value, "dataCentre")), stringMember(value, "address"),
-            intMember(value, "incarnation"), intMember(value, "sequence")};
-}
-
-Json::Value encode(const membership::Summary &summary)
-{
-    Json::Value out;
-    out["sender"] = encode(summary.sender);
-    out["since"] = static_cast<Json::Int64>(summary.since);
-    out["version"] = static_cast<Json::Int64>(summary.version);
-    out["changed"] = Json::Value(Json::arrayValue);
-    for (const membership::AgentRecord &record : summary.changed)
-        out["changed"].append(encode(record));
-    out["removed"] = Json::Value(Json::arrayValue);
-    for (const core::AgentId &agent : summary.removed)
-        out["removed"].append(agent.str());
-    return out;
-}
-
-membership::Summary decodeSummary(const Json::Value &value)
-{
-    membership::Summary summary;
-    summary.sender = decodeEntryRecord(member(value, "sender"));
-    summary.since = intMember(value, "since");
-    summary.version = intMember(value, "version");
-    for (const Json::Value &record : member(value, "changed"))
-        summary.changed.push_back(decodeAgentRecord(record));
-    for (const Json::Value &agent : member(value, "removed"))
-        summary.removed.emplace_back(agent.asString());
-    return summary;
-}
-
-Json::Value encode(const LeaderInfo &leader)
-{
-    Json::Value out;
-    out["dataCentre"] = leader.dataCentre.str();
-    out["entry"] = leader.entry.str();
-    out["address"] = http::toString(leader.rpc);
-    out["epoch"] = static_cast<Json::Int64>(leader.epoch);
-    return out;
-}
-
-std::optional<WorkerState> decodeWorker(const Json::Value &value)
-{
-    if (!value.isObject())
-        return std::nullopt;
-    return WorkerState{core::WorkerId(stringMember(value, "id")),
-                       core::RackId(stringMember(value, "rack")), decodeResources(value)};
-}
-
-MinionState decodeMinion(const Json::Value &value, const Json::Value &loads)
-{
-    MinionState minion;
-    minion.minion = core::MinionId(stringMember(value, "id"));
-    minion.service = core::ServiceId(stringMember(value, "service"));
-    minion.slots = static_cast<int>(intMember(value, "slots"));
-    minion.shortSlots = static_cast<int>(intMember(value, "shortSlots"));
-    minion.draining = boolMember(value, "draining");
-    const Json::Value &load = member(loads, minion.minion.str().c_str());
-    if (load.isObject()) {
-        minion.load = decodeTargetLoad(load);
-        minion.servingFor = decodeDuration(load, "servingForUs");
-    } else {
-        // Without a report the minion counts as free; replies to dispatches correct it.
-        minion.load = {minion.slots, minion.shortSlots, absl::ZeroDuration()};
-        minion.servingFor = absl::InfiniteDuration();
-    }
-    return minion;
-}
-
 } // namespace
 
-Json::Value encodeStatic(const AgentInfo &info)
-{
-    Json::Value out;
-    if (info.worker) {
-        out["worker"] = encode(info.worker->resources);
-        out["worker"]["id"] = info.worker->id.str();
-        out["worker"]["rack"] = info.worker->rack.str();
-    }
-    out["minions"] = Json::Value(Json::arrayValue);
-    for (const MinionState &minion : info.minions) {
-        Json::Value value;
-        value["id"] = minion.minion.str();
-        value["service"] = minion.service.str();
-        value["slots"] = minion.slots;
-        value["shortSlots"] = minion.shortSlots;
-        value["draining"] = minion.draining;
-        out["minions"].append(value);
-    }
-    out["draining"] = info.draining;
-    out["revision"] = static_cast<Json::Int64>(info.revision);
-    return out;
-}
-
-Json::Value encodeLoads(const AgentInfo &info)
-{
-    Json::Value out(Json::objectValue);
-    for (const MinionState &minion : info.minions) {
-        Json::Value load = encode(minion.load);
-        load["servingForUs"] = encodeDuration(minion.servingFor);
-        out[minion.minion.str()] = load;
-    }
-    out["uptimeUs"] = encodeDuration(info.uptime);
-    return out;
-}
-
-AgentInfo decodeAgentInfo(const membership::AgentRecord &record, const Json::Value &loads)
-{
-    AgentInfo info;
-    info.id = record.agent;
-    info.dataCentre = record.dataCentre;
-    info.rpc = http::parseEndpoint(record.address).value_or(http::Endpoint{});
-    info.incarnation = record.incarnation;
-    const std::optional<Json::Value> state = core::parseJson(record.state);
-    if (!state)
-        return info;
-    info.worker = decodeWorker(member(*state, "worker"));
-    for (const Json::Value &minion : member(*state, "minions"))
-        info.minions.push_back(decodeMinion(minion, loads));
-    info.draining = boolMember(*state, "draining");
-    info.revision = intMember(*state, "revision");
-    info.uptime = decodeDuration(loads, "uptimeUs");
-    return info;
-}
-
 ClusterView::ClusterView(const config::Settings &settings, std::int64_t incarnation,
                          rpc::Client &client, ManifestService &manifests,
                          telemetry::Metrics &metrics)
@@ -478,11 +319,7 @@
 {
     if (!encoded.isObject())
         return;
-    LeaderInfo leader;
-    leader.dataCentre = core::DataCentreId(stringMember(encoded, "dataCentre"));
-    leader.entry = core::EntryId(stringMember(encoded, "entry"));
-    leader.rpc = http::parseEndpoint(stringMember(encoded, "address")).value_or(http::Endpoint{});
-    leader.epoch = intMember(encoded, "epoch");
+    const LeaderInfo leader = decodeLeader(encoded);
     LeaderInfo &known = m_leaders[leader.dataCentre];
     if (leader.epoch > known.epoch)
         known = leader;
--- a/src/daemon/entrydaemon.cpp
+++ b/src/daemon/entrydaemon.cpp
@@ -1,3 +1,5 @@
+#include "options.h"
+
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/daemon/entryapi.h>
 #include <oleandercross/daemon/process.h>
@@ -30,23 +32,6 @@
     return options;
 }
 
-http::ServerOptions rpcOptions(const config::Settings &settings)
-{
-    http::ServerOptions options;
-    options.listen = settings.rpcListen;
-    options.maxConnections = settings.maxConnections;
-    options.maxBodyBytes = settings.maxBodyBytes * 2;
-    options.tls = settings.tls;
-    return options;
-}
-
-http::ClientOptions clientOptions(const config::Settings &settings)
-{
-    http::ClientOptions options;
-    options.tls = settings.tls;
-    return options;
-}
-
 platform::StoreWriterOptions writerOptions(const config::Settings &settings,
                                            std::int64_t incarnation)
 {
@@ -65,8 +50,8 @@
         , m_tracer(makeTracer(settings, m_platformPool))
         , m_tables(m_platformPool, settings.platform.tables)
         , m_store(m_tables, m_clock, writerOptions(settings, m_incarnation))
-        , m_client(clientOptions(settings), settings.sharedKey)
-        , m_rpcServer(rpcOptions(settings), settings.sharedKey)
+        , m_client(rpcClientOptions(settings), settings.sharedKey)
+        , m_rpcServer(rpcServerOptions(settings), settings.sharedKey)
         , m_server(listenOptions(settings))
         , m_manifests(m_store)
         , m_cluster(settings, m_incarnation, m_client, m_manifests, m_metrics)
