Carry request and answer bodies byte for byte

Cause: bodies travelled as JSON strings, which cannot hold bytes that are not UTF-8; such an answer was altered, found to have the wrong length and reported as unknown. Change: bodies that are not plain ASCII travel in Base64; the size limit between processes leaves room for escapes.

--- a/include/oleandercross/daemon/messages.h
+++ b/include/oleandercross/daemon/messages.h
@@ -47,6 +47,11 @@
 Json::Value encode(const DispatchReply &value);
 DispatchReply decodeDispatchReply(const Json::Value &value);
 
+// Bytes in messages: text that is plain ASCII as it is, other bytes in Base64, since JSON strings
+// hold Unicode only.
+void putBytes(Json::Value &object, const std::string &key, const std::string &bytes);
+std::string takeBytes(const Json::Value &object, const std::string &key);
+
 // Durations in messages.
 Json::Value encodeDuration(absl::Duration value);
 absl::Duration decodeDuration(const Json::Value &object, const char *key);
--- a/src/daemon/messages.cpp
+++ b/src/daemon/messages.cpp
@@ -2,6 +2,10 @@
 
 #include <oleandercross/core/json.h>
 
+#include <absl/strings/escaping.h>
+
+#include <algorithm>
+
 namespace oleandercross::daemon {
 
 namespace {
@@ -12,6 +16,12 @@
 using core::stringMember;
 
 constexpr std::int64_t InfiniteUs = -1;
+constexpr char Base64Suffix[] = "Base64";
+
+bool isPlain(char c)
+{
+    return (c >= ' ' && c <= '~') || c == '\n' || c == '\r' || c == '\t';
+}
 
 int intOf(const Json::Value &object, const char *key)
 {
@@ -22,7 +32,7 @@
 {
     Json::Value out;
     out["succeeded"] = value.succeeded;
-    out["body"] = value.body;
+    putBytes(out, "body", value.body);
     out["length"] = static_cast<Json::UInt64>(value.body.size());
     return out;
 }
@@ -30,11 +40,30 @@
 bool isWhole(const Json::Value &answer)
 {
     return intMember(answer, "length", -1)
-        == static_cast<std::int64_t>(stringMember(answer, "body").size());
+        == static_cast<std::int64_t>(takeBytes(answer, "body").size());
 }
 
 } // namespace
 
+void putBytes(Json::Value &object, const std::string &key, const std::string &bytes)
+{
+    if (std::all_of(bytes.begin(), bytes.end(), isPlain))
+        object[key] = bytes;
+    else
+        object[key + Base64Suffix] = absl::Base64Escape(bytes);
+}
+
+std::string takeBytes(const Json::Value &object, const std::string &key)
+{
+    std::string bytes;
+    const Json::Value &encoded = member(object, (key + Base64Suffix).c_str());
+    if (!encoded.isString())
+        return stringMember(object, key.c_str());
+    // Bytes that cannot be decoded fail the check of the length.
+    absl::Base64Unescape(encoded.asString(), &bytes);
+    return bytes;
+}
+
 Json::Value encodeDuration(absl::Duration value)
 {
     if (value == absl::InfiniteDuration())
@@ -155,7 +184,7 @@
         report.fate = dispatch::Fate::Unknown;
         return report;
     }
-    report.answer = {boolMember(answer, "succeeded"), stringMember(answer, "body")};
+    report.answer = {boolMember(answer, "succeeded"), takeBytes(answer, "body")};
     return report;
 }
 
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -2,13 +2,19 @@
 
 namespace oleandercross::daemon {
 
+namespace {
+
+constexpr std::size_t EnvelopeBytes = 64 << 10;
+
+} // namespace
+
 http::ServerOptions rpcServerOptions(const config::Settings &settings)
 {
     http::ServerOptions options;
     options.listen = settings.rpcListen;
     options.maxConnections = settings.maxConnections;
-    // A message wraps a caller's body, which JSON can make longer.
-    options.maxBodyBytes = settings.maxBodyBytes * 2;
+    // A message wraps a caller's body, which escapes in JSON can double.
+    options.maxBodyBytes = settings.maxBodyBytes * 2 + EnvelopeBytes;
     options.tls = settings.tls;
     return options;
 }
--- a/src/daemon/requestgateway.cpp
+++ b/src/daemon/requestgateway.cpp
@@ -259,7 +259,7 @@
     const auto span = m_tracer.start("dispatch", request.traceparent);
     span->SetTag("agent", message.target.agent.str());
     Json::Value params = encode(message);
-    params["body"] = request.body;
+    putBytes(params, "body", request.body);
     params["traceparent"] = telemetry::Tracer::traceparent(*span);
     m_metrics.add("dispatches_sent");
     const absl::Duration timeout = std::min(CallTimeout, message.timeLeft + AnswerMargin);
--- a/src/daemon/requestrunner.cpp
+++ b/src/daemon/requestrunner.cpp
@@ -90,7 +90,7 @@
         m_metrics.add("requests_started");
         m_executing[message.id] = message.target.minion;
         m_executor.post(
-            [this, message, body = core::stringMember(params, "body"),
+            [this, message, body = takeBytes(params, "body"),
              parent = telemetry::Tracer::traceparent(*span)] { execute(message, body, parent); });
         break;
     }
