--- a/src/scheduling/preempt.cpp
+++ b/src/scheduling/preempt.cpp
@@ -314,6 +314,9 @@
 // behind it in the queue cannot delay it.
 bool Scheduler::Private::tryReservation(Job &job)
 {
+    // Other jobs of the team may have taken its quota since the job was tried.
+    if (!permitted(job))
+        return false;
     const auto yields = [&](const Job &gang) {
         return gang.hold == Hold::Borrowed
             || (gang.hold == Hold::Guaranteed && gang.spec.repeatable
--- a/src/scheduling/scheduler_p.h
+++ b/src/scheduling/scheduler_p.h
@@ -154,6 +154,7 @@
     // Workers and cells.
     void updateWorker(const core::WorkerId &id, const core::RackId &rack,
                       const core::Resources &resources);
+    void rebaseSurplus(int worker);
     void retireCells(int worker);
     void retireCell(int cell);
     void demote(Job &job, int cell);
--- a/src/scheduling/workers.cpp
+++ b/src/scheduling/workers.cpp
@@ -24,6 +24,7 @@
     if (same)
         return;
     m_fits.clear();
+    rebaseSurplus(index);
     // Work that the smaller worker cannot hold any more is lost.
     const std::vector<Job *> reservations = worker(index).reservations;
     for (Job *job : reservations)
@@ -40,6 +41,22 @@
     }
 }
 
+// The share of a worker that its surplus work occupies depends on the worker's size.
+void Scheduler::Private::rebaseSurplus(int index)
+{
+    for (Job *job : worker(index).gangs) {
+        for (detail::TaskHold &task : job->layout) {
+            if (task.worker != index || task.cell >= 0 || job->spec.repeatable
+                || job->state == JobState::Stopping)
+                continue;
+            Layout alone(1, task);
+            cluster.release(alone);
+            cluster.forceSurplus(job->perTask, alone);
+            task = alone.front();
+        }
+    }
+}
+
 void Scheduler::Private::handle(const WorkerJoined &event)
 {
     updateWorker(event.worker, event.rack, event.resources);
