--- a/support/standin/main.cpp
+++ b/support/standin/main.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr int MaxPort = 65535;
+
 struct Options
 {
     std::string address = "127.0.0.1";
@@ -35,7 +37,8 @@
     const auto colon = text.rfind(':');
     Named named;
     if (colon == std::string::npos || colon == 0
-        || !absl::SimpleAtoi(text.substr(colon + 1), &named.port))
+        || !absl::SimpleAtoi(text.substr(colon + 1), &named.port) || named.port < 0
+        || named.port > MaxPort)
         return std::nullopt;
     named.id = text.substr(0, colon);
     return named;
@@ -54,14 +57,14 @@
         if (m_options.tables >= 0 && !serve("tables", m_options.tables, m_tables))
             return false;
         for (const std::string &text : m_options.workers) {
-            const auto named = parseNamed(text);
+            const auto named = parsed(text);
             m_workers.emplace_back(absl::Milliseconds(m_options.usageLagMs));
             if (!named || !serve("worker " + named->id, named->port, m_workers.back()))
                 return false;
             m_workers.back().setFaults(&m_servers.back().faults());
         }
         for (const std::string &text : m_options.minions) {
-            const auto named = parseNamed(text);
+            const auto named = parsed(text);
             m_minions.emplace_back(m_options.slots);
             if (!named || !serve("minion " + named->id, named->port, m_minions.back()))
                 return false;
@@ -70,6 +73,14 @@
     }
 
 private:
+    static std::optional<Named> parsed(const std::string &text)
+    {
+        const auto named = parseNamed(text);
+        if (!named)
+            std::cerr << "'" << text << "' is not ID:PORT\n";
+        return named;
+    }
+
     template <typename Role>
     bool serve(const std::string &name, int port, Role &role)
     {
@@ -98,7 +109,8 @@
     CLI::App app("Stand-in for the platform, for tests and demonstrations only");
     app.add_option("--address", options.address, "address to listen on");
     app.add_option("--tables", options.tables,
-                   "port of the table service, object store and trace collector; 0 picks one");
+                   "port of the table service, object store and trace collector; 0 picks one")
+        ->check(CLI::Range(0, MaxPort));
     app.add_option("--worker", options.workers, "ID:PORT of a worker")
         ->expected(1)
         ->multi_option_policy(CLI::MultiOptionPolicy::TakeAll);
