--- a/bench/jobs.cpp
+++ b/bench/jobs.cpp
@@ -81,6 +81,7 @@
     std::mt19937_64 random(seed);
     const std::vector<Kind> kinds = kindsOf(mix);
     std::vector<double> weights;
+    weights.reserve(kinds.size());
     for (const Kind &kind : kinds)
         weights.push_back(kind.weight);
     std::discrete_distribution<std::size_t> kindOf(weights.begin(), weights.end());
