Send loads between entries only when they change; restore finished tasks

Change: unchanged loads are repeated every 4 s, as plain arrays; a restored job gets the finished tasks of the agents' reports, and tasks of a gang with an unknown member are not mapped.

--- a/include/oleandercross/daemon/clusterview.h
+++ b/include/oleandercross/daemon/clusterview.h
@@ -143,7 +143,8 @@
     std::map<core::AgentId, std::shared_ptr<const AgentInfo>> m_infos ABSL_GUARDED_BY(m_mutex);
     // Static state of the agents that send their heartbeats here.
     std::map<core::AgentId, Json::Value> m_states ABSL_GUARDED_BY(m_mutex);
-    // When the loads of an agent were last heard from itself, and up to when each peer has them.
+    // When the loads of an agent last changed or were refreshed by itself, and up to when each peer
+    // has them.
     std::map<core::AgentId, core::Instant> m_loadsHeard ABSL_GUARDED_BY(m_mutex);
     std::map<core::EntryId, core::Instant> m_loadsTold ABSL_GUARDED_BY(m_mutex);
     std::map<core::DataCentreId, LeaderInfo> m_leaders ABSL_GUARDED_BY(m_mutex);
--- a/include/oleandercross/daemon/term.h
+++ b/include/oleandercross/daemon/term.h
@@ -88,6 +88,8 @@
         bool stopRequested = false;
         // Members of the latest attempt with the indices of their tasks, in member order.
         std::vector<std::pair<gang::Peer, std::vector<int>>> members;
+        // False if a member's agent is not known; then tasks cannot be told apart by their ids.
+        bool membersComplete = false;
         std::set<int> finishedTasks;
         // Tasks whose checkpoint is awaited, with the checkpoint before.
         std::map<int, std::string> awaitedCheckpoints;
@@ -102,6 +104,7 @@
     bool loadRows();
     void finishRestore();
     scheduling::RestoredJob restoredJob(const ActiveJob &job) const;
+    void restoreFinishedTasks(ActiveJob &job) const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
     void collectReports();
     void tick();
     void scanRows();
--- a/src/daemon/clustermessages.cpp
+++ b/src/daemon/clustermessages.cpp
@@ -12,6 +12,9 @@
 using core::member;
 using core::stringMember;
 
+// Free slots, free short slots, expected work and time of service, both in microseconds.
+constexpr unsigned LoadMembers = 4;
+
 Json::Value encode(const membership::EntryRecord &record)
 {
     Json::Value out;
@@ -47,9 +50,9 @@
     minion.shortSlots = static_cast<int>(intMember(value, "shortSlots"));
     minion.draining = boolMember(value, "draining");
     const Json::Value &load = member(loads, minion.minion.str().c_str());
-    if (load.isObject()) {
-        minion.load = decodeTargetLoad(load);
-        minion.servingFor = decodeDuration(load, "servingForUs");
+    if (load.isArray() && load.size() == LoadMembers) {
+        minion.load = {load[0].asInt(), load[1].asInt(), absl::Microseconds(load[2].asInt64())};
+        minion.servingFor = absl::Microseconds(load[3].asInt64());
     } else {
         // Without a report the minion counts as free; replies to dispatches correct it.
         minion.load = {minion.slots, minion.shortSlots, absl::ZeroDuration()};
@@ -157,8 +160,12 @@
 {
     Json::Value out(Json::objectValue);
     for (const MinionState &minion : info.minions) {
-        Json::Value load = encode(minion.load);
-        load["servingForUs"] = encodeDuration(minion.servingFor);
+        // Without names: loads are most of the bytes between entries.
+        Json::Value load(Json::arrayValue);
+        load.append(minion.load.freeSlots);
+        load.append(minion.load.freeShortSlots);
+        load.append(static_cast<Json::Int64>(absl::ToInt64Microseconds(minion.load.expectedWork)));
+        load.append(static_cast<Json::Int64>(absl::ToInt64Microseconds(minion.servingFor)));
         out[minion.minion.str()] = load;
     }
     out["uptimeUs"] = encodeDuration(info.uptime);
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -24,11 +24,22 @@
 constexpr absl::Duration ExchangeTimeout = absl::Milliseconds(900);
 // HTTP headers and JSON-RPC members of a heartbeat and its reply.
 constexpr int HeartbeatOverheadBytes = 500;
+// Unchanged loads are passed on this often, well within the 10 s after which routers forget
+// targets.
+constexpr absl::Duration LoadRefresh = absl::Seconds(4);
 // Age of a read of the store, or of a message, up to which it counts as recent.
 constexpr absl::Duration RecentLimit = absl::Seconds(3);
 // A peer's round trip is smoothed over about this many exchanges.
 constexpr double RoundTripWeight = 0.125;
 
+bool sameLoads(const AgentInfo &a, const AgentInfo &b)
+{
+    return std::equal(a.minions.begin(), a.minions.end(), b.minions.begin(), b.minions.end(),
+                      [](const MinionState &x, const MinionState &y) {
+                          return x.minion == y.minion && x.load == y.load;
+                      });
+}
+
 membership::EntryRecord selfRecord(const config::Settings &settings, std::int64_t incarnation)
 {
     return {core::EntryId(settings.id), settings.dataCentre, http::toString(settings.rpcListen),
@@ -122,10 +133,16 @@
         }
     }
     m_metrics.add("heartbeats_received");
+    const std::shared_ptr<const AgentInfo> before = agent(record.agent);
     update(record, loads);
-    {
+    const std::shared_ptr<const AgentInfo> after = agent(record.agent);
+    if (after) {
         absl::MutexLock lock(&m_mutex);
-        m_loadsHeard[record.agent] = m_clock.now();
+        const core::Instant now = m_clock.now();
+        const auto heard = m_loadsHeard.find(record.agent);
+        if (heard == m_loadsHeard.end() || now - heard->second >= LoadRefresh || !before
+            || !sameLoads(*before, *after))
+            m_loadsHeard[record.agent] = now;
     }
     return heartbeatReply(params, false);
 }
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -174,6 +174,7 @@
             if (job.record.state == scheduling::JobState::Running
                 && !assignMembers(job, job.record.placement))
                 lost.push_back(id);
+            restoreFinishedTasks(job);
             restored.jobs.push_back(restoredJob(job));
         }
         m_restored = true;
@@ -214,6 +215,7 @@
     restored.attempt = job.record.attempt;
     if (restored.state == scheduling::JobState::Running)
         restored.placement = job.record.placement;
+    restored.finishedTasks.assign(job.finishedTasks.begin(), job.finishedTasks.end());
     restored.perTask = job.record.perTask;
     restored.attained = job.record.attained;
     restored.failures = job.record.failures;
@@ -224,6 +226,23 @@
     return restored;
 }
 
+// Tasks that succeeded while nobody led.
+void Term::restoreFinishedTasks(ActiveJob &job) const
+{
+    const gang::GangKey key{job.record.spec.id, job.record.attempt};
+    for (const auto &[agent, report] : m_reports) {
+        for (const gang::GangStatus &gang : report.gangs) {
+            if (gang.key != key)
+                continue;
+            for (const platform::TaskStatus &task : gang.tasks) {
+                const int index = taskIndex(job, task);
+                if (index >= 0 && task.state == platform::TaskState::Succeeded)
+                    job.finishedTasks.insert(index);
+            }
+        }
+    }
+}
+
 bool Term::joinWorker(const AgentInfo &info)
 {
     if (!info.worker)
--- a/src/daemon/termgangs.cpp
+++ b/src/daemon/termgangs.cpp
@@ -59,6 +59,7 @@
         members[peer].push_back(static_cast<int>(i));
     }
     job.members.assign(members.begin(), members.end());
+    job.membersComplete = complete;
     return complete;
 }
 
@@ -290,7 +291,7 @@
 int Term::taskIndex(const ActiveJob &job, const platform::TaskStatus &task) const
 {
     const std::optional<gang::TaskIdentity> identity = gang::parseTaskId(task.taskId);
-    if (!identity || identity->key.job != job.record.spec.id
+    if (!identity || !job.membersComplete || identity->key.job != job.record.spec.id
         || identity->key.attempt != job.record.attempt)
         return -1;
     const auto member = static_cast<std::size_t>(identity->member);
