Announce a handed-over lease before the executor stops

Cause: a stopping leader posted the announcement of its release to the executor that it stops as soon as the lease is handed over. Whichever thread was faster decided whether the peers were told; otherwise they found out with their next read of the lease, 500 ms later.

The announcements are now made within the running task, which a stop waits for.

--- a/src/daemon/leasedriver.cpp
+++ b/src/daemon/leasedriver.cpp
@@ -6,6 +6,9 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <thread>
+#include <vector>
+
 namespace oleandercross::daemon {
 
 namespace {
@@ -159,17 +162,21 @@
     }
 }
 
+// Returns when every peer was told: a stop of the executor waits for this, but drops posted tasks.
 void LeaseDriver::run(const ownership::AnnounceRelease &action)
 {
+    std::vector<std::thread> calls;
     for (const config::EntryAddress &entry : m_settings.entries) {
         if (entry.id.str() == m_settings.id || entry.dataCentre != m_settings.dataCentre)
             continue;
-        m_executor.post([this, entry, epoch = action.epoch] {
+        calls.emplace_back([this, entry, epoch = action.epoch] {
             Json::Value message;
             message["epoch"] = static_cast<Json::Int64>(epoch);
             m_client.call(entry.rpc, "leaseReleased", message, AnnounceTimeout);
         });
     }
+    for (std::thread &call : calls)
+        call.join();
 }
 
 void LeaseDriver::epochSeen(ownership::Epoch epoch)
