--- a/include/oleandercross/core/executor.h
+++ b/include/oleandercross/core/executor.h
@@ -42,11 +42,14 @@
     void stop();
 
 private:
+    void runAndRepeat(const std::function<absl::Duration()> &task);
     void serve();
+    void waitForTask(Instant next, absl::Duration wait) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     SteadyClock m_clock;
     absl::Mutex m_mutex;
     std::multimap<Instant, Task> m_tasks ABSL_GUARDED_BY(m_mutex);
+    bool m_timing ABSL_GUARDED_BY(m_mutex) = false;
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
     std::vector<std::thread> m_threads;
 };
--- a/src/core/executor.cpp
+++ b/src/core/executor.cpp
@@ -2,12 +2,6 @@
 
 namespace oleandercross::core {
 
-namespace {
-
-constexpr absl::Duration MaxWait = absl::Seconds(1);
-
-} // namespace
-
 Executor::Executor(int threads)
 {
     for (int i = 0; i < threads; ++i)
@@ -41,10 +35,13 @@
 
 void Executor::repeat(std::function<absl::Duration()> task)
 {
-    post([this, task = std::move(task)]() mutable {
-        const absl::Duration delay = task();
-        after(delay, [this, task = std::move(task)]() mutable { repeat(std::move(task)); });
-    });
+    post([this, task = std::move(task)] { runAndRepeat(task); });
+}
+
+void Executor::runAndRepeat(const std::function<absl::Duration()> &task)
+{
+    const absl::Duration delay = task();
+    after(delay, [this, task] { runAndRepeat(task); });
 }
 
 void Executor::stop()
@@ -62,26 +59,40 @@
 
 void Executor::serve()
 {
+    const auto mayServe = [this] {
+        m_mutex.AssertHeld();
+        return m_stopping || (!m_tasks.empty() && !m_timing);
+    };
     absl::MutexLock lock(&m_mutex);
-    while (!m_stopping) {
-        const Instant now = m_clock.now();
+    while (true) {
+        m_mutex.Await(absl::Condition(&mayServe));
+        if (m_stopping)
+            return;
         const auto first = m_tasks.begin();
-        if (first != m_tasks.end() && first->first <= now) {
-            const Task task = std::move(first->second);
-            m_tasks.erase(first);
-            m_mutex.Unlock();
-            task();
-            m_mutex.Lock();
+        const Instant next = first->first;
+        const absl::Duration wait = next - m_clock.now();
+        if (wait > absl::ZeroDuration()) {
+            waitForTask(next, wait);
             continue;
         }
-        const absl::Duration wait = first == m_tasks.end() ? MaxWait : first->first - now;
-        const Instant next = first == m_tasks.end() ? absl::InfiniteFuture() : first->first;
-        const auto changed = [this, next] {
-            m_mutex.AssertHeld();
-            return m_stopping || (!m_tasks.empty() && m_tasks.begin()->first < next);
-        };
-        m_mutex.AwaitWithTimeout(absl::Condition(&changed), wait);
+        const Task task = std::move(first->second);
+        m_tasks.erase(first);
+        m_mutex.Unlock();
+        task();
+        m_mutex.Lock();
     }
 }
 
+// Only one thread waits for the time of the first task, or all would wake for every task.
+void Executor::waitForTask(Instant next, absl::Duration wait)
+{
+    const auto changed = [this, next] {
+        m_mutex.AssertHeld();
+        return m_stopping || m_tasks.empty() || m_tasks.begin()->first < next;
+    };
+    m_timing = true;
+    m_mutex.AwaitWithTimeout(absl::Condition(&changed), wait);
+    m_timing = false;
+}
+
 } // namespace oleandercross::core
--- a/test/core/tst_executor.cpp
+++ b/test/core/tst_executor.cpp
@@ -1,5 +1,6 @@
 #include <oleandercross/core/executor.h>
 
+#include <absl/synchronization/blocking_counter.h>
 #include <absl/synchronization/notification.h>
 #include <catch2/catch.hpp>
 
@@ -40,3 +41,23 @@
     CHECK(dropped);
     CHECK(runs >= 3);
 }
+
+// Guards against tasks that wait for a busy thread although others are idle.
+TEST_CASE("due tasks run on all threads at once")
+{
+    constexpr int Threads = 4;
+    Executor executor(Threads);
+    absl::BlockingCounter started(Threads);
+    absl::Notification all;
+    executor.after(absl::Hours(1), [] {});
+    for (int i = 0; i < Threads; ++i) {
+        executor.after(absl::Milliseconds(i), [&] {
+            started.DecrementCount();
+            all.WaitForNotification();
+        });
+    }
+    started.Wait();
+    all.Notify();
+    executor.stop();
+    SUCCEED("every thread had a task");
+}
