Report ended jobs without success by exit status

A job that ended as failed or cancelled but carried no result code gave exit status 0. Such jobs now end the command with JobFailed or JobCancelled. Errors of the class 4xx are printed with the outcome unknown, as the API does, and the longest default deadline is the longest that the API accepts.

--- a/src/cli/cli.cpp
+++ b/src/cli/cli.cpp
@@ -222,11 +222,13 @@
     return options;
 }
 
+// As in the errors of the API.
 const char *outcomeOf(ResultCode code)
 {
+    constexpr int UnknownClass = 4;
     if (core::provablyNotRun(code))
         return "not run";
-    return code == ResultCode::OutcomeUnknown ? "unknown" : "error";
+    return static_cast<int>(code) / 100 == UnknownClass ? "unknown" : "error";
 }
 
 int printReason(const core::Reason &reason, Output output, std::ostream &err)
--- a/src/cli/jobcommands.cpp
+++ b/src/cli/jobcommands.cpp
@@ -99,10 +99,13 @@
 bool reportJob(Session &session, const Json::Value &job)
 {
     print(session, job, memberLines(job));
-    const auto number = core::intMember(job, "code");
-    if (!ended(job) || number == 0)
+    const std::string state = core::stringMember(job, "state");
+    if (!ended(job) || state == "succeeded")
         return true;
-    core::fail(core::resultCodeFromNumber(static_cast<int>(number)),
+    const auto number = static_cast<int>(core::intMember(job, "code"));
+    const ResultCode unexplained =
+        state == "cancelled" ? ResultCode::JobCancelled : ResultCode::JobFailed;
+    core::fail(number == 0 ? unexplained : core::resultCodeFromNumber(number),
                core::stringMember(job, "message"));
     return false;
 }
--- a/src/config/manifest.cpp
+++ b/src/config/manifest.cpp
@@ -29,7 +29,8 @@
 constexpr detail::Range Weight{1, 1000};
 constexpr detail::Range RequestsPerSecond{0, 1000 * 1000};
 constexpr absl::Duration MinDeadline = absl::Milliseconds(1);
-constexpr absl::Duration MaxDeadline = absl::Hours(1);
+// The longest deadline that the API accepts for a request.
+constexpr absl::Duration MaxDeadline = absl::Minutes(10);
 
 constexpr std::array<std::pair<Level, const char *>, 5> LevelNames = {{
     {Level::Accelerator, "accelerator"},
--- a/test/cli/tst_cli.cpp
+++ b/test/cli/tst_cli.cpp
@@ -336,6 +336,27 @@
     CHECK(requests[1].query.count("wait") == 1);
 }
 
+// Guards against a job that ended without success and still gives exit status 0.
+TEST_CASE("the state of an ended job decides the exit status")
+{
+    struct Row
+    {
+        const char *job;
+        int status;
+    };
+    const auto row = GENERATE(values<Row>({
+        {R"({"state":"succeeded","code":0})", 0},
+        {R"({"state":"running","code":601})", 0},
+        {R"({"state":"failed","code":604})", 6},
+        {R"({"state":"failed","code":0})", 6},
+        {R"({"state":"cancelled"})", 6},
+        {R"({"state":"failed","code":312})", 3},
+    }));
+    ScriptedEntry entry({ok(*core::parseJson(row.job))});
+    CAPTURE(row.job);
+    CHECK(runAt({&entry}, {"job", "j-1"}).status == row.status);
+}
+
 TEST_CASE("jobs are shown, cancelled and explained")
 {
     ScriptedEntry entry({ok(*core::parseJson(R"({"state":"running","code":0})")),
--- a/test/config/tst_manifest.cpp
+++ b/test/config/tst_manifest.cpp
@@ -120,7 +120,7 @@
         {"Second: 50", "Second: -1", ResultCode::ConfigOutOfRange, 17},
         {"Deadline: 0.25", "Deadline: 0", ResultCode::ConfigOutOfRange, 23},
         {"Deadline: 0.25", "Deadline: -1.5", ResultCode::ConfigOutOfRange, 23},
-        {"Deadline: 0.25", "Deadline: 3600.5", ResultCode::ConfigOutOfRange, 23},
+        {"Deadline: 0.25", "Deadline: 600.5", ResultCode::ConfigOutOfRange, 23},
         {"bb\n", "b\n", ResultCode::ConfigOutOfRange, 9},
         {"aa\n", "AA\n", ResultCode::ConfigOutOfRange, 10},
         {"name: desk", "name: front desk", ResultCode::ConfigOutOfRange, 21},
