End a restored job whose tasks all finished while nobody led

Cause: a new leader restored such a job with all tasks finished and then ignored the reports that would have ended it, so that it kept its accelerators for good (support/faults kill-leader-during-gang-start: a job running for 40 s after the takeover). Ruled out: lost reports; the agents listed the tasks as succeeded. Change: the finished tasks of a complete gang are left to the first reconciliation, which ends the job.

--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -226,7 +226,8 @@
     return restored;
 }
 
-// Tasks that succeeded while nobody led.
+// Tasks that succeeded while nobody led. A job whose tasks all did is restored as running and ended
+// by the first reconciliation, since the scheduler ends a job with the event of its last task.
 void Term::restoreFinishedTasks(ActiveJob &job) const
 {
     const gang::GangKey key{job.record.spec.id, job.record.attempt};
@@ -241,6 +242,8 @@
             }
         }
     }
+    if (static_cast<int>(job.finishedTasks.size()) == job.record.spec.tasks)
+        job.finishedTasks.clear();
 }
 
 bool Term::joinWorker(const AgentInfo &info)
