Send task events again until a leader has taken them

Cause: events of tasks that ended while the lead changed hands were lost, or went to the old leader until the next heartbeat; the new leader learnt them by reconciling one agent every 500 ms and meanwhile counted the resources as taken. Ruled out: the change of the lease itself, which took 3 to 107 ms. Change: an agent repeats an event every 100 ms for up to 10 s; the new leader's request for the ledger names its address; a heartbeat reply with an older epoch does not replace the leader.

--- a/include/oleandercross/daemon/taskrunner.h
+++ b/include/oleandercross/daemon/taskrunner.h
@@ -56,6 +56,7 @@
     void run(const gang::ForgetWorkerTasks &action);
     void run(const gang::PollPeer &action);
     void run(const gang::SendTaskEvent &action);
+    void sendEvent(const gang::TaskEvent &event, core::Instant deadline);
     void reportUsage(const std::vector<platform::TaskStatus> &tasks);
 
     const core::SteadyClock m_clock;
--- a/src/daemon/taskrunner.cpp
+++ b/src/daemon/taskrunner.cpp
@@ -13,6 +13,8 @@
 constexpr int WorkerThreads = 4;
 constexpr absl::Duration TickPeriod = absl::Milliseconds(200);
 constexpr absl::Duration EventTimeout = absl::Seconds(2);
+constexpr absl::Duration EventRetry = absl::Milliseconds(100);
+constexpr absl::Duration EventLimit = absl::Seconds(10);
 
 gang::LedgerSettings ledgerSettings(const config::Settings &settings, std::int64_t incarnation)
 {
@@ -78,6 +80,11 @@
         std::optional<Json::Value> answer =
             handle(gang::ReportRequest{core::intMember(p, "epoch")});
         (*answer)["report"] = encode(report());
+        if (decodeGangAnswer(*answer).code == core::ResultCode::Ok) {
+            absl::MutexLock lock(&m_mutex);
+            if (auto leader = http::parseEndpoint(core::stringMember(p, "leader")))
+                m_leader = std::move(leader);
+        }
         return answer;
     });
     server.add("watch", [this](const Json::Value &p) -> std::optional<Json::Value> {
@@ -221,14 +228,24 @@
 }
 
 void TaskRunner::run(const gang::SendTaskEvent &action)
+{
+    sendEvent(action.event, m_clock.now() + EventLimit);
+}
+
+// While the lead changes hands nobody takes the event; later the leader learns it by
+// reconciliation.
+void TaskRunner::sendEvent(const gang::TaskEvent &event, core::Instant deadline)
 {
     std::optional<http::Endpoint> leader;
     {
         absl::MutexLock lock(&m_mutex);
         leader = m_leader;
     }
-    if (leader)
-        m_client.call(*leader, "taskEvent", encode(action.event), EventTimeout);
+    if (leader && m_client.call(*leader, "taskEvent", encode(event), EventTimeout))
+        return;
+    if (m_clock.now() < deadline) {
+        m_peerExecutor.after(EventRetry, [this, event, deadline] { sendEvent(event, deadline); });
+    }
 }
 
 void TaskRunner::reportUsage(const std::vector<platform::TaskStatus> &tasks)
@@ -262,6 +279,9 @@
 {
     {
         absl::MutexLock lock(&m_mutex);
+        // A heartbeat reply can be older than the new leader's own message.
+        if (epoch < m_ledger.epoch())
+            return;
         m_leader = std::move(leader);
     }
     apply(gang::EpochLearned{epoch});
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -145,6 +145,7 @@
         calls.emplace_back([this, agent] {
             Json::Value params;
             params["epoch"] = static_cast<Json::Int64>(m_epoch);
+            params["leader"] = http::toString(m_context.settings.rpcListen);
             const auto reply = m_context.client.call(agent->rpc, "report", params, ReportTimeout);
             if (!reply)
                 return;
