Name the router's wait for grants a timeout

Cause: the constant and the flag had figurative names. Change: GrantTimeout and awaiting; no behaviour changed. Conclusion: unit tests pass.

--- a/src/dispatch/router.cpp
+++ b/src/dispatch/router.cpp
@@ -16,7 +16,7 @@
 
 // Without a grant for this long, requests go to targets with reported free slots all the same,
 // because messages may be lost.
-constexpr absl::Duration GrantPatience = absl::Milliseconds(100);
+constexpr absl::Duration GrantTimeout = absl::Milliseconds(100);
 
 bool avoided(const Target &target, const Need &need, std::size_t targets)
 {
@@ -95,13 +95,13 @@
     // Long work that waits does not keep short work from free slots.
     const Waiting asked = demand.asked();
     const bool waits = (need.shortWork ? asked.shortWork : asked.longWork) > 0;
-    const bool patient = waits && now - demand.lastGrant < GrantPatience;
-    m_gaveUp = !m_agentsGrant && ((waits && !patient) || m_gaveUp);
+    const bool awaiting = waits && now - demand.lastGrant < GrantTimeout;
+    m_gaveUp = !m_agentsGrant && ((waits && !awaiting) || m_gaveUp);
     const Targets candidates = nearestWithRoom(targets, need, [&](const Target &target) {
         if (m_gaveUp)
             return target.room(need, now);
         // A target that was asked grants its free slots.
-        return patient && demand.askedOf(target.id()) ? 0 : target.knownRoom(need, now);
+        return awaiting && demand.askedOf(target.id()) ? 0 : target.knownRoom(need, now);
     });
     return lessLoadedOfTwo(candidates, m_generator, now);
 }
