Remove a parameter and a result that nobody used

Cause: heartbeatReply() was only called with one value of its flag, and the result of joinWorker() was ignored. Change: both are gone; agents read an absent needState as false. Conclusion: format, lint of the changed files, unit tests and the demo pass; support/check was not run as a whole for this change.

--- a/include/oleandercross/daemon/clusterview.h
+++ b/include/oleandercross/daemon/clusterview.h
@@ -129,7 +129,7 @@
     void tick();
     void announceFar();
     void notify(const std::vector<std::shared_ptr<const AgentInfo>> &infos, bool alive) const;
-    Json::Value heartbeatReply(const Json::Value &params, bool needState);
+    Json::Value heartbeatReply(const Json::Value &params);
 
     const config::Settings m_settings;
     const std::int64_t m_incarnation;
--- a/include/oleandercross/daemon/term.h
+++ b/include/oleandercross/daemon/term.h
@@ -112,7 +112,7 @@
     void perform(const scheduling::Action &action) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void jobStateChanged(const scheduling::JobStateChanged &change)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    bool joinWorker(const AgentInfo &info) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void joinWorker(const AgentInfo &info) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     // termrows.cpp: the jobs' rows.
     void persist(ActiveJob &job) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/daemon/clusterview.cpp
+++ b/src/daemon/clusterview.cpp
@@ -144,13 +144,12 @@
             || !sameLoads(*before, *after))
             m_loadsHeard[record.agent] = now;
     }
-    return heartbeatReply(params, false);
+    return heartbeatReply(params);
 }
 
-Json::Value ClusterView::heartbeatReply(const Json::Value &params, bool needState)
+Json::Value ClusterView::heartbeatReply(const Json::Value &params)
 {
     Json::Value reply;
-    reply["needState"] = needState;
     reply["confirmed"] = configurationConfirmed();
     const std::shared_ptr<const Revision> current = m_manifests.current();
     reply["revision"] = static_cast<Json::Int64>(current ? current->number : 0);
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -247,10 +247,10 @@
         job.finishedTasks.clear();
 }
 
-bool Term::joinWorker(const AgentInfo &info)
+void Term::joinWorker(const AgentInfo &info)
 {
     if (!info.worker)
-        return false;
+        return;
     const auto known = m_workers.find(info.worker->id);
     const bool changed = known == m_workers.end() || known->second.worker != info.worker;
     const bool draining = info.draining;
@@ -262,7 +262,6 @@
     }
     if (drainChanged)
         apply(scheduling::WorkerDraining{info.worker->id, draining});
-    return changed;
 }
 
 void Term::agentChanged(const AgentInfo &info, bool alive)
