--- a/include/oleandercross/core/clock.h
+++ b/include/oleandercross/core/clock.h
@@ -24,6 +24,14 @@
     Instant now() const override;
 };
 
+// Reads the monotonic clock that also counts the time during which the machine was suspended, so
+// that a process that was frozen sees that its leases are over.
+class BootClock : public Clock
+{
+public:
+    Instant now() const override;
+};
+
 // A clock that a test moves by hand. Thread safe.
 class ManualClock : public Clock
 {
--- /dev/null
+++ b/src/control/agentmessages.cpp
@@ -0,0 +1,215 @@
+#include <oleandercross/control/agentmessages.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/workload/codec.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+
+namespace oleandercross::control {
+
+namespace {
+
+constexpr std::array<const char *, 5> OutcomeNames = {"done", "refused", "unanswered", "gone",
+                                                      "other life"};
+constexpr std::array<const char *, 5> ResultNames = {"done", "refused", "unanswered", "absent",
+                                                     "not applicable"};
+
+Json::Int64 milliseconds(absl::Duration duration)
+{
+    return duration == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(duration);
+}
+
+absl::Duration durationFrom(std::int64_t milliseconds)
+{
+    return milliseconds < 0 ? absl::InfiniteDuration() : absl::Milliseconds(milliseconds);
+}
+
+Json::Value toJson(const WorkerReport &worker)
+{
+    Json::Value value(Json::objectValue);
+    value["id"] = worker.id;
+    value["born"] = static_cast<Json::Int64>(worker.bornMs);
+    value["address"] = toString(worker.address);
+    value["service"] = worker.service;
+    value["rack"] = worker.rack;
+    for (const std::string &label : worker.labels)
+        value["labels"].append(label);
+    value["capacity"] = workload::toJson(worker.capacity);
+    value["draining"] = worker.draining;
+    value["leavesIn"] = milliseconds(worker.leavesIn);
+    return value;
+}
+
+std::optional<WorkerReport> workerFromJson(const Json::Value &value)
+{
+    const auto address = http::parseEndpoint(core::stringMember(value, "address"));
+    if (!address)
+        return std::nullopt;
+    WorkerReport worker;
+    worker.id = core::stringMember(value, "id");
+    worker.bornMs = core::intMember(value, "born");
+    worker.address = *address;
+    worker.service = core::stringMember(value, "service");
+    worker.rack = core::stringMember(value, "rack");
+    for (const Json::Value &label : core::member(value, "labels"))
+        worker.labels.push_back(label.asString());
+    worker.capacity = workload::demandFromJson(core::member(value, "capacity"));
+    worker.draining = core::boolMember(value, "draining");
+    worker.leavesIn = durationFrom(core::intMember(value, "leavesIn", -1));
+    return worker;
+}
+
+Json::Value runJson(const workload::RunKey &run)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(toString(run.task));
+    row.append(run.run);
+    return row;
+}
+
+std::optional<workload::RunKey> runFrom(const Json::Value &row)
+{
+    if (!row.isArray() || row.size() < 2 || !row[0U].isString() || !row[1U].isInt())
+        return core::fail(core::ResultCode::BadField, "a row does not name a run");
+    const auto task = workload::parseTaskKey(row[0U].asString());
+    if (!task)
+        return std::nullopt;
+    return workload::RunKey{*task, row[1U].asInt()};
+}
+
+} // namespace
+
+const char *toString(OrderOutcome outcome)
+{
+    return OutcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
+const char *toString(OrderResult result)
+{
+    return ResultNames.at(static_cast<std::size_t>(result));
+}
+
+std::string lifeKey(const std::string &agent, const WorkerReport &worker)
+{
+    return absl::StrCat(agent, "/", worker.id, "/", worker.bornMs);
+}
+
+Json::Value toJson(const WatchCall &call)
+{
+    Json::Value value(Json::objectValue);
+    value["epoch"] = static_cast<Json::Int64>(call.epoch);
+    value["renewUntil"] = static_cast<Json::Int64>(call.renewUntilMs);
+    value["since"] = static_cast<Json::Int64>(call.since);
+    value["incarnation"] = call.agentIncarnation;
+    value["wait"] = milliseconds(call.wait);
+    return value;
+}
+
+WatchCall watchCallFromJson(const Json::Value &value)
+{
+    WatchCall call;
+    call.epoch = core::intMember(value, "epoch");
+    call.renewUntilMs = core::intMember(value, "renewUntil");
+    call.since = core::intMember(value, "since");
+    call.agentIncarnation = core::stringMember(value, "incarnation");
+    call.wait = absl::Milliseconds(core::intMember(value, "wait"));
+    return call;
+}
+
+Json::Value toJson(const AgentState &state)
+{
+    Json::Value value(Json::objectValue);
+    value["incarnation"] = state.incarnation;
+    value["clock"] = static_cast<Json::Int64>(state.clockMs);
+    value["version"] = static_cast<Json::Int64>(state.version);
+    if (state.worker)
+        value["worker"] = toJson(*state.worker);
+    value["gone"] = state.gone;
+    value["listed"] = state.listed;
+    for (const RunningTask &task : state.runs.running) {
+        Json::Value row = runJson(task.run);
+        row.append(task.checkpoint);
+        row.append(task.percent);
+        value["running"].append(row);
+    }
+    for (const EndedTask &task : state.runs.ended) {
+        Json::Value row = runJson(task.run);
+        row.append(static_cast<Json::Int64>(task.number));
+        row.append(static_cast<int>(task.how));
+        row.append(task.checkpoint);
+        value["ended"].append(row);
+    }
+    return value;
+}
+
+std::optional<AgentState> agentStateFromJson(const Json::Value &value)
+{
+    AgentState state;
+    state.incarnation = core::stringMember(value, "incarnation");
+    state.clockMs = core::intMember(value, "clock");
+    state.version = core::intMember(value, "version");
+    if (value.isMember("worker")) {
+        state.worker = workerFromJson(value["worker"]);
+        if (!state.worker)
+            return std::nullopt;
+    }
+    state.gone = core::boolMember(value, "gone");
+    state.listed = core::boolMember(value, "listed");
+    for (const Json::Value &row : core::member(value, "running")) {
+        const auto run = runFrom(row);
+        if (!run || row.size() != 4)
+            return std::nullopt;
+        state.runs.running.push_back({*run, row[2U].asString(), row[3U].asInt()});
+    }
+    for (const Json::Value &row : core::member(value, "ended")) {
+        const auto run = runFrom(row);
+        if (!run || row.size() != 5)
+            return std::nullopt;
+        state.runs.ended.push_back({row[2U].asInt64(), *run,
+                                    static_cast<planning::RunEnd>(row[3U].asInt()),
+                                    row[4U].asString()});
+    }
+    return state;
+}
+
+Json::Value toJson(const OrderCall &call)
+{
+    Json::Value value(Json::objectValue);
+    value["epoch"] = static_cast<Json::Int64>(call.epoch);
+    value["renewUntil"] = static_cast<Json::Int64>(call.renewUntilMs);
+    value["life"] = call.life;
+    value["acknowledged"] = static_cast<Json::Int64>(call.acknowledged);
+    for (const planning::Order &order : call.orders) {
+        Json::Value row = runJson(order.run);
+        row.append(order.kind == planning::Order::Kind::Start);
+        row.append(order.payload);
+        row.append(order.checkpoint);
+        value["orders"].append(row);
+    }
+    return value;
+}
+
+OrderCall orderCallFromJson(const Json::Value &value)
+{
+    OrderCall call;
+    call.epoch = core::intMember(value, "epoch");
+    call.renewUntilMs = core::intMember(value, "renewUntil");
+    call.life = core::stringMember(value, "life");
+    call.acknowledged = core::intMember(value, "acknowledged");
+    for (const Json::Value &row : core::member(value, "orders")) {
+        const auto run = runFrom(row);
+        planning::Order order;
+        if (run)
+            order.run = *run;
+        order.kind = row[2U].asBool() ? planning::Order::Kind::Start : planning::Order::Kind::Stop;
+        order.payload = row[3U].asString();
+        order.checkpoint = row[4U].asString();
+        call.orders.push_back(std::move(order));
+    }
+    return call;
+}
+
+} // namespace oleandercross::control
--- /dev/null
+++ b/src/control/election.cpp
@@ -0,0 +1,150 @@
+#include "leaderlimits.h"
+
+#include <oleandercross/control/entry.h>
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/telemetry/eventlog.h>
+
+#include <absl/time/clock.h>
+#include <xxhash.h>
+
+namespace oleandercross::control {
+
+namespace {
+
+constexpr absl::Duration ElectionPeriod = absl::Milliseconds(200);
+constexpr absl::Duration HealthTimeout = absl::Milliseconds(400);
+// A leader that has not said for this long that it is healthy is looked up in the store.
+constexpr absl::Duration SightingFor = absl::Milliseconds(600);
+// A leader row that does not change for this long is free; the leader writes every 350 ms.
+constexpr absl::Duration RowUnchangedFor = absl::Milliseconds(900);
+// Entries that find the lead free at the same time try at different moments.
+constexpr std::int64_t MaxStaggerMs = 250;
+
+} // namespace
+
+void Entry::electionLoop()
+{
+    // Peers tell names apart by this delay, so that they seldom compete for the lead.
+    const std::string &name = m_options.own.name;
+    const auto stagger = absl::Milliseconds(
+        static_cast<std::int64_t>(XXH64(name.data(), name.size(), 0) % MaxStaggerMs));
+    absl::SleepFor(stagger);
+    announceOwn();
+    while (!m_stopping) {
+        electionStep();
+        absl::SleepFor(ElectionPeriod);
+    }
+}
+
+void Entry::announceOwn()
+{
+    RowChanges changes;
+    changes.puts.push_back({MemberTable, m_options.own.name, encodeMember(m_options.own)});
+    const CommitResult result = m_store.commit(changes, StoreTimeout);
+    telemetry::Event("member_announced")
+        .with("stored", result.outcome == CommitOutcome::Applied)
+        .with("reason", result.reason);
+    m_members.add(m_options.own);
+}
+
+void Entry::electionStep()
+{
+    if (leader()) {
+        superviseOwnLead();
+        return;
+    }
+    checkLeader();
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_clock.now() - m_sighting.healthyAt < SightingFor) {
+            m_rowVersion = -1;
+            return;
+        }
+    }
+    maybeTakeLead();
+}
+
+void Entry::checkLeader()
+{
+    const std::optional<http::Endpoint> address = leaderAddress();
+    if (!address)
+        return;
+    const auto answer =
+        m_client.call(*address, "leader-health", Json::Value(Json::objectValue), HealthTimeout);
+    if (!answer || !core::boolMember(*answer, "healthy"))
+        return;
+    absl::MutexLock lock(&m_mutex);
+    m_sighting.healthyAt = m_clock.now();
+}
+
+void Entry::maybeTakeLead()
+{
+    const auto row = m_store.row(LeaderTable, LeaderKey, StoreTimeout);
+    if (!row)
+        return;
+    const core::Instant now = m_clock.now();
+    if (!*row) {
+        takeLead(*row);
+        return;
+    }
+    const std::optional<Leadership> leadership = decodeLeadership((*row)->value);
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_sighting.leadership = leadership;
+    }
+    if (m_rowVersion != (*row)->version) {
+        m_rowVersion = (*row)->version;
+        m_rowUnchangedSince = now;
+    }
+    const bool free =
+        !leadership || leadership->holder.empty() || leadership->holder == m_options.own.name;
+    if (free || now - m_rowUnchangedSince >= RowUnchangedFor)
+        takeLead(*row);
+}
+
+void Entry::takeLead(const std::optional<StoredRow> &row)
+{
+    Leadership own;
+    own.holder = m_options.own.name;
+    own.address = m_options.own.address;
+    own.incarnation = m_options.own.incarnation;
+    auto log = std::make_unique<LeaderLog>(m_store, own);
+    if (!log->acquire(row)) {
+        telemetry::Event("leadership_not_taken").with("row_version", row ? row->version : 0);
+        return;
+    }
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_sighting.leadership = log->own();
+    }
+    auto leader =
+        std::make_shared<Leader>(m_store, std::move(log), m_client, m_metrics, m_options.leader);
+    leader->setAgents(m_members.agents());
+    m_membersGiven = m_members.version();
+    if (const auto current = catalog())
+        leader->setCatalog(current);
+    absl::MutexLock lock(&m_mutex);
+    m_leader = std::move(leader);
+}
+
+void Entry::superviseOwnLead()
+{
+    const std::shared_ptr<Leader> own = leader();
+    if (own->deposed()) {
+        own->stop();
+        {
+            absl::MutexLock lock(&m_mutex);
+            m_leader.reset();
+            m_sighting = {};
+        }
+        m_rowVersion = -1;
+        return;
+    }
+    if (const std::int64_t version = m_members.version(); version != m_membersGiven) {
+        m_membersGiven = version;
+        own->setAgents(m_members.agents());
+    }
+}
+
+} // namespace oleandercross::control
--- /dev/null
+++ b/src/control/entry.cpp
@@ -0,0 +1,344 @@
+#include <oleandercross/control/entry.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/telemetry/eventlog.h>
+#include <oleandercross/workload/codec.h>
+
+#include <absl/time/clock.h>
+
+namespace oleandercross::control {
+
+namespace {
+
+// How long one call for the configuration waits at the store; a silent connection is noticed soon
+// after.
+constexpr absl::Duration ConfigFeedWait = absl::Milliseconds(700);
+constexpr absl::Duration MemberFeedWait = absl::Seconds(2);
+// How long a peer may take for an answer that it has in memory.
+constexpr absl::Duration PeerTimeout = absl::Milliseconds(400);
+// Left of a caller's time for the answer's way back.
+constexpr absl::Duration AnswerReserve = absl::Milliseconds(100);
+constexpr absl::Duration RetryPause = absl::Milliseconds(40);
+
+} // namespace
+
+Entry::Entry(EntryOptions options, RowStore &directStore, rpc::Client &client, rpc::Server &server,
+             telemetry::Metrics &metrics, CatalogDecoder decoder)
+    : m_options(std::move(options))
+    , m_client(client)
+    , m_metrics(metrics)
+    , m_decoder(std::move(decoder))
+    , m_members(m_options.own)
+    , m_store(directStore, client, [this] { return m_members.peers(); })
+    , m_config(m_store, m_options.configTable, ConfigFeedWait,
+               {[this](const auto &rows) { applyConfig(rows); },
+                [this](const auto &rows) { applyConfig(rows); }, [this] { pullConfig(); }})
+    , m_memberFollower(m_store, MemberTable, MemberFeedWait,
+                       {[this](const auto &rows) { m_members.replaceAll(rows); },
+                        [this](const auto &rows) { m_members.apply(rows); },
+                        {}})
+{
+    m_members.setSeeds(m_options.seeds);
+    registerCalls(server);
+    m_store.serve(server);
+}
+
+Entry::~Entry()
+{
+    stop();
+}
+
+void Entry::registerCalls(rpc::Server &server)
+{
+    server.add("config", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        Json::Value answer(Json::objectValue);
+        absl::MutexLock lock(&m_mutex);
+        if (m_catalog && m_catalog->version > core::intMember(params, "have", -1))
+            answer["config"] = m_configText;
+        return answer;
+    });
+    server.add("push-config", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        adoptConfig(core::stringMember(params, "config"), "peer");
+        return Json::Value(Json::objectValue);
+    });
+    server.add("leader-health", [this](const Json::Value &) -> std::optional<Json::Value> {
+        const std::shared_ptr<Leader> own = leader();
+        Json::Value answer(Json::objectValue);
+        answer["leads"] = own != nullptr && !own->deposed();
+        answer["healthy"] = own != nullptr && own->healthy();
+        return answer;
+    });
+    server.add("job-state", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        const std::shared_ptr<Leader> own = leader();
+        if (!own)
+            return core::fail(core::ResultCode::NotLeader, "this entry does not lead");
+        const auto state = own->state(core::stringMember(params, "job"));
+        if (!state)
+            return std::nullopt;
+        Json::Value answer(Json::objectValue);
+        answer["state"] = planning::toString(*state);
+        return answer;
+    });
+    server.add("waiting", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        const std::shared_ptr<Leader> own = leader();
+        if (!own)
+            return core::fail(core::ResultCode::NotLeader, "this entry does not lead");
+        const auto count = own->waiting(core::stringMember(params, "queue"));
+        if (!count)
+            return std::nullopt;
+        Json::Value answer(Json::objectValue);
+        answer["waiting"] = *count;
+        return answer;
+    });
+    server.add("announce", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        const auto member =
+            decodeMember(core::stringMember(params, "name"), core::stringMember(params, "member"));
+        if (!member)
+            return std::nullopt;
+        m_members.add(*member);
+        return Json::Value(Json::objectValue);
+    });
+    server.add("handover", [this](const Json::Value &) -> std::optional<Json::Value> {
+        absl::MutexLock lock(&m_mutex);
+        m_sighting.healthyAt = absl::InfinitePast();
+        return Json::Value(Json::objectValue);
+    });
+}
+
+void Entry::start()
+{
+    m_config.start();
+    m_memberFollower.start();
+    m_election = std::thread([this] { electionLoop(); });
+}
+
+void Entry::beginStop()
+{
+    m_draining = true;
+    if (m_election.joinable()) {
+        m_stopping = true;
+        m_election.join();
+    }
+    const std::shared_ptr<Leader> own = leader();
+    if (!own)
+        return;
+    own->release();
+    for (const http::Endpoint &peer : m_members.peers())
+        m_client.call(peer, "handover", Json::Value(Json::objectValue), PeerTimeout);
+    absl::MutexLock lock(&m_mutex);
+    m_leader.reset();
+}
+
+void Entry::stop()
+{
+    beginStop();
+    m_config.stop();
+    m_memberFollower.stop();
+}
+
+bool Entry::ready() const
+{
+    return !m_draining && catalog() != nullptr;
+}
+
+std::shared_ptr<const workload::Catalog> Entry::catalog() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_catalog;
+}
+
+std::shared_ptr<Leader> Entry::leader() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_leader;
+}
+
+std::optional<http::Endpoint> Entry::leaderAddress() const
+{
+    absl::MutexLock lock(&m_mutex);
+    if (!m_sighting.leadership || m_sighting.leadership->holder.empty()
+        || m_sighting.leadership->address == m_options.own.address)
+        return std::nullopt;
+    return m_sighting.leadership->address;
+}
+
+void Entry::applyConfig(const std::vector<StoredRow> &rows)
+{
+    for (const StoredRow &row : rows) {
+        if (row.key == m_options.configKey && !row.removed && adoptConfig(row.value, "store"))
+            pushConfig(row.value);
+    }
+}
+
+bool Entry::adoptConfig(const std::string &text, const char *source)
+{
+    const std::optional<workload::Catalog> decoded = m_decoder(text);
+    if (!decoded) {
+        telemetry::Event("config_unreadable")
+            .with("source", source)
+            .with("reason", core::lastReason().message);
+        return false;
+    }
+    auto catalog = std::make_shared<const workload::Catalog>(*decoded);
+    std::shared_ptr<Leader> own;
+    {
+        absl::MutexLock lock(&m_mutex);
+        // Versions never go back within a process.
+        if (m_catalog && m_catalog->version >= catalog->version)
+            return false;
+        m_catalog = catalog;
+        m_configText = text;
+        own = m_leader;
+    }
+    telemetry::Event("config_in_force")
+        .with("version", catalog->version)
+        .with("source", source)
+        .with("queues", static_cast<std::int64_t>(catalog->queues.size()));
+    if (own)
+        own->setCatalog(catalog);
+    return true;
+}
+
+void Entry::pushConfig(const std::string &text)
+{
+    Json::Value params(Json::objectValue);
+    params["config"] = text;
+    for (const http::Endpoint &peer : m_members.peers())
+        m_client.call(peer, "push-config", params, PeerTimeout);
+}
+
+void Entry::pullConfig()
+{
+    Json::Value params(Json::objectValue);
+    const std::shared_ptr<const workload::Catalog> have = catalog();
+    params["have"] = have ? static_cast<Json::Int64>(have->version) : Json::Int64{-1};
+    for (const http::Endpoint &peer : m_members.peers()) {
+        const auto answer = m_client.call(peer, "config", params, PeerTimeout);
+        if (answer && answer->isMember("config"))
+            adoptConfig(core::stringMember(*answer, "config"), "peer");
+    }
+}
+
+SubmitOutcome Entry::submit(const workload::Job &job, core::Instant deadline)
+{
+    RowChanges changes;
+    changes.conditions.push_back({JobTable, job.id, 0});
+    changes.puts.push_back({JobTable, job.id, workload::encodeJob(job)});
+    bool inDoubt = false;
+    while (true) {
+        const absl::Duration left = deadline - AnswerReserve - m_clock.now();
+        if (left <= absl::ZeroDuration())
+            return inDoubt ? SubmitOutcome::Unknown : SubmitOutcome::NotAccepted;
+        const CommitResult result = m_store.commit(changes, std::min(left, StoreTimeout));
+        if (result.outcome == CommitOutcome::Applied || result.outcome == CommitOutcome::Conflict) {
+            telemetry::Event("job_accepted")
+                .with("job", job.id)
+                .with("queue", job.queue)
+                .with("account", job.account)
+                .with("version", result.version)
+                .with("known_before", result.outcome == CommitOutcome::Conflict);
+            return SubmitOutcome::Accepted;
+        }
+        telemetry::Event("job_store_failed")
+            .with("job", job.id)
+            .with("outcome", result.outcome == CommitOutcome::Refused ? "refused" : "unknown")
+            .with("reason", result.reason);
+        // Nothing was done anywhere, so the caller may be told so at once.
+        if (result.outcome == CommitOutcome::Refused && !inDoubt)
+            return SubmitOutcome::NotAccepted;
+        inDoubt = inDoubt || result.outcome == CommitOutcome::Unknown;
+        absl::SleepFor(RetryPause);
+    }
+}
+
+std::optional<planning::JobState> Entry::askLeader(const std::string &job, core::Instant deadline)
+{
+    if (const std::shared_ptr<Leader> own = leader())
+        return own->state(job);
+    const std::optional<http::Endpoint> address = leaderAddress();
+    if (!address)
+        return core::fail(core::ResultCode::NotLeader, "no leader is known");
+    Json::Value params(Json::objectValue);
+    params["job"] = job;
+    const auto answer =
+        m_client.call(*address, "job-state", params,
+                      std::min(PeerTimeout, deadline - AnswerReserve - m_clock.now()));
+    if (!answer)
+        return std::nullopt;
+    return planning::parseJobState(core::stringMember(*answer, "state"));
+}
+
+JobAnswer Entry::stateFromStore(const std::string &job, core::Instant deadline)
+{
+    const absl::Duration left = deadline - AnswerReserve - m_clock.now();
+    const auto row = m_store.row(JobTable, job, std::min(left, StoreTimeout));
+    if (!row)
+        return {};
+    if (!*row)
+        return {JobAnswer::Kind::NoSuchJob, {}};
+    const auto progress = m_store.row(ProgressTable, job, std::min(left, StoreTimeout));
+    if (!progress)
+        return {};
+    if (!*progress)
+        return {JobAnswer::Kind::Known, planning::JobState::Queued};
+    const auto value = core::parseJson((*progress)->value);
+    const auto state =
+        planning::parseJobState(value ? core::stringMember(*value, "state") : std::string());
+    if (!state)
+        return {};
+    return {JobAnswer::Kind::Known, *state};
+}
+
+JobAnswer Entry::state(const std::string &job, core::Instant deadline)
+{
+    if (const auto state = askLeader(job, deadline))
+        return {JobAnswer::Kind::Known, *state};
+    return stateFromStore(job, deadline);
+}
+
+CancelOutcome Entry::cancel(const std::string &job, core::Instant deadline)
+{
+    bool inDoubt = false;
+    while (true) {
+        const absl::Duration left = deadline - AnswerReserve - m_clock.now();
+        if (left <= absl::ZeroDuration())
+            return inDoubt ? CancelOutcome::Unknown : CancelOutcome::NotCancelled;
+        const auto row = m_store.row(JobTable, job, std::min(left, StoreTimeout));
+        if (row && !*row)
+            return CancelOutcome::NoSuchJob;
+        if (row) {
+            RowChanges changes;
+            changes.conditions.push_back({JobTable, job, (*row)->version});
+            changes.puts.push_back({JobTable, job + CancelSuffix, "{}"});
+            const CommitResult result = m_store.commit(changes, std::min(left, StoreTimeout));
+            if (result.outcome == CommitOutcome::Applied) {
+                telemetry::Event("cancel_accepted")
+                    .with("job", job)
+                    .with("version", result.version);
+                return CancelOutcome::Cancelled;
+            }
+            inDoubt = inDoubt || result.outcome == CommitOutcome::Unknown;
+        }
+        absl::SleepFor(RetryPause);
+    }
+}
+
+std::optional<int> Entry::waiting(const std::string &queue, core::Instant deadline)
+{
+    if (const std::shared_ptr<Leader> own = leader())
+        return own->waiting(queue);
+    const std::optional<http::Endpoint> address = leaderAddress();
+    if (!address)
+        return core::fail(core::ResultCode::NotLeader, "no leader is known");
+    Json::Value params(Json::objectValue);
+    params["queue"] = queue;
+    const auto answer =
+        m_client.call(*address, "waiting", params,
+                      std::min(PeerTimeout, deadline - AnswerReserve - m_clock.now()));
+    if (!answer)
+        return std::nullopt;
+    return static_cast<int>(core::intMember(*answer, "waiting"));
+}
+
+} // namespace oleandercross::control
--- /dev/null
+++ b/src/control/leader.cpp
@@ -0,0 +1,324 @@
+#include <oleandercross/control/leader.h>
+
+#include "leaderlimits.h"
+
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/telemetry/eventlog.h>
+#include <oleandercross/workload/codec.h>
+
+#include <absl/strings/match.h>
+#include <absl/time/clock.h>
+
+namespace oleandercross::control {
+
+namespace {
+
+constexpr int RowsPerPage = 500;
+constexpr absl::Duration JobFeedWait = absl::Milliseconds(900);
+constexpr absl::Duration CleanupPeriod = absl::Seconds(10);
+
+} // namespace
+
+Leader::Leader(RowStore &store, std::unique_ptr<LeaderLog> log, rpc::Client &client,
+               telemetry::Metrics &metrics, LeaderOptions options)
+    : m_store(store)
+    , m_log(std::move(log))
+    , m_client(client)
+    , m_metrics(metrics)
+    , m_options(options)
+    , m_began(m_clock.now())
+    , m_planner(options.planner)
+{
+    m_engine = std::thread([this] { run(); });
+}
+
+Leader::~Leader()
+{
+    stop();
+    m_engine.join();
+    m_jobs.reset();
+    for (auto &[agent, link] : m_links)
+        link->stop();
+    m_links.clear();
+    m_retired.clear();
+}
+
+void Leader::stop()
+{
+    m_stopping = true;
+    m_log->stop();
+    absl::MutexLock lock(&m_mutex);
+    m_news = true;
+}
+
+void Leader::release()
+{
+    stop();
+    if (!m_deposed)
+        m_log->release();
+}
+
+bool Leader::healthy() const
+{
+    return !m_deposed && m_clock.now() - m_log->lastCommit() < HealthyFor;
+}
+
+void Leader::setAgents(std::map<std::string, http::Endpoint> agents)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_inbox.agents = std::move(agents);
+    m_news = true;
+}
+
+void Leader::setCatalog(std::shared_ptr<const workload::Catalog> catalog)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_inbox.catalog = std::move(catalog);
+    m_news = true;
+}
+
+std::optional<planning::JobState> Leader::state(const std::string &job) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto found = m_views.find(job);
+    if (found == m_views.end())
+        return core::fail(core::ResultCode::UnknownJob, "job " + job + " is not known here");
+    return found->second.state;
+}
+
+std::optional<int> Leader::waiting(const std::string &queue) const
+{
+    absl::MutexLock lock(&m_mutex);
+    if (!m_loaded)
+        return core::fail(core::ResultCode::NotReady, "the leader is still reading the jobs");
+    int count = 0;
+    for (const auto &[id, view] : m_views) {
+        if (view.queue == queue && !view.begun && !planning::ended(view.state))
+            ++count;
+    }
+    return count;
+}
+
+std::optional<std::vector<StoredRow>> Leader::readAll(const std::string &table)
+{
+    std::vector<StoredRow> rows;
+    std::string from;
+    while (true) {
+        const auto page = m_store.range(table, from, RowsPerPage, StoreTimeout);
+        if (!page)
+            return std::nullopt;
+        rows.insert(rows.end(), page->rows.begin(), page->rows.end());
+        if (!page->more || page->rows.empty())
+            return rows;
+        from = page->rows.back().key + '\0';
+    }
+}
+
+bool Leader::load()
+{
+    while (!m_stopping) {
+        if (const auto rows = readAll(ProgressTable)) {
+            for (const StoredRow &row : *rows)
+                m_progress[row.key] = row.value;
+            break;
+        }
+        telemetry::Event("leader_load_retried").with("reason", core::lastReason().message);
+        absl::SleepFor(absl::Milliseconds(100));
+    }
+    const auto take = [this](const std::vector<StoredRow> &rows) {
+        absl::MutexLock lock(&m_mutex);
+        m_inbox.jobRows.insert(m_inbox.jobRows.end(), rows.begin(), rows.end());
+        m_news = true;
+    };
+    TableFollower::Callbacks callbacks;
+    callbacks.onTable = [this, take](const std::vector<StoredRow> &rows) {
+        take(rows);
+        absl::MutexLock lock(&m_mutex);
+        m_loaded = true;
+    };
+    callbacks.onChanges = take;
+    m_jobs = std::make_unique<TableFollower>(m_store, JobTable, JobFeedWait, callbacks);
+    m_jobs->start();
+    absl::MutexLock lock(&m_mutex);
+    m_mutex.Await(absl::Condition(
+        +[](Leader *self) { return self->m_loaded || self->m_stopping.load(); }, this));
+    return !m_stopping;
+}
+
+void Leader::run()
+{
+    telemetry::Event("leadership_taken").with("epoch", epoch());
+    if (!load())
+        return;
+    telemetry::Event("leader_loaded")
+        .with("epoch", epoch())
+        .with("progress_rows", static_cast<std::int64_t>(m_progress.size()))
+        .with("took_ms", absl::ToInt64Milliseconds(m_clock.now() - m_began));
+    core::Instant next = m_clock.now();
+    while (!m_stopping && !m_deposed)
+        round(next);
+    telemetry::Event("leadership_ended").with("epoch", epoch()).with("deposed", m_deposed.load());
+}
+
+bool Leader::hasNews() const
+{
+    return m_news;
+}
+
+Leader::Inbox Leader::takeInbox(core::Instant until)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_mutex.AwaitWithTimeout(absl::Condition(this, &Leader::hasNews), until - m_clock.now());
+    m_news = false;
+    return std::exchange(m_inbox, {});
+}
+
+void Leader::round(core::Instant &next)
+{
+    Inbox inbox = takeInbox(next);
+    if (m_stopping)
+        return;
+    const core::Instant now = m_clock.now();
+    if (inbox.catalog) {
+        std::map<std::string, std::int64_t> guarantees;
+        for (const workload::Account &account : inbox.catalog->accounts)
+            guarantees[account.name] = account.guaranteedAccelerators;
+        m_planner.setGuarantees(std::move(guarantees));
+    }
+    for (const StoredRow &row : inbox.jobRows)
+        applyJobRow(row, now);
+    if (inbox.agents)
+        applyAgents(*std::move(inbox.agents));
+    for (const Results &results : inbox.results)
+        applyResults(results);
+    for (const auto &[agent, state] : inbox.states)
+        applyState(agent, state, now);
+    checkContacts(now);
+    planning::Plan plan = m_planner.plan(now, core::wallClockMicros() / 1000);
+    m_metrics.observe("decision_seconds", m_clock.now() - now);
+    const std::set<std::string> changed = m_planner.takeChanged();
+    const bool renew = now - m_log->lastCommit() >= RenewalPeriod;
+    if ((!changed.empty() || renew) && !store(changed))
+        return;
+    publish(changed);
+    acknowledgeEnds();
+    send(std::move(plan.orders));
+    if (!removeOldJobs(now))
+        return;
+    next = plan.next;
+}
+
+void Leader::applyJobRow(const StoredRow &row, core::Instant now)
+{
+    if (row.removed)
+        return;
+    if (absl::EndsWith(row.key, CancelSuffix)) {
+        const std::string id = row.key.substr(0, row.key.size() - sizeof(CancelSuffix) + 1);
+        const planning::JobRecord *record = m_planner.job(id);
+        if (record && !planning::ended(record->state()))
+            telemetry::Event("job_cancelled").with("job", id).with("version", row.version);
+        m_planner.cancelJob(id, now);
+        return;
+    }
+    if (m_planner.job(row.key))
+        return;
+    std::optional<workload::Job> job = workload::decodeJob(row.key, row.value);
+    if (!job) {
+        telemetry::Event("job_row_unreadable")
+            .with("job", row.key)
+            .with("version", row.version)
+            .with("reason", core::lastReason().message);
+        return;
+    }
+    const std::string queue = job->queue;
+    const auto progress = m_progress.find(row.key);
+    if (progress == m_progress.end()) {
+        m_planner.addJob(*std::move(job), now);
+    } else if (!m_planner.restoreJob(*std::move(job), progress->second, now)) {
+        telemetry::Event("progress_row_unreadable")
+            .with("job", row.key)
+            .with("reason", core::lastReason().message);
+        return;
+    }
+    if (progress != m_progress.end())
+        m_progress.erase(progress);
+    const planning::JobRecord &record = *m_planner.job(row.key);
+    telemetry::Event("job_seen")
+        .with("job", row.key)
+        .with("queue", queue)
+        .with("version", row.version)
+        .with("priority", record.job().terms.priority)
+        .with("state", toString(record.state()));
+    absl::MutexLock lock(&m_mutex);
+    m_views[row.key] = {queue, record.state(), record.begun()};
+}
+
+bool Leader::commit(const std::vector<StoredRow> &puts, const std::vector<StoredRow> &removals)
+{
+    const core::Instant begin = m_clock.now();
+    const LeaderLog::Outcome outcome = m_log->commit(puts, removals);
+    m_metrics.observe("commit_seconds", m_clock.now() - begin);
+    if (outcome == LeaderLog::Outcome::Deposed)
+        m_deposed = true;
+    return outcome == LeaderLog::Outcome::Committed;
+}
+
+bool Leader::store(const std::set<std::string> &changed)
+{
+    std::vector<StoredRow> puts;
+    for (const std::string &id : changed) {
+        if (puts.size() == LeaderLog::MaxRowsPerCommit) {
+            if (!commit(puts, {}))
+                return false;
+            puts.clear();
+        }
+        puts.push_back({ProgressTable, id, m_planner.job(id)->encode()});
+    }
+    return commit(puts, {});
+}
+
+void Leader::publish(const std::set<std::string> &changed)
+{
+    absl::MutexLock lock(&m_mutex);
+    for (const std::string &id : changed) {
+        const planning::JobRecord &record = *m_planner.job(id);
+        View &view = m_views[id];
+        if (planning::ended(record.state()) && !planning::ended(view.state)) {
+            telemetry::Event("job_ended").with("job", id).with("state", toString(record.state()));
+            m_metrics.add(std::string("jobs_ended{state=\"") + toString(record.state()) + "\"}");
+        }
+        view = {record.job().queue, record.state(), record.begun()};
+    }
+}
+
+bool Leader::removeOldJobs(core::Instant now)
+{
+    if (now < m_nextCleanup)
+        return true;
+    m_nextCleanup = now + CleanupPeriod;
+    std::vector<StoredRow> removals;
+    std::vector<std::string> ids;
+    // Three rows a job, and one commit a round.
+    for (const auto &[id, record] : m_planner.jobs()) {
+        if (now - record.endedAt() < m_options.retention || record.anyActive())
+            continue;
+        if (removals.size() + 3 > LeaderLog::MaxRowsPerCommit)
+            break;
+        removals.push_back({JobTable, id, {}});
+        removals.push_back({JobTable, id + CancelSuffix, {}});
+        removals.push_back({ProgressTable, id, {}});
+        ids.push_back(id);
+    }
+    if (ids.empty())
+        return true;
+    if (!commit({}, removals))
+        return false;
+    absl::MutexLock lock(&m_mutex);
+    for (const std::string &id : ids) {
+        m_planner.removeJob(id);
+        m_views.erase(id);
+    }
+    return true;
+}
+
+} // namespace oleandercross::control
--- /dev/null
+++ b/src/control/leaderlog.cpp
@@ -0,0 +1,170 @@
+#include <oleandercross/control/leaderlog.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/telemetry/eventlog.h>
+
+#include <absl/time/clock.h>
+
+namespace oleandercross::control {
+
+namespace {
+
+// Pauses between attempts of the same commit.
+constexpr absl::Duration FirstPause = absl::Milliseconds(30);
+constexpr absl::Duration LongestPause = absl::Milliseconds(250);
+
+} // namespace
+
+std::string encodeLeadership(const Leadership &leadership)
+{
+    Json::Value value(Json::objectValue);
+    value["epoch"] = static_cast<Json::Int64>(leadership.epoch);
+    value["holder"] = leadership.holder;
+    value["address"] = toString(leadership.address);
+    value["sequence"] = static_cast<Json::Int64>(leadership.sequence);
+    value["incarnation"] = leadership.incarnation;
+    return core::writeJson(value);
+}
+
+std::optional<Leadership> decodeLeadership(const std::string &text)
+{
+    const std::optional<Json::Value> value = core::parseJson(text);
+    if (!value)
+        return std::nullopt;
+    const auto address = http::parseEndpoint(core::stringMember(*value, "address"));
+    if (!address)
+        return std::nullopt;
+    Leadership leadership;
+    leadership.epoch = core::intMember(*value, "epoch");
+    leadership.holder = core::stringMember(*value, "holder");
+    leadership.address = *address;
+    leadership.sequence = core::intMember(*value, "sequence");
+    leadership.incarnation = core::stringMember(*value, "incarnation");
+    return leadership;
+}
+
+LeaderLog::LeaderLog(RowStore &store, Leadership own)
+    : m_store(store)
+    , m_own(std::move(own))
+{ }
+
+std::int64_t LeaderLog::epoch() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_own.epoch;
+}
+
+core::Instant LeaderLog::lastCommit() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_lastCommit;
+}
+
+bool LeaderLog::acquire(const std::optional<StoredRow> &last)
+{
+    absl::MutexLock commitLock(&m_commitMutex);
+    Leadership next = m_own;
+    next.epoch = 1;
+    next.sequence = 0;
+    if (last) {
+        const std::optional<Leadership> old = decodeLeadership(last->value);
+        if (!old) {
+            telemetry::Event("leader_row_unreadable").with("reason", core::lastReason().message);
+            return false;
+        }
+        next.epoch = old->epoch + 1;
+    }
+    m_version = last ? last->version : 0;
+    RowChanges changes;
+    changes.conditions.push_back({LeaderTable, LeaderKey, m_version});
+    changes.puts.push_back({LeaderTable, LeaderKey, encodeLeadership(next)});
+    // An attempt whose fate is open may still succeed, so it is repeated until that is known.
+    for (absl::Duration pause = FirstPause; !m_stopping;
+         pause = std::min(pause * 2, LongestPause)) {
+        const Attempt result = attempt(changes, next);
+        if (result == Attempt::Deposed)
+            return false;
+        if (result == Attempt::Done)
+            return true;
+        absl::SleepFor(pause);
+    }
+    return false;
+}
+
+LeaderLog::Outcome LeaderLog::commit(const std::vector<StoredRow> &puts,
+                                     const std::vector<StoredRow> &removals)
+{
+    absl::MutexLock commitLock(&m_commitMutex);
+    Leadership next = m_own;
+    ++next.sequence;
+    RowChanges changes;
+    changes.conditions.push_back({LeaderTable, LeaderKey, m_version});
+    changes.puts = puts;
+    changes.puts.push_back({LeaderTable, LeaderKey, encodeLeadership(next)});
+    changes.removals = removals;
+    for (absl::Duration pause = FirstPause; !m_stopping;
+         pause = std::min(pause * 2, LongestPause)) {
+        const Attempt result = attempt(changes, next);
+        if (result != Attempt::Again)
+            return result == Attempt::Done ? Outcome::Committed : Outcome::Deposed;
+        absl::SleepFor(pause);
+    }
+    return Outcome::Stopped;
+}
+
+LeaderLog::Attempt LeaderLog::attempt(const RowChanges &changes, const Leadership &next)
+{
+    const CommitResult result = m_store.commit(changes, StoreTimeout);
+    if (result.outcome == CommitOutcome::Conflict)
+        return afterConflict(result, next);
+    if (result.outcome != CommitOutcome::Applied) {
+        telemetry::Event("leader_commit_retried")
+            .with("epoch", next.epoch)
+            .with("sequence", next.sequence)
+            .with("outcome", result.outcome == CommitOutcome::Refused ? "refused" : "unknown")
+            .with("reason", result.reason);
+        return Attempt::Again;
+    }
+    absl::MutexLock lock(&m_mutex);
+    m_own = next;
+    m_version = result.version;
+    m_lastCommit = m_clock.now();
+    return Attempt::Done;
+}
+
+LeaderLog::Attempt LeaderLog::afterConflict(const CommitResult &result, const Leadership &next)
+{
+    for (const StoredRow &row : result.current) {
+        if (row.table != LeaderTable || row.key != LeaderKey)
+            continue;
+        const std::optional<Leadership> current = decodeLeadership(row.value);
+        if (!current || *current != next)
+            break;
+        // An earlier attempt whose answer was lost has taken effect.
+        absl::MutexLock lock(&m_mutex);
+        m_own = next;
+        m_version = row.version;
+        m_lastCommit = m_clock.now();
+        return Attempt::Done;
+    }
+    return Attempt::Deposed;
+}
+
+void LeaderLog::release()
+{
+    absl::MutexLock commitLock(&m_commitMutex);
+    Leadership next = m_own;
+    next.holder.clear();
+    ++next.sequence;
+    RowChanges changes;
+    changes.conditions.push_back({LeaderTable, LeaderKey, m_version});
+    changes.puts.push_back({LeaderTable, LeaderKey, encodeLeadership(next)});
+    const CommitResult result = m_store.commit(changes, StoreTimeout);
+    telemetry::Event("leadership_released")
+        .with("epoch", next.epoch)
+        .with("stored", result.outcome == CommitOutcome::Applied)
+        .with("reason", result.reason);
+}
+
+} // namespace oleandercross::control
--- /dev/null
+++ b/src/control/members.cpp
@@ -0,0 +1,129 @@
+#include <oleandercross/control/members.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/telemetry/eventlog.h>
+
+#include <algorithm>
+
+namespace oleandercross::control {
+
+std::string encodeMember(const Member &member)
+{
+    Json::Value value(Json::objectValue);
+    value["role"] = member.role == MemberRole::Entry ? "entry" : "agent";
+    value["address"] = toString(member.address);
+    value["incarnation"] = member.incarnation;
+    return core::writeJson(value);
+}
+
+std::optional<Member> decodeMember(const std::string &name, const std::string &text)
+{
+    const std::optional<Json::Value> value = core::parseJson(text);
+    if (!value)
+        return std::nullopt;
+    const auto address = http::parseEndpoint(core::stringMember(*value, "address"));
+    if (!address)
+        return std::nullopt;
+    const std::string role = core::stringMember(*value, "role");
+    if (role != "entry" && role != "agent")
+        return core::fail(core::ResultCode::BadField, "\"" + role + "\" is no role");
+    return Member{name, role == "entry" ? MemberRole::Entry : MemberRole::Agent, *address,
+                  core::stringMember(*value, "incarnation")};
+}
+
+Members::Members(Member own)
+    : m_own(std::move(own))
+{ }
+
+void Members::applyRow(const StoredRow &row)
+{
+    if (row.removed) {
+        m_members.erase(row.key);
+        return;
+    }
+    const std::optional<Member> member = decodeMember(row.key, row.value);
+    if (!member) {
+        telemetry::Event("member_row_unreadable")
+            .with("member", row.key)
+            .with("reason", core::lastReason().message);
+        return;
+    }
+    // An address that was taken over belongs to its latest user only.
+    std::erase_if(m_members, [&member](const auto &entry) {
+        return entry.second.address == member->address && entry.first != member->name;
+    });
+    m_members[row.key] = *member;
+}
+
+void Members::replaceAll(const std::vector<StoredRow> &rows)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_members.clear();
+    std::vector<StoredRow> sorted = rows;
+    std::sort(sorted.begin(), sorted.end(),
+              [](const StoredRow &a, const StoredRow &b) { return a.version < b.version; });
+    for (const StoredRow &row : sorted)
+        applyRow(row);
+    ++m_version;
+}
+
+void Members::apply(const std::vector<StoredRow> &rows)
+{
+    absl::MutexLock lock(&m_mutex);
+    for (const StoredRow &row : rows)
+        applyRow(row);
+    ++m_version;
+}
+
+void Members::add(const Member &member)
+{
+    absl::MutexLock lock(&m_mutex);
+    Member &known = m_members[member.name];
+    if (known == member)
+        return;
+    known = member;
+    ++m_version;
+}
+
+void Members::setSeeds(std::vector<http::Endpoint> seeds)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_seeds = std::move(seeds);
+}
+
+std::vector<http::Endpoint> Members::peers() const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<http::Endpoint> peers;
+    for (const auto &[name, member] : m_members) {
+        if (member.role == MemberRole::Entry && member.address != m_own.address)
+            peers.push_back(member.address);
+    }
+    if (!peers.empty())
+        return peers;
+    for (const http::Endpoint &seed : m_seeds) {
+        if (seed != m_own.address)
+            peers.push_back(seed);
+    }
+    return peers;
+}
+
+std::map<std::string, http::Endpoint> Members::agents() const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::map<std::string, http::Endpoint> agents;
+    for (const auto &[name, member] : m_members) {
+        if (member.role == MemberRole::Agent)
+            agents[name] = member.address;
+    }
+    return agents;
+}
+
+std::int64_t Members::version() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_version;
+}
+
+} // namespace oleandercross::control
--- /dev/null
+++ b/src/control/relayedstore.cpp
@@ -0,0 +1,243 @@
+#include <oleandercross/control/relayedstore.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+#include <oleandercross/telemetry/eventlog.h>
+
+namespace oleandercross::control {
+
+namespace {
+
+// While the store cannot be reached, one call in this time tries it directly.
+constexpr absl::Duration ProbePeriod = absl::Milliseconds(400);
+// Added to a call's own time for the way over the peer.
+constexpr absl::Duration RelayTime = absl::Milliseconds(300);
+
+Json::Value toJson(const StoredRow &row)
+{
+    Json::Value value(Json::arrayValue);
+    value.append(row.table);
+    value.append(row.key);
+    value.append(row.value);
+    value.append(static_cast<Json::Int64>(row.version));
+    value.append(row.removed);
+    return value;
+}
+
+StoredRow rowFromJson(const Json::Value &value)
+{
+    if (!value.isArray() || value.size() != 5)
+        return {};
+    return {value[0U].asString(), value[1U].asString(), value[2U].asString(), value[3U].asInt64(),
+            value[4U].asBool()};
+}
+
+Json::Value toJson(const std::vector<StoredRow> &rows)
+{
+    Json::Value value(Json::arrayValue);
+    for (const StoredRow &row : rows)
+        value.append(toJson(row));
+    return value;
+}
+
+std::vector<StoredRow> rowsFromJson(const Json::Value &value)
+{
+    std::vector<StoredRow> rows;
+    for (const Json::Value &row : value)
+        rows.push_back(rowFromJson(row));
+    return rows;
+}
+
+} // namespace
+
+RelayedStore::RelayedStore(RowStore &direct, rpc::Client &client,
+                           std::function<std::vector<http::Endpoint>()> peers)
+    : m_direct(direct)
+    , m_client(client)
+    , m_peers(std::move(peers))
+{ }
+
+bool RelayedStore::reachable() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_reachable;
+}
+
+bool RelayedStore::tryDirect()
+{
+    absl::MutexLock lock(&m_mutex);
+    const core::Instant now = m_clock.now();
+    if (m_reachable)
+        return true;
+    if (now < m_nextProbe)
+        return false;
+    m_nextProbe = now + ProbePeriod;
+    return true;
+}
+
+void RelayedStore::note(bool reached)
+{
+    const core::Reason reason = reached ? core::Reason{} : core::lastReason();
+    absl::MutexLock lock(&m_mutex);
+    if (reached == m_reachable)
+        return;
+    m_reachable = reached;
+    m_nextProbe = m_clock.now() + ProbePeriod;
+    telemetry::Event(reached ? "store_reached" : "store_lost").with("reason", reason.message);
+}
+
+std::optional<Json::Value> RelayedStore::relay(const char *method, const Json::Value &params,
+                                               absl::Duration timeout)
+{
+    for (const http::Endpoint &peer : m_peers()) {
+        if (auto answer = m_client.call(peer, method, params, timeout + RelayTime))
+            return answer;
+    }
+    return core::fail(core::ResultCode::StoreUnavailable,
+                      "the store is reached neither directly nor through a peer");
+}
+
+CommitResult RelayedStore::commit(const RowChanges &changes, absl::Duration timeout)
+{
+    CommitResult result;
+    result.outcome = CommitOutcome::Refused;
+    result.reason = "the store was not reached directly";
+    if (tryDirect()) {
+        result = m_direct.commit(changes, timeout);
+        const bool answered =
+            result.outcome == CommitOutcome::Applied || result.outcome == CommitOutcome::Conflict;
+        if (!answered)
+            core::fail(core::ResultCode::StoreUnavailable, result.reason);
+        note(answered);
+        if (answered)
+            return result;
+    }
+    Json::Value params(Json::objectValue);
+    for (const RowCondition &condition : changes.conditions)
+        params["conditions"].append(
+            toJson(StoredRow{condition.table, condition.key, {}, condition.version}));
+    params["puts"] = toJson(changes.puts);
+    params["removals"] = toJson(changes.removals);
+    for (const http::Endpoint &peer : m_peers()) {
+        const auto answer = m_client.call(peer, "store-commit", params, timeout + RelayTime);
+        if (!answer) {
+            // A peer that may have passed the call on leaves the outcome open.
+            const core::ResultCode code = core::lastReason().code;
+            if (code != core::ResultCode::StoreUnavailable
+                && code != core::ResultCode::ConnectionFailed)
+                result.outcome = CommitOutcome::Unknown;
+            continue;
+        }
+        const auto outcome = static_cast<CommitOutcome>(core::intMember(*answer, "outcome"));
+        if (outcome == CommitOutcome::Refused)
+            continue;
+        // An attempt in doubt may turn into a conflict with itself; the caller finds its own rows.
+        if (outcome == CommitOutcome::Unknown) {
+            result.outcome = CommitOutcome::Unknown;
+            continue;
+        }
+        result.outcome = outcome;
+        result.version = core::intMember(*answer, "version");
+        result.current = rowsFromJson(core::member(*answer, "current"));
+        return result;
+    }
+    return result;
+}
+
+std::optional<RowPage> RelayedStore::range(const std::string &table, const std::string &from,
+                                           int limit, absl::Duration timeout)
+{
+    if (tryDirect()) {
+        auto page = m_direct.range(table, from, limit, timeout);
+        note(page.has_value());
+        if (page)
+            return page;
+    }
+    Json::Value params(Json::objectValue);
+    params["table"] = table;
+    params["from"] = from;
+    params["limit"] = limit;
+    const auto answer = relay("store-range", params, timeout);
+    if (!answer)
+        return std::nullopt;
+    return RowPage{rowsFromJson(core::member(*answer, "rows")), core::boolMember(*answer, "more"),
+                   core::intMember(*answer, "version")};
+}
+
+std::optional<RowFeed> RelayedStore::changes(const std::string &table, std::int64_t after,
+                                             absl::Duration wait)
+{
+    if (tryDirect()) {
+        auto feed = m_direct.changes(table, after, wait);
+        note(feed.has_value());
+        if (feed)
+            return feed;
+    }
+    Json::Value params(Json::objectValue);
+    params["table"] = table;
+    params["after"] = static_cast<Json::Int64>(after);
+    params["wait"] = static_cast<Json::Int64>(absl::ToInt64Milliseconds(wait));
+    const auto answer = relay("store-changes", params, wait);
+    if (!answer)
+        return std::nullopt;
+    return RowFeed{rowsFromJson(core::member(*answer, "rows")), core::intMember(*answer, "version"),
+                   core::boolMember(*answer, "historyLost")};
+}
+
+void RelayedStore::serve(rpc::Server &server)
+{
+    server.add("store-commit", [this](const Json::Value &params) { return serveCommit(params); });
+    server.add("store-range", [this](const Json::Value &params) { return serveRange(params); });
+    server.add("store-changes", [this](const Json::Value &params) { return serveChanges(params); });
+}
+
+std::optional<Json::Value> RelayedStore::serveCommit(const Json::Value &params)
+{
+    if (!reachable())
+        return core::fail(core::ResultCode::StoreUnavailable, "the store is not reached here");
+    RowChanges changes;
+    for (const StoredRow &row : rowsFromJson(core::member(params, "conditions")))
+        changes.conditions.push_back({row.table, row.key, row.version});
+    changes.puts = rowsFromJson(core::member(params, "puts"));
+    changes.removals = rowsFromJson(core::member(params, "removals"));
+    const CommitResult result = m_direct.commit(changes, StoreTimeout);
+    Json::Value answer(Json::objectValue);
+    answer["outcome"] = static_cast<int>(result.outcome);
+    answer["version"] = static_cast<Json::Int64>(result.version);
+    answer["current"] = toJson(result.current);
+    return answer;
+}
+
+std::optional<Json::Value> RelayedStore::serveRange(const Json::Value &params)
+{
+    if (!reachable())
+        return core::fail(core::ResultCode::StoreUnavailable, "the store is not reached here");
+    const auto page =
+        m_direct.range(core::stringMember(params, "table"), core::stringMember(params, "from"),
+                       static_cast<int>(core::intMember(params, "limit", 1)), StoreTimeout);
+    if (!page)
+        return std::nullopt;
+    Json::Value answer(Json::objectValue);
+    answer["rows"] = toJson(page->rows);
+    answer["more"] = page->more;
+    answer["version"] = static_cast<Json::Int64>(page->version);
+    return answer;
+}
+
+std::optional<Json::Value> RelayedStore::serveChanges(const Json::Value &params)
+{
+    if (!reachable())
+        return core::fail(core::ResultCode::StoreUnavailable, "the store is not reached here");
+    const auto feed =
+        m_direct.changes(core::stringMember(params, "table"), core::intMember(params, "after"),
+                         absl::Milliseconds(core::intMember(params, "wait")));
+    if (!feed)
+        return std::nullopt;
+    Json::Value answer(Json::objectValue);
+    answer["rows"] = toJson(feed->rows);
+    answer["version"] = static_cast<Json::Int64>(feed->version);
+    answer["historyLost"] = feed->historyLost;
+    return answer;
+}
+
+} // namespace oleandercross::control
--- a/src/core/clock.cpp
+++ b/src/core/clock.cpp
@@ -1,6 +1,7 @@
 #include <oleandercross/core/clock.h>
 
 #include <chrono>
+#include <ctime>
 
 namespace oleandercross::core {
 
@@ -10,6 +11,13 @@
     return absl::UnixEpoch() + absl::FromChrono(sinceOrigin);
 }
 
+Instant BootClock::now() const
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return absl::UnixEpoch() + absl::DurationFromTimespec(time);
+}
+
 Instant ManualClock::now() const
 {
     absl::MutexLock lock(&m_mutex);
--- a/src/daemon/main_daemon.cpp
+++ b/src/daemon/main_daemon.cpp
@@ -2,7 +2,9 @@
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/daemon/process.h>
 #include <oleandercross/statechart/statechart.h>
+#include <oleandercross/telemetry/eventlog.h>
 #include <oleandercross/telemetry/log.h>
+#include <platform/process.h>
 
 #include <CLI/CLI.hpp>
 #include <absl/time/clock.h>
@@ -28,6 +30,33 @@
     return core::exitStatus(reason.code);
 }
 
+// Runs until a signal, then stops gracefully.
+int run(daemon::Process &process)
+{
+    if (!process.start())
+        return report(core::lastReason());
+    while (signalsReceived == 0)
+        absl::SleepFor(absl::Milliseconds(50));
+    process.stop([] { return signalsReceived > 1; });
+    return 0;
+}
+
+// Serves on the platform, whose settings file the environment names.
+int serveDeployed(config::Role role)
+{
+    const auto settings = platform::loadDeploymentSettings();
+    if (!settings)
+        return report(core::lastReason());
+    telemetry::startEventLog(settings->node);
+    telemetry::Event("process_started").with("version", OLEANDERCROSS_VERSION);
+    const auto process = role == config::Role::Entry ? platform::makeDeployedEntry(*settings)
+                                                     : platform::makeDeployedAgent(*settings);
+    const int status = run(*process);
+    telemetry::Event("process_stopped").with("status", status);
+    telemetry::stopEventLog();
+    return status;
+}
+
 int serve(config::Role role, const std::string &settingsFile)
 {
     const auto settings = config::loadSettings(settingsFile, role);
@@ -38,15 +67,9 @@
     telemetry::initLog(settings->id);
     const auto process =
         role == config::Role::Entry ? daemon::makeEntry(*settings) : daemon::makeAgent(*settings);
-    if (!process->start())
-        return report(core::lastReason());
-    telemetry::logState("daemon", "started");
-    while (signalsReceived == 0)
-        absl::SleepFor(absl::Milliseconds(50));
-    telemetry::logState("daemon", "stopping");
-    process->stop([] { return signalsReceived > 1; });
+    const int status = run(*process);
     telemetry::logState("daemon", "stopped");
-    return 0;
+    return status;
 }
 
 } // namespace
@@ -60,7 +83,9 @@
     app.add_option("--role", role, "what this process is")
         ->required()
         ->check(CLI::IsMember({"entry", "agent"}));
-    app.add_option("--settings", settingsFile, "YAML file with the settings")->required();
+    app.add_option("--settings", settingsFile,
+                   "YAML file with the settings; without it, the "
+                   "platform's environment names one");
     try {
         app.parse(argc, argv);
     } catch (const CLI::ParseError &e) {
@@ -70,5 +95,8 @@
     std::signal(SIGTERM, onSignal);
     std::signal(SIGINT, onSignal);
     std::signal(SIGPIPE, SIG_IGN);
-    return serve(role == "entry" ? config::Role::Entry : config::Role::Agent, settingsFile);
+    const config::Role parsed = role == "entry" ? config::Role::Entry : config::Role::Agent;
+    if (settingsFile.empty())
+        return serveDeployed(parsed);
+    return serve(parsed, settingsFile);
 }
--- /dev/null
+++ b/src/planning/jobrecord.cpp
@@ -0,0 +1,331 @@
+#include <oleandercross/planning/jobrecord.h>
+
+#include <oleandercross/core/json.h>
+#include <oleandercross/core/resultcode.h>
+
+#include <algorithm>
+#include <array>
+
+namespace oleandercross::planning {
+
+namespace {
+
+constexpr std::array<const char *, 5> StateNames = {"queued", "running", "completed", "failed",
+                                                    "cancelled"};
+constexpr std::array<const char *, 6> EndNames = {"completed", "failed", "stopped",
+                                                  "lapsed",    "broken", "alone"};
+
+void clearRun(Task &task)
+{
+    task.phase = TaskPhase::Pending;
+    task.running = false;
+    task.stopWanted = false;
+    task.percent = 0;
+}
+
+Json::Value encodeTask(const workload::TaskKey &key, const Task &task)
+{
+    Json::Value row(Json::arrayValue);
+    row.append(key.occurrence);
+    row.append(key.step);
+    row.append(key.index);
+    row.append(static_cast<int>(task.phase));
+    row.append(task.run);
+    row.append(task.failures);
+    row.append(task.worker);
+    row.append(task.checkpoint);
+    return row;
+}
+
+} // namespace
+
+const char *toString(JobState state)
+{
+    return StateNames.at(static_cast<std::size_t>(state));
+}
+
+std::optional<JobState> parseJobState(const std::string &text)
+{
+    const auto found = std::find(StateNames.begin(), StateNames.end(), text);
+    if (found == StateNames.end())
+        return core::fail(core::ResultCode::BadField, "\"" + text + "\" is no job state");
+    return static_cast<JobState>(found - StateNames.begin());
+}
+
+bool ended(JobState state)
+{
+    return state != JobState::Queued && state != JobState::Running;
+}
+
+const char *toString(RunEnd end)
+{
+    return EndNames.at(static_cast<std::size_t>(end));
+}
+
+bool Occurrence::complete() const
+{
+    return std::all_of(steps.begin(), steps.end(), [](const StepProgress &step) {
+        return std::all_of(step.tasks.begin(), step.tasks.end(),
+                           [](const Task &task) { return task.phase == TaskPhase::Done; });
+    });
+}
+
+JobRecord::JobRecord(workload::Job job, core::Instant seenAt)
+    : m_job(std::move(job))
+    , m_seenAt(seenAt)
+{
+    if (!m_job.scheduled) {
+        m_occurrences.emplace(0, newOccurrence());
+        m_nextOccurrence = 1;
+    }
+}
+
+Occurrence JobRecord::newOccurrence() const
+{
+    Occurrence occurrence;
+    for (const workload::Step &step : m_job.steps) {
+        occurrence.steps.emplace_back();
+        occurrence.steps.back().tasks.resize(static_cast<std::size_t>(step.tasks));
+    }
+    return occurrence;
+}
+
+Task *JobRecord::task(const workload::TaskKey &key)
+{
+    return const_cast<Task *>(std::as_const(*this).task(key));
+}
+
+const Task *JobRecord::task(const workload::TaskKey &key) const
+{
+    const auto found = m_occurrences.find(key.occurrence);
+    if (found == m_occurrences.end() || key.step < 0 || key.index < 0)
+        return nullptr;
+    const auto step = static_cast<std::size_t>(key.step);
+    const auto index = static_cast<std::size_t>(key.index);
+    if (step >= found->second.steps.size() || index >= found->second.steps[step].tasks.size())
+        return nullptr;
+    return &found->second.steps[step].tasks[index];
+}
+
+bool JobRecord::anyActive() const
+{
+    for (const auto &[number, occurrence] : m_occurrences) {
+        for (const StepProgress &step : occurrence.steps) {
+            for (const Task &task : step.tasks) {
+                if (task.phase == TaskPhase::Active)
+                    return true;
+            }
+        }
+    }
+    return false;
+}
+
+void JobRecord::beginDue(std::int64_t wallMs)
+{
+    if (ended(m_state))
+        return;
+    while (m_nextOccurrence < m_job.occurrences
+           && m_job.firstDueMs + m_nextOccurrence * m_job.intervalMs <= wallMs) {
+        m_occurrences.emplace(m_nextOccurrence, newOccurrence());
+        ++m_nextOccurrence;
+    }
+}
+
+bool JobRecord::ready(const Occurrence &occurrence, int step) const
+{
+    for (const int earlier : m_job.steps[static_cast<std::size_t>(step)].after) {
+        for (const Task &task : occurrence.steps[static_cast<std::size_t>(earlier)].tasks) {
+            if (task.phase != TaskPhase::Done)
+                return false;
+        }
+    }
+    return true;
+}
+
+void JobRecord::start(const workload::TaskKey &key, int run, const std::string &worker,
+                      core::Instant now)
+{
+    Task *target = task(key);
+    target->phase = TaskPhase::Active;
+    target->run = run;
+    target->worker = worker;
+    target->running = false;
+    target->stopWanted = false;
+    target->orderSentAt = absl::InfinitePast();
+    target->startedAt = now;
+    target->percent = 0;
+    target->percentChangedAt = now;
+    m_begun = true;
+    if (m_state == JobState::Queued)
+        m_state = JobState::Running;
+}
+
+bool JobRecord::end(const workload::RunKey &key, const std::string &worker, RunEnd how,
+                    const std::string &checkpoint, core::Instant now)
+{
+    Task *target = task(key.task);
+    if (!target || target->phase != TaskPhase::Active || target->run != key.run
+        || target->worker != worker)
+        return false;
+    StepProgress &step =
+        m_occurrences.at(key.task.occurrence).steps[static_cast<std::size_t>(key.task.step)];
+    if (!checkpoint.empty())
+        target->checkpoint = checkpoint;
+    clearRun(*target);
+    if (how == RunEnd::Completed)
+        target->phase = TaskPhase::Done;
+    if (how == RunEnd::Failed) {
+        ++target->failures;
+        target->failedOn.insert(worker);
+    }
+    if (m_job.steps[static_cast<std::size_t>(key.task.step)].gang)
+        endGang(step, key, how, checkpoint);
+    const int failures = m_job.steps[static_cast<std::size_t>(key.task.step)].gang
+        ? step.gangFailures
+        : target->failures;
+    if (!ended(m_state) && failures >= m_job.terms.attempts)
+        finish(JobState::Failed, now);
+    settle(now);
+    return true;
+}
+
+void JobRecord::endGang(StepProgress &step, const workload::RunKey &key, RunEnd how,
+                        const std::string &checkpoint)
+{
+    if (how == RunEnd::Failed && step.lastFailedRun != key.run) {
+        step.lastFailedRun = key.run;
+        ++step.gangFailures;
+    }
+    for (Task &member : step.tasks) {
+        if (!checkpoint.empty())
+            member.checkpoint = checkpoint;
+        // The members complete together, so that one such end stands for all of them.
+        if (how == RunEnd::Completed && member.run == key.run) {
+            clearRun(member);
+            member.phase = TaskPhase::Done;
+        }
+    }
+}
+
+bool JobRecord::forget(const workload::RunKey &key, const std::string &worker)
+{
+    Task *target = task(key.task);
+    if (!target || target->phase != TaskPhase::Active || target->run != key.run
+        || target->worker != worker)
+        return false;
+    clearRun(*target);
+    return true;
+}
+
+bool JobRecord::cancel(core::Instant now)
+{
+    if (ended(m_state))
+        return false;
+    finish(JobState::Cancelled, now);
+    return true;
+}
+
+void JobRecord::settle(core::Instant now)
+{
+    if (ended(m_state))
+        return;
+    for (auto it = m_occurrences.begin(); it != m_occurrences.end();)
+        it = it->second.complete() ? m_occurrences.erase(it) : std::next(it);
+    if (m_occurrences.empty() && m_nextOccurrence >= m_job.occurrences)
+        finish(JobState::Completed, now);
+}
+
+void JobRecord::finish(JobState state, core::Instant now)
+{
+    m_state = state;
+    m_endedAt = now;
+}
+
+std::string JobRecord::encode() const
+{
+    Json::Value value(Json::objectValue);
+    value["state"] = toString(m_state);
+    value["next"] = m_nextOccurrence;
+    for (const auto &[number, occurrence] : m_occurrences) {
+        value["open"].append(number);
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            const StepProgress &step = occurrence.steps[s];
+            if (step.gangFailures > 0) {
+                Json::Value row(Json::arrayValue);
+                row.append(number);
+                row.append(static_cast<int>(s));
+                row.append(step.gangFailures);
+                row.append(step.lastFailedRun);
+                value["gangs"].append(row);
+            }
+            for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+                const Task &task = step.tasks[i];
+                // An ended job only has to remember what still has to be stopped.
+                if (task.run > 0 && (!ended(m_state) || task.phase == TaskPhase::Active))
+                    value["tasks"].append(
+                        encodeTask({{}, number, static_cast<int>(s), static_cast<int>(i)}, task));
+            }
+        }
+    }
+    return core::writeJson(value);
+}
+
+void JobRecord::restoreTask(const Json::Value &row)
+{
+    if (!row.isArray() || row.size() != 8)
+        return;
+    for (Json::ArrayIndex i = 0; i < 6; ++i) {
+        if (!row[i].isInt())
+            return;
+    }
+    Task *target = task({{}, row[0].asInt(), row[1].asInt(), row[2].asInt()});
+    if (!target || !row[6].isString() || !row[7].isString())
+        return;
+    target->phase = static_cast<TaskPhase>(std::clamp(row[3].asInt(), 0, 2));
+    target->run = row[4].asInt();
+    target->failures = row[5].asInt();
+    target->worker = row[6].asString();
+    target->checkpoint = row[7].asString();
+    m_begun = true;
+}
+
+bool JobRecord::restore(const std::string &text, core::Instant now)
+{
+    const std::optional<Json::Value> value = core::parseJson(text);
+    if (!value)
+        return false;
+    const std::optional<JobState> state = parseJobState(core::stringMember(*value, "state"));
+    if (!state)
+        return false;
+    m_nextOccurrence = static_cast<int>(core::intMember(*value, "next"));
+    m_occurrences.clear();
+    for (const Json::Value &number : core::member(*value, "open")) {
+        if (number.isInt())
+            m_occurrences.emplace(number.asInt(), newOccurrence());
+    }
+    for (const Json::Value &row : core::member(*value, "gangs")) {
+        const auto found = m_occurrences.find(row[0U].asInt());
+        if (found == m_occurrences.end())
+            continue;
+        StepProgress &step = found->second.steps.at(row[1U].asUInt());
+        step.gangFailures = row[2U].asInt();
+        step.lastFailedRun = row[3U].asInt();
+    }
+    for (const Json::Value &row : core::member(*value, "tasks"))
+        restoreTask(row);
+    for (auto &[number, occurrence] : m_occurrences) {
+        for (StepProgress &step : occurrence.steps) {
+            for (Task &task : step.tasks) {
+                task.startedAt = now;
+                task.percentChangedAt = now;
+            }
+        }
+    }
+    m_begun = m_begun || *state != JobState::Queued;
+    m_state = *state;
+    if (ended(m_state))
+        m_endedAt = now;
+    return true;
+}
+
+} // namespace oleandercross::planning
--- /dev/null
+++ b/src/planning/placement.cpp
@@ -0,0 +1,238 @@
+#include <oleandercross/planning/placement.h>
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace oleandercross::planning {
+
+namespace {
+
+// Places the tasks of one request on the workers of one domain.
+class DomainPlacer
+{
+public:
+    DomainPlacer(const PlacementRequest &request, const Workers &workers, Room room,
+                 const std::vector<Victim> &victims)
+        : m_request(request)
+        , m_workers(workers)
+        , m_room(std::move(room))
+        , m_victims(victims)
+    { }
+
+    std::optional<Placed> run(const std::vector<std::string> &domain)
+    {
+        int left = m_request.tasks;
+        while (left > 0) {
+            const int placed = placeOnRoomiest(domain, left);
+            if (placed > 0) {
+                left -= placed;
+                continue;
+            }
+            if (!makeRoom(domain))
+                return std::nullopt;
+        }
+        return m_result;
+    }
+
+private:
+    int spare(const std::string &worker) const
+    {
+        const int fitting = timesFitting(m_request.perTask, m_room.at(worker));
+        const auto placed = m_result.tasks.find(worker);
+        const int used = placed == m_result.tasks.end() ? 0 : placed->second;
+        return std::min(fitting, m_request.allowed.at(worker) - used);
+    }
+
+    int penalty(const std::string &worker) const
+    {
+        const auto found = m_request.penalties.find(worker);
+        return found == m_request.penalties.end() ? 0 : found->second;
+    }
+
+    // Smaller is better: sound workers, then those near the data, then the fullest one that takes
+    // all remaining tasks, or the emptiest one if none does.
+    std::tuple<int, bool, bool, std::int64_t, std::int64_t> rank(const std::string &worker,
+                                                                 int left) const
+    {
+        const Worker &info = m_workers.at(worker);
+        const bool far = !m_request.preferredRack.empty() && info.rack != m_request.preferredRack;
+        const bool takesAll = spare(worker) >= left;
+        const workload::Demand &free = m_room.at(worker);
+        const std::int64_t sign = takesAll ? 1 : -1;
+        return {penalty(worker), far, !takesAll, sign * free.accelerators, sign * free.milliCores};
+    }
+
+    int placeOnRoomiest(const std::vector<std::string> &domain, int left)
+    {
+        const std::string *best = nullptr;
+        for (const std::string &worker : domain) {
+            if (spare(worker) > 0 && (!best || rank(worker, left) < rank(*best, left)))
+                best = &worker;
+        }
+        if (!best)
+            return 0;
+        const int count = std::min(left, spare(*best));
+        m_result.tasks[*best] += count;
+        for (int i = 0; i < count; ++i)
+            m_room[*best] = m_room[*best] - m_request.perTask;
+        return count;
+    }
+
+    // Stops the cheapest set of victims that lets one more task fit on some worker.
+    bool makeRoom(const std::vector<std::string> &domain)
+    {
+        std::optional<std::vector<std::size_t>> best;
+        double bestCost = std::numeric_limits<double>::infinity();
+        for (const std::string &worker : domain) {
+            const auto chosen = victimsFor(worker);
+            if (!chosen)
+                continue;
+            double cost = penalty(worker);
+            for (const std::size_t index : *chosen)
+                cost += m_victims[index].cost;
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = chosen;
+            }
+        }
+        if (!best)
+            return false;
+        for (const std::size_t index : *best) {
+            m_result.victims.insert(index);
+            m_result.cost += m_victims[index].cost;
+            for (const auto &[worker, demand] : m_victims[index].frees) {
+                const auto found = m_room.find(worker);
+                if (found != m_room.end())
+                    found->second = found->second + demand;
+            }
+        }
+        return true;
+    }
+
+    // The victims, cheapest first, that have to go before one more task fits on the worker.
+    std::optional<std::vector<std::size_t>> victimsFor(const std::string &worker) const
+    {
+        const auto placed = m_result.tasks.find(worker);
+        const int used = placed == m_result.tasks.end() ? 0 : placed->second;
+        if (used >= m_request.allowed.at(worker))
+            return std::nullopt;
+        std::vector<std::size_t> candidates;
+        for (std::size_t i = 0; i < m_victims.size(); ++i) {
+            if (m_victims[i].frees.contains(worker) && !m_result.victims.contains(i))
+                candidates.push_back(i);
+        }
+        std::sort(candidates.begin(), candidates.end(), [this](std::size_t a, std::size_t b) {
+            return m_victims[a].cost < m_victims[b].cost;
+        });
+        std::vector<std::size_t> chosen;
+        workload::Demand free = m_room.at(worker);
+        for (const std::size_t index : candidates) {
+            if (fits(m_request.perTask, free))
+                break;
+            free = free + m_victims[index].frees.at(worker);
+            chosen.push_back(index);
+        }
+        if (!fits(m_request.perTask, free) || chosen.empty())
+            return std::nullopt;
+        return dropNeedless(worker, chosen);
+    }
+
+    // Leaves out victims that are not needed after all, dearest first.
+    std::vector<std::size_t> dropNeedless(const std::string &worker,
+                                          std::vector<std::size_t> chosen) const
+    {
+        for (std::size_t i = chosen.size(); i-- > 0;) {
+            workload::Demand free = m_room.at(worker);
+            for (std::size_t j = 0; j < chosen.size(); ++j) {
+                if (j != i)
+                    free = free + m_victims[chosen[j]].frees.at(worker);
+            }
+            if (fits(m_request.perTask, free))
+                chosen.erase(chosen.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+        return chosen;
+    }
+
+    const PlacementRequest &m_request;
+    const Workers &m_workers;
+    Room m_room;
+    const std::vector<Victim> &m_victims;
+    Placed m_result;
+};
+
+std::map<std::string, std::vector<std::string>> racksOf(const PlacementRequest &request,
+                                                        const Workers &workers)
+{
+    std::map<std::string, std::vector<std::string>> racks;
+    for (const auto &[worker, most] : request.allowed)
+        racks[workers.at(worker).rack].push_back(worker);
+    return racks;
+}
+
+// What remains free on the workers used; the smaller, the better the fit.
+std::int64_t leftover(const Placed &placed, const PlacementRequest &request, const Room &room,
+                      const std::vector<std::string> &domain)
+{
+    std::int64_t left = 0;
+    for (const std::string &worker : domain) {
+        const auto found = placed.tasks.find(worker);
+        const int used = found == placed.tasks.end() ? 0 : found->second;
+        left += room.at(worker).accelerators - used * request.perTask.accelerators;
+    }
+    return left;
+}
+
+int totalPenalty(const Placed &placed, const PlacementRequest &request)
+{
+    int total = 0;
+    for (const auto &[worker, count] : placed.tasks) {
+        const auto found = request.penalties.find(worker);
+        total += found == request.penalties.end() ? 0 : found->second;
+    }
+    return total;
+}
+
+} // namespace
+
+std::optional<Placed> place(const PlacementRequest &request, const Workers &workers,
+                            const Room &room, const std::vector<Victim> &victims)
+{
+    if (!request.oneRack) {
+        std::vector<std::string> all;
+        for (const auto &[worker, most] : request.allowed)
+            all.push_back(worker);
+        return DomainPlacer(request, workers, room, victims).run(all);
+    }
+    std::optional<Placed> best;
+    std::tuple<double, int, bool, std::int64_t> bestRank;
+    for (const auto &[rack, domain] : racksOf(request, workers)) {
+        std::optional<Placed> placed = DomainPlacer(request, workers, room, victims).run(domain);
+        if (!placed)
+            continue;
+        const bool far = !request.preferredRack.empty() && rack != request.preferredRack;
+        const std::tuple<double, int, bool, std::int64_t> rank = {
+            placed->cost, totalPenalty(*placed, request), far,
+            leftover(*placed, request, room, domain)};
+        if (!best || rank < bestRank) {
+            best = std::move(placed);
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+bool fitsOneRack(const PlacementRequest &request, const Workers &workers)
+{
+    for (const auto &[rack, domain] : racksOf(request, workers)) {
+        int fitting = 0;
+        for (const std::string &worker : domain)
+            fitting += std::min(request.allowed.at(worker),
+                                timesFitting(request.perTask, workers.at(worker).capacity));
+        if (fitting >= request.tasks)
+            return true;
+    }
+    return false;
+}
+
+} // namespace oleandercross::planning
--- /dev/null
+++ b/src/planning/plan.cpp
@@ -0,0 +1,443 @@
+#include <oleandercross/planning/planner.h>
+
+#include "unit.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace oleandercross::planning {
+
+namespace {
+
+// One accelerator weighs as much as this many cores when work is compared.
+constexpr double CoresPerAccelerator = 8;
+// Stopping and restoring a task from its checkpoint costs about this much of its work.
+constexpr double CheckpointedStopSeconds = 1.0;
+// A stop of a task without a checkpoint is never free, also when it has only just begun.
+constexpr double PlainStopSeconds = 0.3;
+// Jobs without a guarantee may only stop work worth this part of their own.
+constexpr double StopBudget = 0.3;
+// Room stays reserved for this long while pre-empted tasks stop.
+constexpr absl::Duration ReservationTime = absl::Seconds(4);
+// A step waits at most this long for a rack that suits it, unless its own run time is shorter.
+constexpr absl::Duration MaxRackWait = absl::Milliseconds(2500);
+// The same for guaranteed work, whose start is bounded.
+constexpr absl::Duration UrgentRackWait = absl::Milliseconds(400);
+// Beyond this multiple of its latency objective a job earns nothing.
+constexpr int ObjectivesUntilWorthless = 3;
+// Estimates are rough: a job counts as late when even this part of its estimate is too long.
+constexpr double TrustInEstimate = 0.5;
+// Due times and time-outs are looked at this often.
+constexpr absl::Duration PlanPeriod = absl::Milliseconds(100);
+
+double weight(const workload::Demand &demand)
+{
+    return static_cast<double>(demand.milliCores) / 1000
+        + CoresPerAccelerator * static_cast<double>(demand.accelerators);
+}
+
+double stopCost(const workload::Step &step, const Task &task, core::Instant now)
+{
+    const double elapsed = absl::ToDoubleSeconds(now - task.startedAt);
+    const double lost = step.checkpointable ? std::min(CheckpointedStopSeconds, elapsed)
+                                            : elapsed + PlainStopSeconds;
+    return lost * weight(step.perTask);
+}
+
+bool hasLabel(const Worker &worker, const std::string &label)
+{
+    return label.empty()
+        || std::find(worker.labels.begin(), worker.labels.end(), label) != worker.labels.end();
+}
+
+} // namespace
+
+absl::Duration remainingTime(const workload::Step &step, const Task &task, core::Instant now)
+{
+    const absl::Duration elapsed = now - task.startedAt;
+    if (task.percent <= 0)
+        return absl::Milliseconds(step.estimateMs);
+    return elapsed * (static_cast<double>(100 - task.percent) / task.percent);
+}
+
+Plan Planner::plan(core::Instant now, std::int64_t wallMs)
+{
+    Plan plan;
+    for (auto &[id, record] : m_jobs)
+        record.beginDue(wallMs);
+    m_urgentNeeds = urgentNeeds();
+    orderStops(now, plan);
+    std::vector<Unit> units = readyUnits(now);
+    Room room = freeRoom();
+    for (const Unit &unit : units)
+        reserve(unit, room);
+    for (const Unit &unit : units)
+        placeUnit(unit, room, now, plan);
+    plan.next = now + PlanPeriod;
+    return plan;
+}
+
+void Planner::orderStops(core::Instant now, Plan &plan)
+{
+    for (auto &[id, record] : m_jobs) {
+        for (auto &[number, occurrence] : record.occurrences()) {
+            for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
+                orderStopsOf(record, number, static_cast<int>(s), now, plan);
+        }
+    }
+}
+
+void Planner::orderStopsOf(JobRecord &record, int occurrence, int step, core::Instant now,
+                           Plan &plan)
+{
+    const workload::Step &spec = record.job().steps[static_cast<std::size_t>(step)];
+    std::vector<Task> &tasks =
+        record.occurrences().at(occurrence).steps[static_cast<std::size_t>(step)].tasks;
+    const bool partial =
+        spec.gang && std::any_of(tasks.begin(), tasks.end(), [](const Task &t) {
+            return t.phase == TaskPhase::Pending || (t.phase == TaskPhase::Active && t.stopWanted);
+        });
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        Task &task = tasks[i];
+        const auto worker = m_workers.find(task.worker);
+        if (task.phase != TaskPhase::Active || worker == m_workers.end())
+            continue;
+        const workload::TaskKey key{record.job().id, occurrence, step, static_cast<int>(i)};
+        const bool leaves = worker->second.draining && spec.checkpointable
+            && remainingTime(spec, task, now) > worker->second.leavesAt - now;
+        if (!task.stopWanted && (ended(record.state()) || partial || leaves)) {
+            task.stopWanted = true;
+            task.orderSentAt = absl::InfinitePast();
+        }
+        if (!task.stopWanted)
+            repeatStart(key, task, now, plan);
+        if (task.stopWanted && now - task.orderSentAt >= m_options.orderRepeat) {
+            task.orderSentAt = now;
+            const char *reason = ended(record.state()) ? "job ended"
+                : partial                              ? "gang incomplete"
+                : leaves                               ? "worker leaves"
+                                                       : "pre-empted or refused";
+            plan.orders.push_back(
+                {Order::Kind::Stop, task.worker, {key, task.run}, {}, {}, reason});
+        }
+    }
+}
+
+void Planner::repeatStart(const workload::TaskKey &key, Task &task, core::Instant now, Plan &plan)
+{
+    if (task.running)
+        return;
+    if (now - task.startedAt >= m_options.startTimeout) {
+        task.stopWanted = true;
+        task.orderSentAt = absl::InfinitePast();
+    } else if (now - task.orderSentAt >= m_options.orderRepeat) {
+        task.orderSentAt = now;
+        plan.orders.push_back({Order::Kind::Start,
+                               task.worker,
+                               {key, task.run},
+                               m_jobs.at(key.job).job().payload,
+                               task.checkpoint,
+                               "repeated"});
+    }
+}
+
+Room Planner::freeRoom() const
+{
+    Room room;
+    for (const auto &[key, worker] : m_workers)
+        room[key] = worker.capacity - worker.strays;
+    for (const auto &[id, record] : m_jobs) {
+        for (const auto &[number, occurrence] : record.occurrences()) {
+            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+                for (const Task &task : occurrence.steps[s].tasks) {
+                    const auto found = room.find(task.worker);
+                    if (task.phase == TaskPhase::Active && found != room.end())
+                        found->second = found->second - record.job().steps[s].perTask;
+                }
+            }
+        }
+    }
+    return room;
+}
+
+std::map<std::string, std::int64_t> Planner::urgentNeeds() const
+{
+    std::map<std::string, std::int64_t> needs;
+    for (const auto &[id, record] : m_jobs) {
+        const workload::Job &job = record.job();
+        if (ended(record.state()) || job.terms.priority != 0)
+            continue;
+        std::int64_t most = 0;
+        for (const workload::Step &step : job.steps)
+            most = std::max(most, step.tasks * step.perTask.accelerators);
+        needs[job.account] += most;
+    }
+    return needs;
+}
+
+bool Planner::withinGuarantee(const std::string &account) const
+{
+    const auto guarantee = m_guarantees.find(account);
+    const auto need = m_urgentNeeds.find(account);
+    return guarantee != m_guarantees.end()
+        && (need == m_urgentNeeds.end() || need->second <= guarantee->second);
+}
+
+std::vector<Planner::Unit> Planner::readyUnits(core::Instant now)
+{
+    std::vector<Unit> units;
+    for (auto &[id, record] : m_jobs) {
+        if (!ended(record.state()))
+            collectUnits(record, now, units);
+    }
+    std::stable_sort(units.begin(), units.end(),
+                     [](const Unit &a, const Unit &b) { return a.order() < b.order(); });
+    return units;
+}
+
+void Planner::collectUnits(JobRecord &record, core::Instant now, std::vector<Unit> &units)
+{
+    const workload::Job &job = record.job();
+    for (auto &[number, occurrence] : record.occurrences()) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            if (!record.ready(occurrence, static_cast<int>(s)))
+                continue;
+            StepProgress &progress = occurrence.steps[s];
+            progress.readySince = std::min(progress.readySince, now);
+            Unit unit;
+            unit.record = &record;
+            unit.progress = &progress;
+            unit.spec = &job.steps[s];
+            unit.occurrence = number;
+            unit.step = static_cast<int>(s);
+            bool active = false;
+            for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+                if (progress.tasks[i].phase == TaskPhase::Pending)
+                    unit.indices.push_back(static_cast<int>(i));
+                active = active || progress.tasks[i].phase == TaskPhase::Active;
+            }
+            // A gang starts again only when no member of its last run is left.
+            if (unit.indices.empty() || (unit.spec->gang && active))
+                continue;
+            const core::Instant base = job.scheduled ? progress.readySince : record.seenAt();
+            const absl::Duration chain = absl::Milliseconds(workload::longestChainMs(job));
+            const absl::Duration objective =
+                chain * job.terms.stretch + absl::Milliseconds(job.terms.targetMs);
+            unit.deadline = base + objective;
+            unit.late = now + chain * TrustInEstimate > unit.deadline;
+            unit.worthless = now > base + objective * ObjectivesUntilWorthless;
+            unit.guaranteed = job.terms.priority == 0 && withinGuarantee(job.account);
+            units.push_back(std::move(unit));
+        }
+    }
+}
+
+PlacementRequest Planner::request(const Unit &unit, core::Instant now) const
+{
+    PlacementRequest request;
+    request.perTask = unit.spec->perTask;
+    request.preferredRack = unit.spec->dataRack;
+    std::map<std::string, int> onWorker;
+    std::set<std::string> failedOn;
+    for (const Task &task : unit.progress->tasks) {
+        if (task.phase == TaskPhase::Active)
+            ++onWorker[task.worker];
+        failedOn.insert(task.failedOn.begin(), task.failedOn.end());
+    }
+    int unfit = 0;
+    for (const auto &[key, worker] : m_workers)
+        unfit += m_health.suspicion(key, now) == 2 ? 1 : 0;
+    const bool avoidUnfit = unfit * 3 <= static_cast<int>(m_workers.size());
+    for (const auto &[key, worker] : m_workers) {
+        const int suspicion = m_health.suspicion(key, now);
+        if (!worker.accepting || worker.service != unit.record->job().terms.service
+            || !hasLabel(worker, unit.spec->neededLabel)
+            || !fits(unit.spec->perTask, worker.capacity) || (suspicion == 2 && avoidUnfit))
+            continue;
+        const int most = unit.spec->maxPerWorker > 0 ? unit.spec->maxPerWorker - onWorker[key]
+                                                     : std::numeric_limits<int>::max();
+        if (most <= 0)
+            continue;
+        request.allowed[key] = most;
+        const int penalty = suspicion + (failedOn.contains(key) ? 2 : 0);
+        if (penalty > 0)
+            request.penalties[key] = penalty;
+    }
+    return request;
+}
+
+bool Planner::mayStop(const Unit &unit, const JobRecord &victim) const
+{
+    const workload::Job &job = victim.job();
+    const int priority = unit.record->job().terms.priority;
+    if (job.terms.priority > priority)
+        return true;
+    if (!unit.guaranteed || job.terms.priority != 0)
+        return false;
+    return !withinGuarantee(job.account);
+}
+
+std::vector<Victim> Planner::victims(const Unit &unit, core::Instant now) const
+{
+    std::vector<Victim> victims;
+    for (const auto &[id, record] : m_jobs) {
+        for (const auto &[number, occurrence] : record.occurrences()) {
+            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+                const workload::Step &spec = record.job().steps[s];
+                Victim gang;
+                for (std::size_t i = 0; i < occurrence.steps[s].tasks.size(); ++i) {
+                    const Task &task = occurrence.steps[s].tasks[i];
+                    const auto worker = m_workers.find(task.worker);
+                    if (task.phase != TaskPhase::Active || worker == m_workers.end()
+                        || (!task.stopWanted && !mayStop(unit, record)))
+                        continue;
+                    Victim single;
+                    Victim &victim = spec.gang ? gang : single;
+                    victim.frees[task.worker] = victim.frees[task.worker] + spec.perTask;
+                    // Room that a stop under way will free costs nothing more.
+                    if (!task.stopWanted) {
+                        victim.runs.push_back(
+                            {{id, number, static_cast<int>(s), static_cast<int>(i)}, task.run});
+                        victim.cost += stopCost(spec, task, now);
+                    }
+                    if (!spec.gang)
+                        victims.push_back(std::move(single));
+                }
+                if (!gang.frees.empty())
+                    victims.push_back(std::move(gang));
+            }
+        }
+    }
+    return victims;
+}
+
+void Planner::reserve(const Unit &unit, Room &room) const
+{
+    for (const auto &[worker, count] : unit.progress->reservation) {
+        const auto found = room.find(worker);
+        for (int i = 0; i < count && found != room.end(); ++i)
+            found->second = found->second - unit.spec->perTask;
+    }
+}
+
+void Planner::placeUnit(const Unit &unit, Room &room, core::Instant now, Plan &plan)
+{
+    // The step's own reservation must not stand in its way.
+    for (const auto &[worker, count] : unit.progress->reservation) {
+        const auto found = room.find(worker);
+        for (int i = 0; i < count && found != room.end(); ++i)
+            found->second = found->second + unit.spec->perTask;
+    }
+    const bool reserved = now < unit.progress->reservedUntil;
+    if (!reserved)
+        unit.progress->reservation.clear();
+    PlacementRequest wanted = request(unit, now);
+    const absl::Duration waited = now - unit.progress->readySince;
+    const absl::Duration rackWait = unit.guaranteed
+        ? UrgentRackWait
+        : std::min(MaxRackWait, absl::Milliseconds(unit.spec->estimateMs));
+    const int tasks = static_cast<int>(unit.indices.size());
+    if (unit.spec->gang) {
+        wanted.tasks = tasks;
+        wanted.oneRack = unit.spec->sameRack && fitsOneRack(wanted, m_workers);
+        if (tryPlace(unit, wanted, room, now, plan) || !wanted.oneRack || waited < rackWait)
+            return;
+        wanted.oneRack = false;
+        tryPlace(unit, wanted, room, now, plan);
+        return;
+    }
+    if (!wanted.preferredRack.empty() && waited < rackWait) {
+        PlacementRequest near = wanted;
+        std::erase_if(near.allowed, [&](const auto &entry) {
+            return m_workers.at(entry.first).rack != wanted.preferredRack;
+        });
+        if (!near.allowed.empty())
+            wanted = std::move(near);
+    }
+    for (int i = 0; i < tasks; ++i) {
+        Unit one = unit;
+        one.indices = {unit.indices[static_cast<std::size_t>(i)]};
+        if (unit.spec->maxPerWorker > 0 && i > 0)
+            wanted.allowed = request(unit, now).allowed;
+        if (!tryPlace(one, wanted, room, now, plan))
+            return;
+    }
+}
+
+bool Planner::tryPlace(const Unit &unit, PlacementRequest request, Room &room, core::Instant now,
+                       Plan &plan)
+{
+    if (const auto placed = place(request, m_workers, room, {})) {
+        start(unit, placed->tasks, room, now, plan);
+        return true;
+    }
+    if (!unit.progress->reservation.empty()) {
+        reserve(unit, room);
+        return true;
+    }
+    const std::vector<Victim> candidates = victims(unit, now);
+    const auto placed = place(request, m_workers, room, candidates);
+    if (!placed)
+        return false;
+    const double own = weight(unit.spec->perTask) * static_cast<double>(unit.spec->estimateMs)
+        / 1000 * static_cast<double>(unit.indices.size());
+    if (!unit.guaranteed && placed->cost > own * StopBudget)
+        return false;
+    for (const std::size_t index : placed->victims)
+        stopVictim(candidates[index], unit, now, plan);
+    if (unit.spec->gang || unit.spec->tasks == 1) {
+        unit.progress->reservation = placed->tasks;
+        unit.progress->reservedUntil = now + ReservationTime;
+    }
+    for (const auto &[worker, count] : placed->tasks) {
+        for (int i = 0; i < count; ++i)
+            room[worker] = room[worker] - unit.spec->perTask;
+    }
+    return true;
+}
+
+void Planner::stopVictim(const Victim &victim, const Unit &unit, core::Instant now, Plan &plan)
+{
+    for (const workload::RunKey &run : victim.runs) {
+        Task *task = m_jobs.at(run.task.job).task(run.task);
+        task->stopWanted = true;
+        task->orderSentAt = now;
+        plan.orders.push_back({Order::Kind::Stop,
+                               task->worker,
+                               run,
+                               {},
+                               {},
+                               "pre-empted by " + unit.record->job().id});
+    }
+}
+
+void Planner::start(const Unit &unit, const std::map<std::string, int> &tasks, Room &room,
+                    core::Instant now, Plan &plan)
+{
+    int run = 0;
+    for (const Task &task : unit.progress->tasks)
+        run = std::max(run, task.run);
+    std::size_t next = 0;
+    for (const auto &[worker, count] : tasks) {
+        for (int i = 0; i < count; ++i) {
+            const workload::TaskKey key{unit.record->job().id, unit.occurrence, unit.step,
+                                        unit.indices[next++]};
+            Task *task = unit.record->task(key);
+            unit.record->start(key, unit.spec->gang ? run + 1 : task->run + 1, worker, now);
+            task->orderSentAt = now;
+            room[worker] = room[worker] - unit.spec->perTask;
+            plan.orders.push_back({Order::Kind::Start,
+                                   worker,
+                                   {key, task->run},
+                                   unit.record->job().payload,
+                                   task->checkpoint,
+                                   "placed"});
+        }
+    }
+    unit.progress->reservation.clear();
+    unit.progress->reservedUntil = absl::InfinitePast();
+    m_changed.insert(unit.record->job().id);
+}
+
+} // namespace oleandercross::planning
--- /dev/null
+++ b/src/workload/job.cpp
@@ -0,0 +1,115 @@
+#include <oleandercross/workload/job.h>
+
+#include <oleandercross/core/resultcode.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <limits>
+
+namespace oleandercross::workload {
+
+namespace {
+
+// Bounds on what one submission may ask for; a row of the store has to hold the job's progress.
+constexpr int MaxSteps = 32;
+constexpr int MaxTasksPerStep = 1000;
+constexpr int MaxOccurrences = 1000;
+constexpr std::size_t MaxPayloadBytes = 4000;
+// Assumed for steps whose caller gives no estimate.
+constexpr std::int64_t DefaultEstimateMs = 1000;
+
+bool dependsOnEarlierStepsOnly(const Step &step, int index)
+{
+    return std::all_of(step.after.begin(), step.after.end(),
+                       [index](int earlier) { return earlier >= 0 && earlier < index; });
+}
+
+std::optional<std::string> findStepDefect(const Step &step, int index)
+{
+    if (step.tasks < 1 || step.tasks > MaxTasksPerStep)
+        return absl::StrCat("step ", index, " has ", step.tasks, " tasks, allowed are 1 to ",
+                            MaxTasksPerStep);
+    if (!dependsOnEarlierStepsOnly(step, index))
+        return absl::StrCat("step ", index, " depends on a step that is not an earlier one");
+    if (step.perTask.milliCores < 0 || step.perTask.memoryMb < 0 || step.perTask.accelerators < 0
+        || step.estimateMs < 0 || step.maxPerWorker < 0)
+        return absl::StrCat("step ", index, " has a negative size");
+    return std::nullopt;
+}
+
+} // namespace
+
+int timesFitting(const Demand &need, const Demand &room)
+{
+    std::int64_t times = std::numeric_limits<int>::max();
+    const auto limit = [&times](std::int64_t one, std::int64_t all) {
+        if (one > 0)
+            times = std::min(times, std::max<std::int64_t>(0, all) / one);
+        else if (all < 0)
+            times = 0;
+    };
+    limit(need.milliCores, room.milliCores);
+    limit(need.memoryMb, room.memoryMb);
+    limit(need.accelerators, room.accelerators);
+    return static_cast<int>(times);
+}
+
+std::string toString(const TaskKey &key)
+{
+    return absl::StrCat(key.job, ".", key.occurrence, ".", key.step, ".", key.index);
+}
+
+std::optional<TaskKey> parseTaskKey(const std::string &text)
+{
+    const std::vector<std::string> parts = absl::StrSplit(text, '.');
+    TaskKey key;
+    if (parts.size() != 4 || parts[0].empty() || !absl::SimpleAtoi(parts[1], &key.occurrence)
+        || !absl::SimpleAtoi(parts[2], &key.step) || !absl::SimpleAtoi(parts[3], &key.index))
+        return core::fail(core::ResultCode::BadField, "\"" + text + "\" does not name a task");
+    key.job = parts[0];
+    return key;
+}
+
+std::string toString(const RunKey &key)
+{
+    return absl::StrCat(toString(key.task), "#", key.run);
+}
+
+std::int64_t longestChainMs(const Job &job)
+{
+    std::vector<std::int64_t> ends;
+    std::int64_t longest = 0;
+    for (const Step &step : job.steps) {
+        std::int64_t begin = 0;
+        for (const int earlier : step.after)
+            begin = std::max(begin, ends[static_cast<std::size_t>(earlier)]);
+        ends.push_back(begin + (step.estimateMs > 0 ? step.estimateMs : DefaultEstimateMs));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+std::optional<std::string> findDefect(const Job &job)
+{
+    if (job.payload.size() > MaxPayloadBytes)
+        return absl::StrCat("the payload has ", job.payload.size(), " bytes, allowed are ",
+                            MaxPayloadBytes);
+    if (job.steps.empty() || job.steps.size() > MaxSteps)
+        return absl::StrCat("the job has ", job.steps.size(), " steps, allowed are 1 to ",
+                            MaxSteps);
+    if (job.occurrences < 1 || job.occurrences > MaxOccurrences)
+        return absl::StrCat("the job has ", job.occurrences, " occurrences, allowed are 1 to ",
+                            MaxOccurrences);
+    if (job.scheduled && job.intervalMs < 0)
+        return "the interval between occurrences is negative";
+    for (std::size_t i = 0; i < job.steps.size(); ++i) {
+        if (auto defect = findStepDefect(job.steps[i], static_cast<int>(i)))
+            return defect;
+    }
+    return std::nullopt;
+}
+
+} // namespace oleandercross::workload
