--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -59,6 +59,9 @@
     void beginStop();
     void stop();
 
+    // Addresses of entries to use until the store names some.
+    void setSeeds(std::vector<http::Endpoint> seeds) { m_members.setSeeds(std::move(seeds)); }
+
     // True while callers can be served: a configuration is known and no stop has begun.
     bool ready() const;
     // Null before the first configuration.
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -74,6 +74,8 @@
                   const std::string &checkpoint, core::Instant now);
     // The worker has confirmed that the run is not there and never will be.
     void runAbsent(const std::string &worker, const workload::RunKey &run);
+    // The worker has confirmed the start.
+    void startConfirmed(const std::string &worker, const workload::RunKey &run);
     // The worker refused to start the run.
     void startRefused(const std::string &worker, const workload::RunKey &run);
 
@@ -87,6 +89,8 @@
     const Workers &workers() const { return m_workers; }
     // True if the run is decided and has not ended.
     bool expects(const std::string &worker, const workload::RunKey &run) const;
+    // True if the run has completed as part of a gang, although its worker may not list that yet.
+    bool completed(const workload::RunKey &run) const;
     // What a task of this name holds, nothing if its job is unknown.
     workload::Demand demandOf(const workload::TaskKey &task) const;
 
@@ -105,6 +109,7 @@
     void eachActive(const std::string &worker,
                     const std::function<void(const workload::TaskKey &, Task &)> &visit);
     PlacementRequest request(const Unit &unit, core::Instant now) const;
+    void chooseExpress(const Room &room, core::Instant now);
     std::vector<Victim> victims(const Unit &unit, core::Instant now) const;
     bool mayStop(const Unit &unit, const JobRecord &victim) const;
     void reserve(const Unit &unit, Room &room) const;
@@ -122,6 +127,9 @@
     Workers m_workers;
     WorkerHealth m_health;
     std::set<std::string> m_changed;
+    // When a job of priority 0 was last seen unfinished, and the rack that is kept for the next.
+    core::Instant m_urgentSeenAt = absl::InfinitePast();
+    std::string m_expressRack;
 };
 
 } // namespace oleandercross::planning
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -128,6 +128,11 @@
             m_planner.runSeen(life, running.run, running.checkpoint, running.percent, now);
             continue;
         }
+        // A gang completes as a whole; the other members' ends are on their way.
+        if (m_planner.completed(running.run)) {
+            worker.strays = worker.strays + m_planner.demandOf(running.run.task);
+            continue;
+        }
         worker.strays = worker.strays + m_planner.demandOf(running.run.task);
         stops.push_back({planning::Order::Kind::Stop, life, running.run, {}, {}, "unknown run"});
     }
@@ -141,8 +146,11 @@
         const planning::Order &order = results.orders[i];
         if (results.results[i] == OrderResult::Absent)
             m_planner.runAbsent(results.life, order.run);
-        if (order.kind == planning::Order::Kind::Start
-            && results.results[i] == OrderResult::Refused) {
+        if (order.kind != planning::Order::Kind::Start)
+            continue;
+        if (results.results[i] == OrderResult::Done)
+            m_planner.startConfirmed(results.life, order.run);
+        if (results.results[i] == OrderResult::Refused) {
             m_metrics.add("starts_refused");
             m_planner.startRefused(results.life, order.run);
         }
--- a/src/daemon/main_daemon.cpp
+++ b/src/daemon/main_daemon.cpp
@@ -17,12 +17,18 @@
 using namespace oleandercross;
 
 volatile std::sig_atomic_t signalsReceived = 0;
+volatile std::sig_atomic_t reloadsRequested = 0;
 
 void onSignal(int)
 {
     signalsReceived = signalsReceived + 1;
 }
 
+void onReload(int)
+{
+    reloadsRequested = reloadsRequested + 1;
+}
+
 int report(const core::Reason &reason)
 {
     std::fprintf(stderr, "error %d %s: %s\n", static_cast<int>(reason.code),
@@ -35,8 +41,14 @@
 {
     if (!process.start())
         return report(core::lastReason());
-    while (signalsReceived == 0)
+    std::sig_atomic_t reloads = 0;
+    while (signalsReceived == 0) {
         absl::SleepFor(absl::Milliseconds(50));
+        if (reloads == reloadsRequested)
+            continue;
+        reloads = reloadsRequested;
+        process.reload();
+    }
     process.stop([] { return signalsReceived > 1; });
     return 0;
 }
@@ -94,6 +106,7 @@
     }
     std::signal(SIGTERM, onSignal);
     std::signal(SIGINT, onSignal);
+    std::signal(SIGHUP, onReload);
     std::signal(SIGPIPE, SIG_IGN);
     const config::Role parsed = role == "entry" ? config::Role::Entry : config::Role::Agent;
     if (settingsFile.empty())
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -28,6 +28,10 @@
 constexpr int ObjectivesUntilWorthless = 3;
 // Estimates are rough: a job counts as late when even this part of its estimate is too long.
 constexpr double TrustInEstimate = 0.5;
+// After the last job of priority 0, a rack is kept free for the next one for this long.
+constexpr absl::Duration ExpressTime = absl::Seconds(10);
+// With fewer racks, keeping one free would cost too much of the whole.
+constexpr std::size_t MinRacksForExpress = 3;
 // Due times and time-outs are looked at this often.
 constexpr absl::Duration PlanPeriod = absl::Milliseconds(100);
 
@@ -72,6 +76,7 @@
     Room room = freeRoom();
     for (const Unit &unit : units)
         reserve(unit, room);
+    chooseExpress(room, now);
     for (const Unit &unit : units)
         placeUnit(unit, room, now, plan);
     plan.next = now + PlanPeriod;
@@ -161,6 +166,24 @@
     return room;
 }
 
+void Planner::chooseExpress(const Room &room, core::Instant now)
+{
+    if (!m_urgentNeeds.empty())
+        m_urgentSeenAt = now;
+    std::map<std::string, std::int64_t> freeOfRack;
+    for (const auto &[key, worker] : m_workers) {
+        if (worker.accepting)
+            freeOfRack[worker.rack] += room.at(key).accelerators;
+    }
+    m_expressRack.clear();
+    if (now - m_urgentSeenAt > ExpressTime || freeOfRack.size() < MinRacksForExpress)
+        return;
+    const auto emptiest =
+        std::max_element(freeOfRack.begin(), freeOfRack.end(),
+                         [](const auto &a, const auto &b) { return a.second < b.second; });
+    m_expressRack = emptiest->first;
+}
+
 std::map<std::string, std::int64_t> Planner::urgentNeeds() const
 {
     std::map<std::string, std::int64_t> needs;
@@ -260,7 +283,13 @@
         if (most <= 0)
             continue;
         request.allowed[key] = most;
-        const int penalty = suspicion + (failedOn.contains(key) ? 2 : 0);
+        const int priority = unit.record->job().terms.priority;
+        const bool express = priority > 0 && worker.rack == m_expressRack;
+        // Room is kept for urgent work at the expense of the least urgent.
+        if (express && priority > 1 && unit.spec->dataRack != worker.rack)
+            continue;
+        const int penalty =
+            suspicion + (failedOn.contains(key) ? 2 : 0) + (express ? 1 : 0);
         if (penalty > 0)
             request.penalties[key] = penalty;
     }
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -124,6 +124,12 @@
         m_changed.insert(run.task.job);
 }
 
+void Planner::startConfirmed(const std::string &worker, const workload::RunKey &run)
+{
+    if (expects(worker, run))
+        find(run.task.job)->task(run.task)->running = true;
+}
+
 void Planner::startRefused(const std::string &worker, const workload::RunKey &run)
 {
     if (!expects(worker, run))
@@ -161,6 +167,17 @@
         && task->worker == worker;
 }
 
+bool Planner::completed(const workload::RunKey &run) const
+{
+    const JobRecord *record = job(run.task.job);
+    if (!record)
+        return false;
+    const Task *task = record->task(run.task);
+    // The task is gone with its occurrence, or is done with this run.
+    return task ? task->phase == TaskPhase::Done && task->run == run.run
+                : record->state() == JobState::Completed;
+}
+
 workload::Demand Planner::demandOf(const workload::TaskKey &task) const
 {
     const auto found = m_jobs.find(task.job);
