Wait for tasks that end as soon as a stop would, and only once

Waiting is now limited to 0.7 of a stop's time and to the first reservation. Work that is slow to stop no longer runs on the rack kept for urgent work.

--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -16,6 +16,8 @@
 {
     // From the platform: how much slower work runs away from its data or spread over racks.
     double crossRackFactor = 3;
+    // From the platform: the longest that a worker takes to stop a task.
+    absl::Duration stopTime = absl::Milliseconds(500);
     // An order without any effect is repeated after this time.
     absl::Duration orderRepeat = absl::Milliseconds(700);
     // A start that has had no effect for this time is taken back.
@@ -112,6 +114,10 @@
     void chooseExpress(const Room &room, core::Instant now);
     std::vector<Victim> victims(const Unit &unit, core::Instant now) const;
     bool mayStop(const Unit &unit, const JobRecord &victim) const;
+    // True if work that is not urgent may run on the rack kept for urgent work.
+    bool mayUseExpress(const Unit &unit, const Worker &worker, core::Instant now) const;
+    // The job will be late unless it starts now.
+    static bool soonLate(const Unit &unit, core::Instant now);
     double stopBudget(const Unit &unit, core::Instant now) const;
     void reserve(const Unit &unit, Room &room) const;
     void placeUnit(const Unit &unit, Room &room, core::Instant now, Plan &plan);
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -18,7 +18,7 @@
 // How long a peer may take for an answer that it has in memory.
 constexpr absl::Duration PeerTimeout = absl::Milliseconds(400);
 // Left of a caller's time for the answer's way back.
-constexpr absl::Duration AnswerReserve = absl::Milliseconds(100);
+constexpr absl::Duration AnswerReserve = absl::Milliseconds(40);
 constexpr absl::Duration RetryPause = absl::Milliseconds(40);
 
 } // namespace
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -23,8 +23,8 @@
 constexpr double EarlyStopBudget = 0.08;
 // A job is about to be late when it could not wait for this part of its estimate any more.
 constexpr double LateSlack = 0.3;
-// Room stays reserved for this long while pre-empted tasks stop.
-constexpr absl::Duration ReservationTime = absl::Seconds(4);
+// Room stays reserved while pre-empted tasks stop, and this much longer.
+constexpr absl::Duration ReservationMargin = absl::Milliseconds(600);
 // A step waits at most this long for a rack that suits it, unless its own run time is shorter.
 constexpr absl::Duration MaxRackWait = absl::Milliseconds(2500);
 // The same for guaranteed work, whose start is bounded.
@@ -37,6 +37,12 @@
 constexpr absl::Duration ExpressTime = absl::Seconds(10);
 // With fewer racks, keeping one free would cost too much of the whole.
 constexpr std::size_t MinRacksForExpress = 3;
+// Work that takes longer to stop than this does not run on the rack kept for urgent work.
+constexpr absl::Duration LongestExpressStop = absl::Milliseconds(400);
+// A task that ends by itself within this share of the time of a stop is not stopped to make room.
+constexpr double EndWaitShare = 0.7;
+// Progress that has not changed for this long says nothing of a task's end.
+constexpr absl::Duration ProgressAge = absl::Milliseconds(1000);
 // Due times and time-outs are looked at this often.
 constexpr absl::Duration PlanPeriod = absl::Milliseconds(100);
 
@@ -73,10 +79,11 @@
 
 absl::Duration remainingTime(const workload::Step &step, const Task &task, core::Instant now)
 {
-    const absl::Duration elapsed = now - task.startedAt;
     if (task.percent <= 0)
         return absl::Milliseconds(step.estimateMs);
-    return elapsed * (static_cast<double>(100 - task.percent) / task.percent);
+    const absl::Duration took = task.percentChangedAt - task.startedAt;
+    return took * (static_cast<double>(100 - task.percent) / task.percent)
+        - (now - task.percentChangedAt);
 }
 
 Plan Planner::plan(core::Instant now, std::int64_t wallMs)
@@ -299,10 +306,7 @@
         request.allowed[key] = most;
         const int priority = unit.record->job().terms.priority;
         const bool express = priority > 0 && worker.rack == m_expressRack;
-        // On the rack kept for urgent work runs only what can be stopped without a loss, or what
-        // belongs there.
-        if (express && priority > 1 && !unit.spec->checkpointable
-            && unit.spec->dataRack != worker.rack)
+        if (express && !mayUseExpress(unit, worker, now))
             continue;
         const int penalty = suspicion + (failedOn.contains(key) ? 2 : 0) + (express ? 1 : 0);
         if (penalty > 0)
@@ -325,6 +329,11 @@
 std::vector<Victim> Planner::victims(const Unit &unit, core::Instant now) const
 {
     std::vector<Victim> victims;
+    // Waiting for a task's own end is as good as stopping it, but only once: estimates may be
+    // wrong.
+    const absl::Duration endWait = unit.progress->reservedUntil == absl::InfinitePast()
+        ? m_options.stopTime * EndWaitShare
+        : absl::ZeroDuration();
     for (const auto &[id, record] : m_jobs) {
         for (const auto &[number, occurrence] : record.occurrences()) {
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
@@ -336,11 +345,14 @@
                     if (task.phase != TaskPhase::Active || worker == m_workers.end()
                         || (!task.stopWanted && !mayStop(unit, record)))
                         continue;
+                    const bool endsSoon = task.percent > 0
+                        && now - task.percentChangedAt < ProgressAge
+                        && remainingTime(spec, task, now) < endWait;
                     Victim single;
                     Victim &victim = spec.gang ? gang : single;
                     victim.frees[task.worker] = victim.frees[task.worker] + spec.perTask;
-                    // Room that a stop under way will free costs nothing more.
-                    if (!task.stopWanted) {
+                    // Room that is about to become free costs nothing more.
+                    if (!task.stopWanted && !endsSoon) {
                         victim.runs.push_back(
                             {{id, number, static_cast<int>(s), static_cast<int>(i)}, task.run});
                         victim.cost +=
@@ -410,14 +422,26 @@
     }
 }
 
+bool Planner::mayUseExpress(const Unit &unit, const Worker &worker, core::Instant now) const
+{
+    const bool cheapToStop = unit.spec->checkpointable && m_options.stopTime <= LongestExpressStop;
+    if (cheapToStop || unit.spec->dataRack == worker.rack)
+        return true;
+    return unit.record->job().terms.priority == 1 && soonLate(unit, now);
+}
+
+bool Planner::soonLate(const Unit &unit, core::Instant now)
+{
+    const absl::Duration chain = absl::Milliseconds(workload::longestChainMs(unit.record->job()));
+    return now + chain * (1 + LateSlack) > unit.deadline;
+}
+
 double Planner::stopBudget(const Unit &unit, core::Instant now) const
 {
     const workload::Job &job = unit.record->job();
     if (job.terms.priority == 0)
         return UrgentStopBudget;
-    const absl::Duration chain = absl::Milliseconds(workload::longestChainMs(job));
-    const bool soonLate = now + chain * (1 + LateSlack) > unit.deadline;
-    return soonLate && !unit.late ? LateStopBudget : EarlyStopBudget;
+    return soonLate(unit, now) && !unit.late ? LateStopBudget : EarlyStopBudget;
 }
 
 bool Planner::tryPlace(const Unit &unit, PlacementRequest request, Room &room, core::Instant now,
@@ -443,7 +467,7 @@
         stopVictim(candidates[index], unit, now, plan);
     if (unit.spec->gang || unit.spec->tasks == 1) {
         unit.progress->reservation = placed->tasks;
-        unit.progress->reservedUntil = now + ReservationTime;
+        unit.progress->reservedUntil = now + m_options.stopTime + ReservationMargin;
     }
     for (const auto &[worker, count] : placed->tasks) {
         for (int i = 0; i < count; ++i)
