--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -77,6 +77,7 @@
 // Fails with BadField.
 std::optional<AgentState> agentStateFromJson(const Json::Value &value);
 Json::Value toJson(const OrderCall &call);
-OrderCall orderCallFromJson(const Json::Value &value);
+// Fails with BadField.
+std::optional<OrderCall> orderCallFromJson(const Json::Value &value);
 
 } // namespace oleandercross::control
--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -119,6 +119,7 @@
     void finish(JobState state, core::Instant now);
     void endGang(StepProgress &step, const workload::RunKey &key, RunEnd how,
                  const std::string &checkpoint);
+    void restoreGang(const Json::Value &row);
     void restoreTask(const Json::Value &row);
     Occurrence newOccurrence() const;
 
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -55,7 +55,7 @@
     worker.service = core::stringMember(value, "service");
     worker.rack = core::stringMember(value, "rack");
     for (const Json::Value &label : core::member(value, "labels"))
-        worker.labels.push_back(label.asString());
+        worker.labels.push_back(label.isString() ? label.asString() : std::string());
     worker.capacity = workload::demandFromJson(core::member(value, "capacity"));
     worker.draining = core::boolMember(value, "draining");
     worker.leavesIn = durationFrom(core::intMember(value, "leavesIn", -1));
@@ -151,8 +151,9 @@
     state.incarnation = core::stringMember(value, "incarnation");
     state.clockMs = core::intMember(value, "clock");
     state.version = core::intMember(value, "version");
-    if (value.isMember("worker")) {
-        state.worker = workerFromJson(value["worker"]);
+    const Json::Value &worker = core::member(value, "worker");
+    if (worker.isObject()) {
+        state.worker = workerFromJson(worker);
         if (!state.worker)
             return std::nullopt;
     }
@@ -160,14 +161,15 @@
     state.listed = core::boolMember(value, "listed");
     for (const Json::Value &row : core::member(value, "running")) {
         const auto run = runFrom(row);
-        if (!run || row.size() != 4)
-            return std::nullopt;
+        if (!run || row.size() != 4 || !row[2U].isString() || !row[3U].isInt())
+            return core::fail(core::ResultCode::BadField, "a running task is incomplete");
         state.runs.running.push_back({*run, row[2U].asString(), row[3U].asInt()});
     }
     for (const Json::Value &row : core::member(value, "ended")) {
         const auto run = runFrom(row);
-        if (!run || row.size() != 5)
-            return std::nullopt;
+        if (!run || row.size() != 5 || !row[2U].isInt64() || !row[3U].isInt()
+            || !row[4U].isString())
+            return core::fail(core::ResultCode::BadField, "an ended task is incomplete");
         state.runs.ended.push_back({row[2U].asInt64(), *run,
                                     static_cast<planning::RunEnd>(row[3U].asInt()),
                                     row[4U].asString()});
@@ -192,7 +194,7 @@
     return value;
 }
 
-OrderCall orderCallFromJson(const Json::Value &value)
+std::optional<OrderCall> orderCallFromJson(const Json::Value &value)
 {
     OrderCall call;
     call.epoch = core::intMember(value, "epoch");
@@ -201,9 +203,11 @@
     call.acknowledged = core::intMember(value, "acknowledged");
     for (const Json::Value &row : core::member(value, "orders")) {
         const auto run = runFrom(row);
+        if (!run || row.size() != 5 || !row[2U].isBool() || !row[3U].isString()
+            || !row[4U].isString())
+            return core::fail(core::ResultCode::BadField, "an order is incomplete");
         planning::Order order;
-        if (run)
-            order.run = *run;
+        order.run = *run;
         order.kind = row[2U].asBool() ? planning::Order::Kind::Start : planning::Order::Kind::Stop;
         order.payload = row[3U].asString();
         order.checkpoint = row[4U].asString();
--- a/src/control/relayedstore.cpp
+++ b/src/control/relayedstore.cpp
@@ -26,7 +26,8 @@
 
 StoredRow rowFromJson(const Json::Value &value)
 {
-    if (!value.isArray() || value.size() != 5)
+    if (!value.isArray() || value.size() != 5 || !value[0U].isString() || !value[1U].isString()
+        || !value[2U].isString() || !value[3U].isInt64() || !value[4U].isBool())
         return {};
     return {value[0U].asString(), value[1U].asString(), value[2U].asString(), value[3U].asInt64(),
             value[4U].asBool()};
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -37,6 +37,18 @@
     return row;
 }
 
+// True if the row is a list that begins with this many whole numbers.
+bool holdsNumbers(const Json::Value &row, Json::ArrayIndex count)
+{
+    if (!row.isArray() || row.size() < count)
+        return false;
+    for (Json::ArrayIndex i = 0; i < count; ++i) {
+        if (!row[i].isInt())
+            return false;
+    }
+    return true;
+}
+
 } // namespace
 
 const char *toString(JobState state)
@@ -270,14 +282,22 @@
     return core::writeJson(value);
 }
 
+void JobRecord::restoreGang(const Json::Value &row)
+{
+    if (!holdsNumbers(row, 4))
+        return;
+    const auto found = m_occurrences.find(row[0].asInt());
+    const auto step = static_cast<std::size_t>(row[1].asInt());
+    if (found == m_occurrences.end() || step >= found->second.steps.size())
+        return;
+    found->second.steps[step].gangFailures = row[2].asInt();
+    found->second.steps[step].lastFailedRun = row[3].asInt();
+}
+
 void JobRecord::restoreTask(const Json::Value &row)
 {
-    if (!row.isArray() || row.size() != 8)
+    if (!holdsNumbers(row, 6) || row.size() != 8)
         return;
-    for (Json::ArrayIndex i = 0; i < 6; ++i) {
-        if (!row[i].isInt())
-            return;
-    }
     Task *target = task({{}, row[0].asInt(), row[1].asInt(), row[2].asInt()});
     if (!target || !row[6].isString() || !row[7].isString())
         return;
@@ -303,14 +323,8 @@
         if (number.isInt())
             m_occurrences.emplace(number.asInt(), newOccurrence());
     }
-    for (const Json::Value &row : core::member(*value, "gangs")) {
-        const auto found = m_occurrences.find(row[0U].asInt());
-        if (found == m_occurrences.end())
-            continue;
-        StepProgress &step = found->second.steps.at(row[1U].asUInt());
-        step.gangFailures = row[2U].asInt();
-        step.lastFailedRun = row[3U].asInt();
-    }
+    for (const Json::Value &row : core::member(*value, "gangs"))
+        restoreGang(row);
     for (const Json::Value &row : core::member(*value, "tasks"))
         restoreTask(row);
     for (auto &[number, occurrence] : m_occurrences) {
--- a/src/workload/codec.cpp
+++ b/src/workload/codec.cpp
@@ -116,6 +116,8 @@
     const std::optional<Json::Value> value = core::parseJson(text);
     if (!value)
         return std::nullopt;
+    if (!value->isObject())
+        return core::fail(core::ResultCode::BadField, "job " + id + ": the row is no object");
     Job job;
     job.id = id;
     job.account = core::stringMember(*value, "account");
--- /dev/null
+++ b/test/control/fakerowstore.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include <oleandercross/control/rowstore.h>
+
+#include <absl/synchronization/mutex.h>
+
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace oleandercross::control::testing {
+
+// A store in memory whose next transactions can be lost, delayed or refused.
+class FakeRowStore : public RowStore
+{
+public:
+    enum class Fault {
+        None,
+        // Nothing is done, and the caller is told so.
+        Refuse,
+        // Done, but the answer is lost.
+        LoseAnswer,
+        // Not answered, and done only by applyLate().
+        Delay,
+    };
+
+    // Applied to the next transactions in turn.
+    void plan(std::initializer_list<Fault> faults)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_faults.insert(m_faults.end(), faults);
+    }
+
+    // Carries the delayed transactions out whose conditions still hold.
+    int applyLate()
+    {
+        absl::MutexLock lock(&m_mutex);
+        int applied = 0;
+        for (const RowChanges &changes : std::exchange(m_delayed, {}))
+            applied += apply(changes).outcome == CommitOutcome::Applied ? 1 : 0;
+        return applied;
+    }
+
+    void setAway(bool away)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_away = away;
+    }
+
+    int commits() const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_commits;
+    }
+
+    std::optional<std::string> value(const std::string &table, const std::string &key) const
+    {
+        absl::MutexLock lock(&m_mutex);
+        const auto found = m_rows.find({table, key});
+        return found == m_rows.end() ? std::nullopt : std::optional(found->second.value);
+    }
+
+    CommitResult commit(const RowChanges &changes, absl::Duration) override
+    {
+        absl::MutexLock lock(&m_mutex);
+        ++m_commits;
+        const Fault fault = m_faults.empty() ? Fault::None : m_faults.front();
+        if (!m_faults.empty())
+            m_faults.pop_front();
+        if (m_away || fault == Fault::Refuse)
+            return {CommitOutcome::Refused, 0, {}, "refused by the test"};
+        if (fault == Fault::Delay) {
+            m_delayed.push_back(changes);
+            return {CommitOutcome::Unknown, 0, {}, "delayed by the test"};
+        }
+        CommitResult result = apply(changes);
+        if (fault == Fault::LoseAnswer)
+            return {CommitOutcome::Unknown, 0, {}, "lost by the test"};
+        return result;
+    }
+
+    std::optional<RowPage> range(const std::string &table, const std::string &from, int limit,
+                                 absl::Duration) override
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_away)
+            return std::nullopt;
+        RowPage page;
+        page.version = m_version;
+        for (auto it = m_rows.lower_bound({table, from});
+             it != m_rows.end() && it->first.first == table; ++it) {
+            if (static_cast<int>(page.rows.size()) == limit) {
+                page.more = true;
+                break;
+            }
+            page.rows.push_back(it->second);
+        }
+        return page;
+    }
+
+    std::optional<RowFeed> changes(const std::string &table, std::int64_t after,
+                                   absl::Duration wait) override
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_away)
+            return std::nullopt;
+        const auto hasNews = [&] { return m_version > after || m_away; };
+        m_mutex.AwaitWithTimeout(absl::Condition(&hasNews), wait);
+        RowFeed feed;
+        feed.version = m_version;
+        for (const auto &[key, row] : m_rows) {
+            if (key.first == table && row.version > after)
+                feed.rows.push_back(row);
+        }
+        return feed;
+    }
+
+private:
+    CommitResult apply(const RowChanges &changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        CommitResult result;
+        result.outcome = CommitOutcome::Applied;
+        for (const RowCondition &condition : changes.conditions) {
+            const auto found = m_rows.find({condition.table, condition.key});
+            const std::int64_t version = found == m_rows.end() ? 0 : found->second.version;
+            if (version != condition.version)
+                result.outcome = CommitOutcome::Conflict;
+            if (found != m_rows.end())
+                result.current.push_back(found->second);
+        }
+        if (result.outcome == CommitOutcome::Conflict)
+            return result;
+        result.current.clear();
+        result.version = ++m_version;
+        for (const StoredRow &put : changes.puts)
+            m_rows[{put.table, put.key}] = {put.table, put.key, put.value, m_version, false};
+        for (const StoredRow &removal : changes.removals)
+            m_rows.erase({removal.table, removal.key});
+        return result;
+    }
+
+    mutable absl::Mutex m_mutex;
+    std::map<std::pair<std::string, std::string>, StoredRow> m_rows ABSL_GUARDED_BY(m_mutex);
+    std::int64_t m_version ABSL_GUARDED_BY(m_mutex) = 0;
+    std::deque<Fault> m_faults ABSL_GUARDED_BY(m_mutex);
+    std::vector<RowChanges> m_delayed ABSL_GUARDED_BY(m_mutex);
+    bool m_away ABSL_GUARDED_BY(m_mutex) = false;
+    int m_commits ABSL_GUARDED_BY(m_mutex) = 0;
+};
+
+} // namespace oleandercross::control::testing
--- /dev/null
+++ b/test/control/tst_agent.cpp
@@ -0,0 +1,244 @@
+#include <oleandercross/control/agent.h>
+#include <oleandercross/core/resultcode.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <deque>
+#include <functional>
+
+using namespace oleandercross;
+using namespace oleandercross::control;
+
+namespace {
+
+// A worker that answers as the test says and counts the calls.
+class FakePort : public WorkerPort
+{
+public:
+    OrderOutcome start(const WorkerReport &, const StartOrder &order, absl::Duration) override
+    {
+        absl::MutexLock lock(&mutex);
+        starts.push_back(order);
+        if (startOutcomes.empty())
+            return OrderOutcome::Done;
+        const OrderOutcome outcome = startOutcomes.front();
+        startOutcomes.pop_front();
+        return outcome;
+    }
+
+    OrderOutcome stop(const WorkerReport &, const workload::RunKey &, std::int64_t,
+                      absl::Duration) override
+    {
+        return OrderOutcome::Done;
+    }
+
+    OrderOutcome renew(const WorkerReport &, const RenewOrder &order, WorkerRuns &result,
+                       absl::Duration) override
+    {
+        absl::MutexLock lock(&mutex);
+        renewals.push_back(order);
+        result = runs;
+        return renewOutcome;
+    }
+
+    absl::Mutex mutex;
+    std::vector<StartOrder> starts;
+    std::vector<RenewOrder> renewals;
+    std::deque<OrderOutcome> startOutcomes;
+    OrderOutcome renewOutcome = OrderOutcome::Done;
+    WorkerRuns runs;
+};
+
+WorkerReport report(std::int64_t born = 1000, std::int64_t sequence = 1)
+{
+    WorkerReport report;
+    report.id = "i-1";
+    report.bornMs = born;
+    report.address = {"127.0.0.1", 8080};
+    report.service = "booking";
+    report.rack = "r1";
+    report.capacity = {32000, 64000, 8};
+    report.sequence = sequence;
+    report.clockMs = 5000;
+    return report;
+}
+
+// A permit that does not run out during a test.
+std::int64_t farFuture()
+{
+    return absl::ToUnixMillis(core::BootClock().now() + absl::Hours(1));
+}
+
+OrderCall startCall(std::int64_t epoch, const WorkerReport &worker)
+{
+    OrderCall call;
+    call.epoch = epoch;
+    call.renewUntilMs = farFuture();
+    call.life = lifeKey("side", worker);
+    planning::Order order;
+    order.run = {{"j", 0, 0, 0}, 1};
+    call.orders.push_back(order);
+    return call;
+}
+
+} // namespace
+
+// Guards against orders of a leader that another one has replaced.
+TEST_CASE("an agent refuses calls of an older epoch")
+{
+    FakePort port;
+    Agent agent({"side", absl::Seconds(6)}, port);
+    agent.heartbeat(report());
+    WatchCall watch;
+    watch.epoch = 5;
+    REQUIRE(agent.watch(watch));
+    watch.epoch = 4;
+    CHECK_FALSE(agent.watch(watch));
+    CHECK(core::lastReason().code == core::ResultCode::StaleEpoch);
+    CHECK_FALSE(agent.carryOut(startCall(4, report())));
+    CHECK(port.starts.empty());
+}
+
+// Guards against starts that reach another worker, or a worker under a lease nobody may extend.
+TEST_CASE("orders that do not apply are not carried out")
+{
+    struct Case
+    {
+        const char *what;
+        std::function<void(Agent &, OrderCall &)> change;
+        OrderResult result;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"another life of the worker", [](Agent &, OrderCall &call) { call.life = "side/i-1/999"; },
+         OrderResult::NotApplicable},
+        {"a permit that is over", [](Agent &, OrderCall &call) { call.renewUntilMs = 1; },
+         OrderResult::NotApplicable},
+        {"a worker that has left", [](Agent &agent, OrderCall &) { agent.leave("i-1"); },
+         OrderResult::NotApplicable},
+        {"a worker that is draining",
+         [](Agent &agent, OrderCall &) {
+             WorkerReport draining = report(1000, 2);
+             draining.draining = true;
+             agent.heartbeat(draining);
+         },
+         OrderResult::Refused},
+    }));
+    CAPTURE(c.what);
+    FakePort port;
+    Agent agent({"side", absl::Seconds(6)}, port);
+    agent.heartbeat(report());
+    OrderCall call = startCall(1, report());
+    c.change(agent, call);
+    const auto results = agent.carryOut(call);
+    REQUIRE(results);
+    CHECK(results->at(0) == c.result);
+    CHECK(port.starts.empty());
+}
+
+// Guards against a gang that waits for a member whose order was lost.
+TEST_CASE("a start without an answer is repeated with the same run and fence")
+{
+    FakePort port;
+    port.startOutcomes = {OrderOutcome::Unanswered, OrderOutcome::Done};
+    Agent agent({"side", absl::Seconds(6)}, port);
+    agent.heartbeat(report());
+    const auto results = agent.carryOut(startCall(3, report()));
+    REQUIRE(results);
+    CHECK(results->at(0) == OrderResult::Done);
+    REQUIRE(port.starts.size() == 2);
+    CHECK(port.starts[0].run == port.starts[1].run);
+    CHECK(port.starts[1].fence == 3);
+}
+
+// Guards against a run that is started elsewhere while it is still being stopped here.
+TEST_CASE("a stopped run is absent only if the worker lists it nowhere")
+{
+    const workload::RunKey run{{"j", 0, 0, 0}, 1};
+    struct Case
+    {
+        WorkerRuns runs;
+        OrderResult result;
+    };
+    const Case c = GENERATE_COPY(values<Case>({
+        {{6000, 1000, {}, {}}, OrderResult::Absent},
+        {{6000, 1000, {{run, "", 10}}, {}}, OrderResult::Done},
+        {{6000, 1000, {}, {{1, run, planning::RunEnd::Stopped, ""}}}, OrderResult::Done},
+    }));
+    FakePort port;
+    port.runs = c.runs;
+    Agent agent({"side", absl::Seconds(6)}, port);
+    agent.heartbeat(report());
+    OrderCall call = startCall(1, report());
+    call.orders[0].kind = planning::Order::Kind::Stop;
+    const auto results = agent.carryOut(call);
+    REQUIRE(results);
+    CHECK(results->at(0) == c.result);
+}
+
+// Guards against a delayed heartbeat of a crashed worker that replaces the one running now.
+TEST_CASE("heartbeats of an earlier life and late ones are ignored")
+{
+    FakePort port;
+    Agent agent({"side", absl::Seconds(6)}, port);
+    CHECK(agent.heartbeat(report(2000, 5)));
+    CHECK_FALSE(agent.heartbeat(report(1000, 9)));
+    CHECK_FALSE(agent.heartbeat(report(2000, 4)));
+    CHECK(agent.heartbeat(report(3000, 1)));
+    WatchCall watch;
+    watch.epoch = 1;
+    CHECK(agent.watch(watch)->worker->bornMs == 3000);
+}
+
+// Guards against results that a new leader never learns of, and against ends that come back.
+TEST_CASE("ends are reported until they are acknowledged")
+{
+    const workload::RunKey run{{"j", 0, 0, 0}, 1};
+    FakePort port;
+    port.runs = {6000, 1000, {}, {{7, run, planning::RunEnd::Completed, ""}}};
+    Agent agent({"side", absl::Seconds(6)}, port);
+    agent.heartbeat(report());
+    agent.start();
+    WatchCall watch;
+    watch.epoch = 1;
+    watch.renewUntilMs = farFuture();
+    watch.wait = absl::Seconds(10);
+    std::optional<AgentState> state = agent.watch(watch);
+    while (!state->listed) {
+        watch.since = state->version;
+        watch.agentIncarnation = state->incarnation;
+        state = agent.watch(watch);
+    }
+    REQUIRE(state->runs.ended.size() == 1);
+    OrderCall call = startCall(1, report());
+    call.orders.clear();
+    call.acknowledged = 7;
+    REQUIRE(agent.carryOut(call));
+    watch.agentIncarnation.clear();
+    CHECK(agent.watch(watch)->runs.ended.empty());
+    agent.stop();
+}
+
+// Guards against messages between leader and agent that lose a part.
+TEST_CASE("an agent's state reads back as it was sent")
+{
+    AgentState state;
+    state.incarnation = "x";
+    state.clockMs = 12;
+    state.version = 3;
+    state.worker = report();
+    state.worker->labels = {"a", "r1"};
+    state.worker->draining = true;
+    state.worker->leavesIn = absl::Milliseconds(700);
+    state.listed = true;
+    state.runs.running = {{{{"j", 1, 2, 3}, 4}, "c", 55}};
+    state.runs.ended = {{9, {{"k", 0, 0, 0}, 2}, planning::RunEnd::Broken, "d"}};
+    const auto read = agentStateFromJson(toJson(state));
+    REQUIRE(read);
+    CHECK(read->runs.running == state.runs.running);
+    CHECK(read->runs.ended == state.runs.ended);
+    CHECK(read->worker->leavesIn == state.worker->leavesIn);
+    CHECK(read->worker->labels == state.worker->labels);
+    CHECK(read->listed);
+    CHECK_FALSE(read->gone);
+}
--- /dev/null
+++ b/test/deployment/tst_deploymentsettings.cpp
@@ -0,0 +1,74 @@
+#include <oleandercross/core/resultcode.h>
+#include <platform/settings.h>
+
+#include <catch2/catch.hpp>
+
+using namespace oleandercross;
+
+namespace {
+
+const char Text[] = R"(
+node: "front-brum-1"
+ip: "10.1.0.19"
+zone: "brum"
+listen:
+  front: "10.1.0.19:8521"
+  ready: "10.1.0.19:8523"
+portRange:
+  - 7000
+  - 7015
+seeds:
+  - "10.1.0.19:8526"
+  - "nonsense"
+unknown:
+  later: true
+bounds:
+  maxHoldMs: 10000
+  graceS: 6
+  crossRackFactor: 3
+  status_s: 120
+  stopGraceMs: 200
+platform:
+  addr: "10.200.1.7:8524"
+)";
+
+} // namespace
+
+// Guards against a process that serves or calls the wrong address.
+TEST_CASE("the platform's settings are read and unknown fields ignored")
+{
+    const auto settings = platform::parseDeploymentSettings(Text);
+    REQUIRE(settings);
+    CHECK(settings->callers == http::Endpoint{"10.1.0.19", 8521});
+    CHECK(settings->internal == http::Endpoint{"10.1.0.19", 7000});
+    CHECK(settings->seeds == std::vector<http::Endpoint>{{"10.1.0.19", 7000}});
+    CHECK(settings->store == http::Endpoint{"10.200.1.7", 8524});
+    CHECK(settings->maxLease == absl::Seconds(10));
+    CHECK(settings->taskStopTime == absl::Milliseconds(200));
+    CHECK_FALSE(settings->heartbeats);
+}
+
+// Guards against a process that starts with a bound that it made up.
+TEST_CASE("missing and malformed settings are named")
+{
+    struct Case
+    {
+        const char *from;
+        const char *to;
+        const char *named;
+        core::ResultCode code;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"node: \"front-brum-1\"\n", "", "node", core::ResultCode::ConfigMissingValue},
+        {"  maxHoldMs: 10000\n", "", "bounds.maxHoldMs", core::ResultCode::ConfigMissingValue},
+        {"maxHoldMs: 10000", "maxHoldMs: soon", "bounds.maxHoldMs",
+         core::ResultCode::ConfigWrongType},
+        {"\"10.200.1.7:8524\"", "\"store\"", "platform.addr", core::ResultCode::ConfigWrongType},
+        {"ip: \"10.1.0.19\"", "ip: [", "settings", core::ResultCode::ConfigSyntax},
+    }));
+    std::string text = Text;
+    text.replace(text.find(c.from), std::string(c.from).size(), c.to);
+    CHECK_FALSE(platform::parseDeploymentSettings(text));
+    CHECK(core::lastReason().code == c.code);
+    CHECK(core::lastReason().message.find(c.named) != std::string::npos);
+}
--- /dev/null
+++ b/test/deployment/tst_httprowstore.cpp
@@ -0,0 +1,124 @@
+#include <oleandercross/core/json.h>
+#include <oleandercross/http/server.h>
+#include <platform/httprowstore.h>
+
+#include <catch2/catch.hpp>
+
+using namespace oleandercross;
+
+namespace {
+
+// Answers every call of the store in the same way and keeps the last request.
+class StoreServer
+{
+public:
+    StoreServer(int status, std::string body)
+        : m_server(options())
+    {
+        for (const char *method : {"GET", "POST"}) {
+            m_server.route(method, "/oleandercross/.*",
+                           [this, status, body](const http::Request &request) {
+                               last = request;
+                               return http::Response{status, body};
+                           });
+        }
+        REQUIRE(m_server.start());
+    }
+
+    http::Endpoint address() const { return {"127.0.0.1", m_server.port()}; }
+
+    http::Request last;
+
+private:
+    static http::ServerOptions options()
+    {
+        http::ServerOptions options;
+        options.listen = {"127.0.0.1", 0};
+        return options;
+    }
+
+    http::Server m_server;
+};
+
+} // namespace
+
+// Guards against an outcome that the store did not state: "not done" must be certain.
+TEST_CASE("the outcome of a transaction follows from the answer")
+{
+    struct Case
+    {
+        int status;
+        const char *body;
+        control::CommitOutcome outcome;
+    };
+    const Case c = GENERATE(values<Case>({
+        {200, R"({"ver":412,"nowMs":1})", control::CommitOutcome::Applied},
+        {412, R"({"ver":412,"rows":[]})", control::CommitOutcome::Conflict},
+        {503, "", control::CommitOutcome::Refused},
+        {429, "", control::CommitOutcome::Refused},
+        {400, "", control::CommitOutcome::Refused},
+        {500, "", control::CommitOutcome::Unknown},
+        {200, R"({"ver":41)", control::CommitOutcome::Unknown},
+    }));
+    StoreServer server(c.status, c.body);
+    http::ClientPool pool({});
+    platform::HttpRowStore store(pool, server.address());
+    control::RowChanges changes;
+    changes.conditions.push_back({"t", "k", 3});
+    changes.puts.push_back({"t", "k", std::string("\0\xff", 2)});
+    changes.removals.push_back({"t", "old"});
+    const control::CommitResult result = store.commit(changes, absl::Seconds(5));
+    CHECK(result.outcome == c.outcome);
+    if (c.outcome == control::CommitOutcome::Applied)
+        CHECK(result.version == 412);
+    else if (c.outcome != control::CommitOutcome::Conflict || c.status != 200)
+        CHECK_FALSE(result.reason.empty());
+    const auto body = core::parseJson(server.last.body);
+    REQUIRE(body);
+    CHECK((*body)["expected"][0U]["ver"].asInt() == 3);
+    CHECK((*body)["setKeys"][0U]["value"].asString() == "AP8=");
+    CHECK((*body)["remove"][0U]["key"].asString() == "old");
+}
+
+// Guards against a refusal for a call that was never sent being taken for one in doubt, and back.
+TEST_CASE("a store that cannot be connected has done nothing")
+{
+    http::ClientPool pool({});
+    platform::HttpRowStore store(pool, {"127.0.0.1", 1});
+    const auto result = store.commit({}, absl::Seconds(1));
+    CHECK(result.outcome == control::CommitOutcome::Refused);
+    CHECK_FALSE(store.range("t", "", 1, absl::Seconds(1)));
+}
+
+// Guards against rows that another process reads differently from how they were written.
+TEST_CASE("rows and changes are decoded")
+{
+    StoreServer server(
+        200,
+        R"({"rows":[{"table":"t","part":"","key":"a","value":"AP8=","ver":4},)"
+        R"({"table":"t","part":"","key":"b","ver":5,"tombstone":true}],"hasMore":true,"ver":9})");
+    http::ClientPool pool({});
+    platform::HttpRowStore store(pool, server.address());
+    const auto page = store.range("t", "a/b c", 2, absl::Seconds(5));
+    REQUIRE(page);
+    CHECK(page->rows.at(0) == control::StoredRow{"t", "a", std::string("\0\xff", 2), 4, false});
+    CHECK(page->more);
+    CHECK(page->version == 9);
+    CHECK(server.last.query["from"] == "a/b c");
+    const auto feed = store.changes("t", 3, absl::Milliseconds(10));
+    REQUIRE(feed);
+    CHECK(feed->rows.at(1).removed);
+    CHECK(feed->version == 9);
+    CHECK_FALSE(feed->historyLost);
+}
+
+// Guards against changes that are missed when the store has dropped its history.
+TEST_CASE("lost history is reported")
+{
+    StoreServer server(410, "{}");
+    http::ClientPool pool({});
+    platform::HttpRowStore store(pool, server.address());
+    const auto feed = store.changes("t", 3, absl::Milliseconds(10));
+    REQUIRE(feed);
+    CHECK(feed->historyLost);
+}
--- /dev/null
+++ b/test/planning/plannerfixture.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <oleandercross/planning/planner.h>
+
+#include <string>
+#include <vector>
+
+namespace oleandercross::planning::testing {
+
+// Workers with 32 cores, 64 GB and 8 accelerators, three to a rack, and shorthand for jobs.
+struct PlannerFixture
+{
+    explicit PlannerFixture(int workers = 6, PlannerOptions options = {})
+        : planner(options)
+    {
+        for (int i = 0; i < workers; ++i)
+            planner.updateWorker(worker(i));
+    }
+
+    static Worker worker(int index)
+    {
+        Worker worker;
+        worker.key = "w" + std::to_string(index);
+        worker.agent = worker.key;
+        worker.service = "booking";
+        worker.rack = "r" + std::to_string(index / 3);
+        worker.labels = {"a", worker.rack};
+        worker.capacity = {32000, 64000, 8};
+        worker.accepting = true;
+        return worker;
+    }
+
+    static workload::Job job(const std::string &id, int priority, int tasks, int accelerators,
+                             bool gang = true)
+    {
+        workload::Job job;
+        job.id = id;
+        job.account = "families";
+        job.queue = "q";
+        job.terms = {"booking", priority, 2, 2.0, 1000};
+        job.payload = "payload of " + id;
+        workload::Step step;
+        step.tasks = tasks;
+        step.perTask = {1000, 1000, accelerators};
+        step.estimateMs = 5000;
+        step.gang = gang;
+        job.steps.push_back(step);
+        return job;
+    }
+
+    std::vector<Order> plan() { return planner.plan(now, absl::ToUnixMillis(now)).orders; }
+
+    void pass(absl::Duration time) { now += time; }
+
+    // The orders of one kind.
+    static std::vector<Order> only(const std::vector<Order> &orders, Order::Kind kind)
+    {
+        std::vector<Order> result;
+        for (const Order &order : orders) {
+            if (order.kind == kind)
+                result.push_back(order);
+        }
+        return result;
+    }
+
+    std::vector<Order> starts() { return only(plan(), Order::Kind::Start); }
+
+    void confirm(const std::vector<Order> &orders)
+    {
+        for (const Order &order : orders) {
+            if (order.kind == Order::Kind::Start)
+                planner.startConfirmed(order.worker, order.run);
+        }
+    }
+
+    void end(const Order &order, RunEnd how, const std::string &checkpoint = {})
+    {
+        planner.runEnded(order.worker, order.run, how, checkpoint, now);
+    }
+
+    Planner planner;
+    core::Instant now = absl::FromUnixSeconds(1780000000);
+};
+
+} // namespace oleandercross::planning::testing
--- /dev/null
+++ b/test/planning/tst_planner.cpp
@@ -0,0 +1,321 @@
+#include "plannerfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace oleandercross;
+using namespace oleandercross::planning;
+using testing::PlannerFixture;
+
+// Guards against gangs of which some members start while others wait for room.
+TEST_CASE("a gang that does not fit whole is not started at all")
+{
+    PlannerFixture f(2);
+    f.planner.addJob(f.job("a", 1, 3, 8), f.now);
+    CHECK(f.plan().empty());
+    f.planner.updateWorker(f.worker(2));
+    const auto starts = f.starts();
+    REQUIRE(starts.size() == 3);
+    std::set<std::string> workers;
+    for (const Order &order : starts) {
+        CHECK(order.run.run == 1);
+        workers.insert(order.worker);
+    }
+    CHECK(workers.size() == 3);
+}
+
+// Guards against orders for a job whose worker, label or service the caller ruled out.
+TEST_CASE("tasks start only on workers that suit them")
+{
+    struct Case
+    {
+        const char *what;
+        void (*change)(Worker &);
+    };
+    const Case c = GENERATE(values<Case>({
+        {"another service", [](Worker &w) { w.service = "other"; }},
+        {"not accepting", [](Worker &w) { w.accepting = false; }},
+        {"without the label", [](Worker &w) { w.labels = {"b"}; }},
+        {"too small", [](Worker &w) { w.capacity.accelerators = 3; }},
+        {"full of strays",
+         [](Worker &w) {
+             w.strays = {0, 0, 5};
+         }},
+    }));
+    CAPTURE(c.what);
+    PlannerFixture f(0);
+    Worker worker = f.worker(0);
+    c.change(worker);
+    f.planner.updateWorker(worker);
+    workload::Job job = f.job("a", 1, 1, 4);
+    job.steps[0].neededLabel = "a";
+    f.planner.addJob(job, f.now);
+    CHECK(f.plan().empty());
+    f.planner.updateWorker(f.worker(1));
+    CHECK(f.starts().size() == 1);
+}
+
+// Guards against a guarantee that is only reclaimed once borrowers finish by themselves.
+TEST_CASE("guaranteed work stops less urgent work and starts when the room is free")
+{
+    PlannerFixture f(3);
+    f.planner.setGuarantees({{"families", 24}});
+    workload::Job borrower = f.job("b", 2, 24, 1, false);
+    f.planner.addJob(borrower, f.now);
+    const auto running = f.starts();
+    REQUIRE(running.size() == 24);
+    f.confirm(running);
+    f.pass(absl::Seconds(1));
+    f.planner.addJob(f.job("u", 0, 3, 8), f.now);
+    const auto orders = f.plan();
+    const auto stops = f.only(orders, Order::Kind::Stop);
+    CHECK(stops.size() == 24);
+    CHECK(f.only(orders, Order::Kind::Start).empty());
+    for (const Order &order : stops)
+        f.end(order, RunEnd::Stopped);
+    const auto starts = f.starts();
+    REQUIRE(starts.size() >= 3);
+    CHECK(std::count_if(starts.begin(), starts.end(),
+                        [](const Order &order) { return order.run.task.job == "u"; })
+          == 3);
+}
+
+// Guards against room that is handed to the pre-empted work again before the urgent job starts.
+TEST_CASE("room that becomes free one by one stays reserved for the urgent gang")
+{
+    PlannerFixture f(3);
+    f.planner.setGuarantees({{"families", 24}});
+    f.planner.addJob(f.job("b", 2, 24, 1, false), f.now);
+    f.confirm(f.starts());
+    f.planner.addJob(f.job("u", 0, 3, 8), f.now);
+    const auto stops = f.only(f.plan(), Order::Kind::Stop);
+    REQUIRE(stops.size() == 24);
+    for (std::size_t i = 0; i < 12; ++i)
+        f.end(stops[i], RunEnd::Stopped);
+    CHECK(f.starts().empty());
+}
+
+// Guards against a job that fails for good because both of its attempts went to one bad worker.
+TEST_CASE("a failed task is tried on another worker")
+{
+    PlannerFixture f(2);
+    f.planner.addJob(f.job("a", 1, 1, 4), f.now);
+    const auto first = f.starts();
+    REQUIRE(first.size() == 1);
+    f.confirm(first);
+    f.end(first[0], RunEnd::Failed);
+    const auto second = f.starts();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].worker != first[0].worker);
+    CHECK(second[0].run.run == 2);
+    f.end(second[0], RunEnd::Failed);
+    CHECK(f.starts().empty());
+    CHECK(f.planner.job("a")->state() == JobState::Failed);
+}
+
+// Guards against runs that end for other reasons being counted as attempts.
+TEST_CASE("only failed runs count as attempts")
+{
+    const RunEnd how = GENERATE(RunEnd::Stopped, RunEnd::Lapsed, RunEnd::Broken, RunEnd::Alone);
+    PlannerFixture f(1);
+    f.planner.addJob(f.job("a", 1, 1, 4), f.now);
+    for (int run = 1; run <= 5; ++run) {
+        const auto starts = f.starts();
+        REQUIRE(starts.size() == 1);
+        CHECK(starts[0].run.run == run);
+        f.end(starts[0], how, "saved");
+    }
+    CHECK(f.starts().front().checkpoint == "saved");
+    CHECK(f.planner.job("a")->state() == JobState::Running);
+}
+
+// Guards against a cancelled job whose tasks run on or are started again.
+TEST_CASE("a cancelled job is stopped everywhere and never started again")
+{
+    PlannerFixture f(3);
+    f.planner.addJob(f.job("a", 1, 3, 8), f.now);
+    f.confirm(f.starts());
+    f.planner.cancelJob("a", f.now);
+    CHECK(f.planner.job("a")->state() == JobState::Cancelled);
+    const auto stops = f.plan();
+    REQUIRE(stops.size() == 3);
+    f.pass(absl::Seconds(1));
+    CHECK(f.plan().size() == 3);
+    for (const Order &order : stops) {
+        CHECK(order.kind == Order::Kind::Stop);
+        f.end(order, RunEnd::Stopped);
+    }
+    f.pass(absl::Seconds(1));
+    CHECK(f.plan().empty());
+    CHECK(f.planner.job("a")->state() == JobState::Cancelled);
+}
+
+// Guards against a task that is started elsewhere while an order in doubt may still be carried out.
+TEST_CASE("a start without an effect occupies its room until a stop is confirmed")
+{
+    PlannerFixture f(1);
+    f.planner.addJob(f.job("a", 1, 1, 8), f.now);
+    const Order start = f.starts().at(0);
+    f.planner.addJob(f.job("b", 1, 1, 8), f.now);
+    f.pass(absl::Seconds(1));
+    auto orders = f.plan();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].kind == Order::Kind::Start);
+    CHECK(orders[0].run == start.run);
+    f.pass(absl::Seconds(3));
+    orders = f.plan();
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].kind == Order::Kind::Stop);
+    CHECK(orders[0].run == start.run);
+    f.planner.runAbsent(start.worker, start.run);
+    const auto next = f.starts();
+    REQUIRE(next.size() == 1);
+    CHECK((next[0].run.task.job == "b" || next[0].run.run == 2));
+}
+
+// Guards against a step that begins before the one that it depends on is done.
+TEST_CASE("a step waits for all tasks of the steps before it")
+{
+    PlannerFixture f(1);
+    workload::Job job = f.job("a", 1, 2, 1, false);
+    workload::Step second = job.steps[0];
+    second.tasks = 1;
+    second.after = {0};
+    job.steps.push_back(second);
+    f.planner.addJob(job, f.now);
+    const auto first = f.starts();
+    REQUIRE(first.size() == 2);
+    f.confirm(first);
+    f.end(first[0], RunEnd::Completed);
+    CHECK(f.starts().empty());
+    f.end(first[1], RunEnd::Completed);
+    const auto last = f.starts();
+    REQUIRE(last.size() == 1);
+    CHECK(last[0].run.task.step == 1);
+    f.end(last[0], RunEnd::Completed);
+    CHECK(f.planner.job("a")->state() == JobState::Completed);
+}
+
+// Guards against occurrences that run early, twice or not at all.
+TEST_CASE("occurrences begin at their times and the job completes with the last one")
+{
+    PlannerFixture f(1);
+    workload::Job job = f.job("a", 1, 1, 1);
+    job.scheduled = true;
+    job.occurrences = 2;
+    job.firstDueMs = absl::ToUnixMillis(f.now) + 1000;
+    job.intervalMs = 500;
+    f.planner.addJob(job, f.now);
+    CHECK(f.starts().empty());
+    f.pass(absl::Milliseconds(999));
+    CHECK(f.starts().empty());
+    f.pass(absl::Milliseconds(1));
+    const auto first = f.starts();
+    REQUIRE(first.size() == 1);
+    f.end(first[0], RunEnd::Completed);
+    CHECK(f.planner.job("a")->state() == JobState::Running);
+    f.pass(absl::Milliseconds(500));
+    const auto second = f.starts();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].run.task.occurrence == 1);
+    f.end(second[0], RunEnd::Completed);
+    CHECK(f.planner.job("a")->state() == JobState::Completed);
+}
+
+// Guards against a gang that is slowed down although a rack with room was at hand.
+TEST_CASE("a gang for one rack waits for a rack rather than spread")
+{
+    PlannerFixture f(6);
+    f.planner.addJob(f.job("x", 1, 1, 8), f.now);
+    workload::Job y = f.job("y", 1, 1, 8);
+    const auto first = f.starts();
+    f.confirm(first);
+    y.steps[0].dataRack = first.at(0).worker < "w3" ? "r1" : "r0";
+    f.planner.addJob(y, f.now);
+    const auto second = f.starts();
+    REQUIRE(second.size() == 1);
+    f.confirm(second);
+    workload::Job job = f.job("a", 1, 3, 8);
+    job.steps[0].sameRack = true;
+    f.planner.addJob(job, f.now);
+    CHECK(f.starts().empty());
+    f.pass(absl::Seconds(6));
+    CHECK(f.only(f.plan(), Order::Kind::Start).size() >= 3);
+}
+
+// Guards against too many tasks of a step on one worker.
+TEST_CASE("at most the allowed number of tasks of a step run on a worker")
+{
+    PlannerFixture f(2);
+    workload::Job job = f.job("a", 2, 5, 1, false);
+    job.steps[0].maxPerWorker = 2;
+    f.planner.addJob(job, f.now);
+    const auto starts = f.starts();
+    CHECK(starts.size() == 4);
+}
+
+// Guards against a worker that is taken for empty when its runs are only gone from its listing.
+TEST_CASE("tasks of a worker that is gone are started elsewhere with a new run")
+{
+    PlannerFixture f(1);
+    f.planner.addJob(f.job("a", 1, 1, 8), f.now);
+    const auto first = f.starts();
+    f.confirm(first);
+    f.planner.runSeen("w0", first[0].run, "c1", 40, f.now);
+    f.planner.updateWorker(f.worker(1));
+    CHECK(f.starts().empty());
+    f.planner.removeWorker("w0");
+    const auto second = f.starts();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].worker == "w1");
+    CHECK(second[0].run.run == 2);
+    CHECK(second[0].checkpoint == "c1");
+    f.planner.runEnded("w0", first[0].run, RunEnd::Completed, {}, f.now);
+    CHECK(f.planner.job("a")->state() == JobState::Running);
+}
+
+// Guards against a new leader that starts running work again or forgets failures.
+TEST_CASE("a new leader continues from the stored progress")
+{
+    PlannerFixture f(2);
+    f.planner.addJob(f.job("a", 1, 2, 1, false), f.now);
+    const auto starts = f.starts();
+    REQUIRE(starts.size() == 2);
+    f.confirm(starts);
+    f.end(starts[0], RunEnd::Failed);
+    const std::string row = f.planner.job("a")->encode();
+
+    PlannerFixture g(2);
+    REQUIRE(g.planner.restoreJob(g.job("a", 1, 2, 1, false), row, g.now));
+    CHECK(g.planner.expects(starts[1].worker, starts[1].run));
+    g.planner.runSeen(starts[1].worker, starts[1].run, {}, 10, g.now);
+    const auto again = g.starts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run.task == starts[0].run.task);
+    CHECK(again[0].run.run == 2);
+    g.end(again[0], RunEnd::Failed);
+    CHECK(g.planner.job("a")->state() == JobState::Failed);
+}
+
+// Guards against progress rows that end the leader.
+TEST_CASE("unreadable progress is refused")
+{
+    PlannerFixture f(1);
+    const std::string row =
+        GENERATE(as<std::string>(), "", "[]", "{}", R"({"state":"asleep"})", "\xff");
+    CHECK_FALSE(f.planner.restoreJob(f.job("a", 1, 1, 1), row, f.now));
+}
+
+// Guards against rows whose parts name steps or tasks that the job does not have.
+TEST_CASE("progress that does not match the job leaves out what it cannot place")
+{
+    PlannerFixture f(1);
+    const std::string row = GENERATE(
+        as<std::string>(),
+        R"({"state":"running","next":1,"open":[0],"gangs":[[0,7,1,1]],"tasks":[[0,9,0,1,1,0,"w0",""]]})",
+        R"({"state":"running","next":1,"open":[0],"gangs":[["x"],[0]],"tasks":[[0],["a"]]})",
+        R"({"state":"running","next":1,"open":[0],"tasks":[[0,0,-1,1,1,0,"w0",""]]})");
+    CHECK(f.planner.restoreJob(f.job("a", 1, 1, 1), row, f.now));
+    CHECK(f.starts().size() == 1);
+}
--- /dev/null
+++ b/test/planning/tst_plannerfuzz.cpp
@@ -0,0 +1,169 @@
+#include "plannerfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace oleandercross;
+using namespace oleandercross::planning;
+using testing::PlannerFixture;
+
+namespace {
+
+// Workers that carry out orders, lose them, fail and vanish at random, and an oracle that sees only
+// what the workers do.
+class World
+{
+public:
+    explicit World(unsigned seed)
+        : m_random(seed)
+    {
+        m_fixture.planner.setGuarantees({{"families", 16}});
+    }
+
+    void step()
+    {
+        m_fixture.pass(absl::Milliseconds(50));
+        if (chance(0.1))
+            submit();
+        if (chance(0.02) && !m_jobs.empty())
+            m_fixture.planner.cancelJob("j" + std::to_string(pick(m_jobs.size())), m_fixture.now);
+        for (const Order &order : m_fixture.plan())
+            carryOut(order);
+        endSome();
+        check();
+    }
+
+private:
+    struct Running
+    {
+        workload::RunKey run;
+        bool gang = false;
+    };
+
+    bool chance(double p) { return std::uniform_real_distribution<>(0, 1)(m_random) < p; }
+    std::size_t pick(std::size_t n)
+    {
+        return std::uniform_int_distribution<std::size_t>(0, n - 1)(m_random);
+    }
+
+    void submit()
+    {
+        const int priority = static_cast<int>(pick(3));
+        workload::Job job = m_fixture.job("j" + std::to_string(m_jobs.size()), priority,
+                                          1 + static_cast<int>(pick(4)), 1 << pick(4), chance(0.6));
+        job.steps[0].sameRack = chance(0.5);
+        job.steps[0].checkpointable = chance(0.5);
+        m_jobs.push_back(job);
+        m_fixture.planner.addJob(job, m_fixture.now);
+    }
+
+    void carryOut(const Order &order)
+    {
+        std::vector<Running> &running = m_running[order.worker];
+        const auto found = std::find_if(running.begin(), running.end(),
+                                        [&](const Running &r) { return r.run == order.run; });
+        if (order.kind == Order::Kind::Stop) {
+            if (chance(0.1))
+                return;
+            m_barred.insert({order.worker, order.run});
+            if (found == running.end()) {
+                m_fixture.planner.runAbsent(order.worker, order.run);
+                return;
+            }
+            running.erase(found);
+            m_fixture.planner.runEnded(order.worker, order.run, RunEnd::Stopped, "c",
+                                       m_fixture.now);
+            return;
+        }
+        if (chance(0.1) || m_barred.contains({order.worker, order.run}))
+            return;
+        if (found == running.end()) {
+            startCheck(order);
+            running.push_back({order.run, false});
+        }
+        m_fixture.planner.startConfirmed(order.worker, order.run);
+    }
+
+    void startCheck(const Order &order)
+    {
+        for (const auto &[worker, running] : m_running) {
+            for (const Running &other : running)
+                CHECK_FALSE(other.run.task == order.run.task);
+        }
+        CHECK_FALSE(m_completed.contains(order.run.task));
+        CHECK(m_failures[order.run.task.job] < 2 * 4);
+    }
+
+    void endSome()
+    {
+        for (auto &[worker, running] : m_running) {
+            if (running.empty() || !chance(0.1))
+                continue;
+            const Running ended = running[pick(running.size())];
+            const workload::Job &job =
+                m_jobs[static_cast<std::size_t>(std::stoi(ended.run.task.job.substr(1)))];
+            const RunEnd how = chance(0.1) ? RunEnd::Failed : RunEnd::Completed;
+            endRun(worker, ended.run, how);
+            if (job.steps[0].gang)
+                endMembers(ended.run, how);
+            return;
+        }
+    }
+
+    void endRun(const std::string &worker, const workload::RunKey &run, RunEnd how)
+    {
+        std::erase_if(m_running[worker], [&](const Running &r) { return r.run == run; });
+        m_barred.insert({worker, run});
+        if (how == RunEnd::Completed)
+            m_completed.insert(run.task);
+        if (how == RunEnd::Failed)
+            ++m_failures[run.task.job];
+        m_fixture.planner.runEnded(worker, run, how, {}, m_fixture.now);
+    }
+
+    // The other members of a gang end with it.
+    void endMembers(const workload::RunKey &run, RunEnd how)
+    {
+        for (auto &[worker, running] : m_running) {
+            const std::vector<Running> copy = running;
+            for (const Running &member : copy) {
+                if (member.run.task.job == run.task.job)
+                    endRun(worker, member.run, how == RunEnd::Completed ? how : RunEnd::Broken);
+            }
+        }
+    }
+
+    void check()
+    {
+        for (const auto &[worker, running] : m_running) {
+            std::int64_t accelerators = 0;
+            for (const Running &r : running)
+                accelerators += m_fixture.planner.demandOf(r.run.task).accelerators;
+            CHECK(accelerators <= 8);
+        }
+    }
+
+    PlannerFixture m_fixture;
+    std::mt19937 m_random;
+    std::vector<workload::Job> m_jobs;
+    std::map<std::string, std::vector<Running>> m_running;
+    std::set<std::pair<std::string, workload::RunKey>> m_barred;
+    std::set<workload::TaskKey> m_completed;
+    std::map<std::string, int> m_failures;
+};
+
+} // namespace
+
+// Guards against workers over their capacity, tasks that run twice at the same time or again after
+// they completed, whatever orders are lost and whatever fails.
+TEST_CASE("no worker is over its capacity and no task runs twice under random faults")
+{
+    const unsigned seed = GENERATE(range(1U, 21U));
+    CAPTURE(seed);
+    World world(seed);
+    for (int i = 0; i < 600; ++i)
+        world.step();
+}
