--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -85,7 +85,7 @@
 
 void AgentLink::noteFailure(const char *call)
 {
-    const core::Reason reason = core::lastReason();
+    const core::Reason &reason = core::lastReason();
     if (reason.code == core::ResultCode::StaleEpoch) {
         m_callbacks.onDeposed(m_agent);
         return;
--- a/src/telemetry/eventlog.cpp
+++ b/src/telemetry/eventlog.cpp
@@ -20,15 +20,15 @@
 constexpr double LinesPerSecond = 400;
 constexpr double LineBurst = 2000;
 
-class Writer
+class LineWriter
 {
 public:
-    explicit Writer(std::string process)
+    explicit LineWriter(std::string process)
         : m_process(std::move(process))
         , m_thread([this] { run(); })
     { }
 
-    ~Writer()
+    ~LineWriter()
     {
         {
             absl::MutexLock lock(&m_mutex);
@@ -67,7 +67,7 @@
             std::deque<Json::Value> lines;
             {
                 absl::MutexLock lock(&m_mutex);
-                m_mutex.Await(absl::Condition(this, &Writer::hasWork));
+                m_mutex.Await(absl::Condition(this, &LineWriter::hasWork));
                 lines.swap(m_lines);
                 stopping = m_stopping;
             }
@@ -89,9 +89,9 @@
     std::thread m_thread;
 };
 
-std::unique_ptr<Writer> &writer()
+std::unique_ptr<LineWriter> &writer()
 {
-    static std::unique_ptr<Writer> instance;
+    static std::unique_ptr<LineWriter> instance;
     return instance;
 }
 
@@ -105,7 +105,7 @@
     configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
     configuration.setGlobally(el::ConfigurationType::Format, "%msg");
     el::Loggers::reconfigureAllLoggers(configuration);
-    writer() = std::make_unique<Writer>(process);
+    writer() = std::make_unique<LineWriter>(process);
 }
 
 void stopEventLog()
