--- a/include/oleandercross/control/agentlink.h
+++ b/include/oleandercross/control/agentlink.h
@@ -22,7 +22,8 @@
     struct Callbacks
     {
         // Called from the link's threads; must not block.
-        std::function<void(const std::string &agent, AgentState state)> onState;
+        // Without news only the progress of running tasks has changed.
+        std::function<void(const std::string &agent, AgentState state, bool news)> onState;
         std::function<void(const std::string &agent, const std::string &life,
                            std::vector<planning::Order> orders, std::vector<OrderResult> results)>
             onResults;
--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -16,6 +16,8 @@
 {
     Member own;
     std::vector<http::Endpoint> seeds;
+    // Thousandths of a core; stronger entries lead rather than weaker ones.
+    std::int64_t strength = 0;
     LeaderOptions leader;
     // The table and key of the operator's configuration.
     std::string configTable;
@@ -92,6 +94,8 @@
     void maybeTakeLead();
     void takeLead(const std::optional<StoredRow> &row);
     void superviseOwnLead();
+    void askToGiveWay(const Leadership &leadership);
+    void giveWay(const std::shared_ptr<Leader> &own);
     std::shared_ptr<Leader> leader() const;
     std::optional<http::Endpoint> leaderAddress() const;
     std::optional<planning::JobState> askLeader(const std::string &job, core::Instant deadline);
@@ -113,7 +117,10 @@
     std::string m_configText ABSL_GUARDED_BY(m_mutex);
     std::shared_ptr<Leader> m_leader ABSL_GUARDED_BY(m_mutex);
     LeaderSighting m_sighting ABSL_GUARDED_BY(m_mutex);
+    std::atomic<bool> m_givesWay = false;
     // Used by the election's thread only.
+    core::Instant m_leadsNotBefore = absl::InfinitePast();
+    core::Instant m_startedAt = absl::InfinitePast();
     std::int64_t m_membersGiven = -1;
     std::int64_t m_rowVersion = -1;
     core::Instant m_rowUnchangedSince = absl::InfiniteFuture();
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -89,6 +89,7 @@
     Inbox takeInbox(core::Instant until);
     bool hasNews() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void round(core::Instant &next);
+    static void pauseAfter(absl::Duration round);
     void applyJobRow(const StoredRow &row, core::Instant now);
     void applyAgents(std::map<std::string, http::Endpoint> agents);
     void applyState(const std::string &agent, const AgentState &state, core::Instant now);
--- a/include/oleandercross/control/leaderlog.h
+++ b/include/oleandercross/control/leaderlog.h
@@ -23,6 +23,8 @@
     http::Endpoint address;
     // Counts the transactions of the epoch.
     std::int64_t sequence = 0;
+    // Thousandths of a core that the holder has.
+    std::int64_t strength = 0;
     // Distinguishes processes that had the same name.
     std::string incarnation;
 
--- a/include/oleandercross/control/relayedstore.h
+++ b/include/oleandercross/control/relayedstore.h
@@ -33,6 +33,9 @@
     void serve(rpc::Server &server);
 
 private:
+    // The peers to try, the one that helped last first.
+    std::vector<http::Endpoint> relays();
+    void preferRelay(const http::Endpoint &peer);
     bool tryDirect();
     void note(bool reached);
     std::optional<Json::Value> relay(const char *method, const Json::Value &params,
@@ -47,6 +50,8 @@
     const core::BootClock m_clock;
     mutable absl::Mutex m_mutex;
     bool m_reachable ABSL_GUARDED_BY(m_mutex) = true;
+    http::Endpoint m_preferredRelay ABSL_GUARDED_BY(m_mutex);
+    std::size_t m_nextRelay ABSL_GUARDED_BY(m_mutex) = 0;
     core::Instant m_nextProbe ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
 };
 
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -242,8 +242,10 @@
     m_workerClockAt = m_clock.now();
     std::erase_if(runs.ended,
                   [this](const EndedTask &end) { return end.number <= m_acknowledged; });
-    const bool news =
-        !m_state.listed || runs.ended != m_state.runs.ended || runs.running != m_state.runs.running;
+    const auto sameRuns = [](const RunningTask &a, const RunningTask &b) { return a.run == b.run; };
+    const bool news = !m_state.listed || runs.ended != m_state.runs.ended
+        || !std::equal(runs.running.begin(), runs.running.end(), m_state.runs.running.begin(),
+                       m_state.runs.running.end(), sameRuns);
     m_state.listed = true;
     m_state.runs = std::move(runs);
     if (news)
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -6,6 +6,8 @@
 
 #include <absl/time/clock.h>
 
+#include <algorithm>
+
 namespace oleandercross::control {
 
 namespace {
@@ -66,8 +68,15 @@
         m_pending = {};
         m_pending.life = life;
     }
-    for (planning::Order &order : orders)
-        m_pending.orders.push_back(std::move(order));
+    for (planning::Order &order : orders) {
+        // An order that is repeated before it was handed over adds nothing.
+        const bool waiting =
+            std::any_of(m_pending.orders.begin(), m_pending.orders.end(), [&order](const auto &o) {
+                return o.kind == order.kind && o.run == order.run;
+            });
+        if (!waiting)
+            m_pending.orders.push_back(std::move(order));
+    }
 }
 
 void AgentLink::acknowledge(const std::string &life, std::int64_t number)
@@ -140,8 +149,7 @@
         m_agentClockMs = state->clockMs;
         m_lastAnswer = m_clock.now();
     }
-    if (news)
-        m_callbacks.onState(m_agent, *std::move(state));
+    m_callbacks.onState(m_agent, *std::move(state), news);
     return true;
 }
 
--- a/src/control/election.cpp
+++ b/src/control/election.cpp
@@ -18,6 +18,11 @@
 constexpr absl::Duration SightingFor = absl::Milliseconds(600);
 // A leader row that does not change for this long is free; the leader writes every 350 ms.
 constexpr absl::Duration RowUnchangedFor = absl::Milliseconds(900);
+// An entry with this much more processor time than the leader asks it to give way, once it has
+// been up for the settling time; the weaker one then stays back for a while.
+constexpr double StrengthRatio = 1.5;
+constexpr absl::Duration SettlingTime = absl::Seconds(3);
+constexpr absl::Duration GivenWayFor = absl::Seconds(2);
 // Entries that find the lead free at the same time try at different moments.
 constexpr std::int64_t MaxStaggerMs = 250;
 
@@ -30,6 +35,7 @@
     const auto stagger = absl::Milliseconds(
         static_cast<std::int64_t>(XXH64(name.data(), name.size(), 0) % MaxStaggerMs));
     absl::SleepFor(stagger);
+    m_startedAt = m_clock.now();
     announceOwn();
     while (!m_stopping) {
         electionStep();
@@ -74,12 +80,45 @@
         m_client.call(*address, "leader-health", Json::Value(Json::objectValue), HealthTimeout);
     if (!answer || !core::boolMember(*answer, "healthy"))
         return;
+    Leadership leadership;
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_sighting.healthyAt = m_clock.now();
+        if (m_sighting.leadership)
+            leadership = *m_sighting.leadership;
+    }
+    askToGiveWay(leadership);
+}
+
+void Entry::askToGiveWay(const Leadership &leadership)
+{
+    const bool stronger = static_cast<double>(m_options.strength)
+        > StrengthRatio * static_cast<double>(leadership.strength);
+    if (!stronger || leadership.holder.empty() || !m_store.reachable()
+        || m_clock.now() - m_startedAt < SettlingTime)
+        return;
+    Json::Value params(Json::objectValue);
+    params["strength"] = static_cast<Json::Int64>(m_options.strength);
+    telemetry::Event("leadership_claimed")
+        .with("from", leadership.holder)
+        .with("strength", m_options.strength)
+        .with("holder_strength", leadership.strength);
+    m_client.call(leadership.address, "give-way", params, HealthTimeout);
+}
+
+void Entry::giveWay(const std::shared_ptr<Leader> &own)
+{
+    m_leadsNotBefore = m_clock.now() + GivenWayFor;
+    own->release();
     absl::MutexLock lock(&m_mutex);
-    m_sighting.healthyAt = m_clock.now();
+    m_leader.reset();
+    m_sighting = {};
 }
 
 void Entry::maybeTakeLead()
 {
+    if (m_clock.now() < m_leadsNotBefore)
+        return;
     const auto row = m_store.row(LeaderTable, LeaderKey, StoreTimeout);
     if (!row)
         return;
@@ -108,6 +147,7 @@
     Leadership own;
     own.holder = m_options.own.name;
     own.address = m_options.own.address;
+    own.strength = m_options.strength;
     own.incarnation = m_options.own.incarnation;
     auto log = std::make_unique<LeaderLog>(m_store, own);
     if (!log->acquire(row)) {
@@ -131,6 +171,10 @@
 void Entry::superviseOwnLead()
 {
     const std::shared_ptr<Leader> own = leader();
+    if (m_givesWay.exchange(false)) {
+        giveWay(own);
+        return;
+    }
     if (own->deposed()) {
         own->stop();
         {
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -91,6 +91,11 @@
         answer["waiting"] = *count;
         return answer;
     });
+    server.add("give-way", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        if (core::intMember(params, "strength") > m_options.strength)
+            m_givesWay = true;
+        return Json::Value(Json::objectValue);
+    });
     server.add("announce", [this](const Json::Value &params) -> std::optional<Json::Value> {
         const auto member =
             decodeMember(core::stringMember(params, "name"), core::stringMember(params, "member"));
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -6,15 +6,21 @@
 #include <oleandercross/telemetry/eventlog.h>
 #include <oleandercross/workload/codec.h>
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/strings/match.h>
 #include <absl/time/clock.h>
 
+#include <algorithm>
+
 namespace oleandercross::control {
 
 namespace {
 
 constexpr int RowsPerPage = 500;
 constexpr absl::Duration JobFeedWait = absl::Milliseconds(900);
+// Between two rounds.
+constexpr absl::Duration ShortestPause = absl::Milliseconds(2);
+constexpr absl::Duration LongestPause = absl::Milliseconds(40);
 constexpr absl::Duration CleanupPeriod = absl::Seconds(10);
 
 } // namespace
@@ -179,6 +185,7 @@
     if (m_stopping)
         return;
     const core::Instant now = m_clock.now();
+    const auto pause = absl::MakeCleanup([this, now] { pauseAfter(m_clock.now() - now); });
     if (inbox.catalog) {
         std::map<std::string, std::int64_t> guarantees;
         for (const workload::Account &account : inbox.catalog->accounts)
@@ -208,6 +215,12 @@
     next = plan.next;
 }
 
+void Leader::pauseAfter(absl::Duration round)
+{
+    // Under load, several events share a round and the other threads get as much time.
+    absl::SleepFor(std::clamp(round, ShortestPause, LongestPause));
+}
+
 void Leader::applyJobRow(const StoredRow &row, core::Instant now)
 {
     if (row.removed)
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -26,10 +26,10 @@
         if (m_links.contains(agent))
             continue;
         AgentLink::Callbacks callbacks;
-        callbacks.onState = [this](const std::string &name, AgentState state) {
+        callbacks.onState = [this](const std::string &name, AgentState state, bool news) {
             absl::MutexLock lock(&m_mutex);
             m_inbox.states[name] = std::move(state);
-            m_news = true;
+            m_news = m_news || news;
         };
         callbacks.onResults = [this](const std::string &name, const std::string &life,
                                      std::vector<planning::Order> orders,
--- a/src/control/leaderlog.cpp
+++ b/src/control/leaderlog.cpp
@@ -23,6 +23,7 @@
     value["holder"] = leadership.holder;
     value["address"] = toString(leadership.address);
     value["sequence"] = static_cast<Json::Int64>(leadership.sequence);
+    value["strength"] = static_cast<Json::Int64>(leadership.strength);
     value["incarnation"] = leadership.incarnation;
     return core::writeJson(value);
 }
@@ -40,6 +41,7 @@
     leadership.holder = core::stringMember(*value, "holder");
     leadership.address = *address;
     leadership.sequence = core::intMember(*value, "sequence");
+    leadership.strength = core::intMember(*value, "strength");
     leadership.incarnation = core::stringMember(*value, "incarnation");
     return leadership;
 }
--- a/src/control/relayedstore.cpp
+++ b/src/control/relayedstore.cpp
@@ -4,12 +4,16 @@
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/telemetry/eventlog.h>
 
+#include <algorithm>
+
 namespace oleandercross::control {
 
 namespace {
 
 // While the store cannot be reached, one call in this time tries it directly.
 constexpr absl::Duration ProbePeriod = absl::Milliseconds(400);
+// The peers that one call tries, so that an outage of the store is noticed soon.
+constexpr std::size_t MaxRelays = 2;
 // Added to a call's own time for the way over the peer.
 constexpr absl::Duration RelayTime = absl::Milliseconds(300);
 
@@ -87,12 +91,37 @@
     telemetry::Event(reached ? "store_reached" : "store_lost").with("reason", reason.message);
 }
 
+std::vector<http::Endpoint> RelayedStore::relays()
+{
+    std::vector<http::Endpoint> peers = m_peers();
+    absl::MutexLock lock(&m_mutex);
+    const auto preferred = std::find(peers.begin(), peers.end(), m_preferredRelay);
+    if (preferred != peers.end()) {
+        std::rotate(peers.begin(), preferred, preferred + 1);
+    } else if (!peers.empty()) {
+        const auto first = static_cast<std::ptrdiff_t>(m_nextRelay++ % peers.size());
+        std::rotate(peers.begin(), peers.begin() + first, peers.end());
+    }
+    if (peers.size() > MaxRelays)
+        peers.resize(MaxRelays);
+    m_preferredRelay = {};
+    return peers;
+}
+
+void RelayedStore::preferRelay(const http::Endpoint &peer)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_preferredRelay = peer;
+}
+
 std::optional<Json::Value> RelayedStore::relay(const char *method, const Json::Value &params,
                                                absl::Duration timeout)
 {
-    for (const http::Endpoint &peer : m_peers()) {
-        if (auto answer = m_client.call(peer, method, params, timeout + RelayTime))
+    for (const http::Endpoint &peer : relays()) {
+        if (auto answer = m_client.call(peer, method, params, timeout + RelayTime)) {
+            preferRelay(peer);
             return answer;
+        }
     }
     return core::fail(core::ResultCode::StoreUnavailable,
                       "the store is reached neither directly nor through a peer");
@@ -119,7 +148,7 @@
             toJson(StoredRow{condition.table, condition.key, {}, condition.version}));
     params["puts"] = toJson(changes.puts);
     params["removals"] = toJson(changes.removals);
-    for (const http::Endpoint &peer : m_peers()) {
+    for (const http::Endpoint &peer : relays()) {
         const auto answer = m_client.call(peer, "store-commit", params, timeout + RelayTime);
         if (!answer) {
             // A peer that may have passed the call on leaves the outcome open.
@@ -137,6 +166,7 @@
             result.outcome = CommitOutcome::Unknown;
             continue;
         }
+        preferRelay(peer);
         result.outcome = outcome;
         result.version = core::intMember(*answer, "version");
         result.current = rowsFromJson(core::member(*answer, "current"));
--- a/test/deployment/tst_deploymentsettings.cpp
+++ b/test/deployment/tst_deploymentsettings.cpp
@@ -22,6 +22,9 @@
   - "nonsense"
 unknown:
   later: true
+limits:
+  cpuShare: 0.25
+  cores: 1
 bounds:
   maxHoldMs: 10000
   graceS: 6
@@ -43,6 +46,7 @@
     CHECK(settings->internal == http::Endpoint{"10.1.0.19", 7000});
     CHECK(settings->seeds == std::vector<http::Endpoint>{{"10.1.0.19", 7000}});
     CHECK(settings->store == http::Endpoint{"10.200.1.7", 8524});
+    CHECK(settings->milliCores == 250);
     CHECK(settings->maxLease == absl::Seconds(10));
     CHECK(settings->taskStopTime == absl::Milliseconds(200));
     CHECK_FALSE(settings->heartbeats);
