End a worker's life that its agent does not name any more

The task was stored as running on a worker that left while nobody led; its agent answered without a worker, so its silence was never counted. Ruled out: ends that are acknowledged before they are stored (the jobs are read before any listing is applied). The new test runs real entries and agents on loopback; it fails without the change. The agent now also lists a run from its start's answer, so that starts are not repeated until the next renewal.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -54,6 +54,7 @@
     OrderResult carryOut(const WorkerReport &worker, const planning::Order &order,
                          std::int64_t epoch);
     OrderResult start(const WorkerReport &worker, const planning::Order &order, std::int64_t epoch);
+    void noteStarted(const WorkerReport &worker, const workload::RunKey &run);
     OrderResult stopRun(const WorkerReport &worker, const workload::RunKey &run,
                         std::int64_t epoch);
     std::int64_t nowMs() const;
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -121,6 +121,8 @@
     // Links to agents that are gone; their threads end in their own time.
     std::vector<std::unique_ptr<AgentLink>> m_retired;
     std::map<std::string, std::int64_t> m_toAcknowledge;
+    // When an agent last named a life as that of its worker.
+    std::map<std::string, core::Instant> m_lifeSeenAt;
     core::Instant m_nextCleanup = absl::InfinitePast();
 
     mutable absl::Mutex m_mutex;
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -343,8 +343,7 @@
         }
         const OrderOutcome outcome = m_port.start(worker, start, timeout);
         if (outcome == OrderOutcome::Done) {
-            absl::MutexLock lock(&m_mutex);
-            m_news.SignalAll();
+            noteStarted(worker, order.run);
             return OrderResult::Done;
         }
         if (outcome == OrderOutcome::Refused)
@@ -355,6 +354,18 @@
     return OrderResult::Unanswered;
 }
 
+void Agent::noteStarted(const WorkerReport &worker, const workload::RunKey &run)
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto same = [&run](const auto &task) { return task.run == run; };
+    const WorkerRuns &runs = m_state.runs;
+    if (!sameLife(worker) || std::any_of(runs.running.begin(), runs.running.end(), same)
+        || std::any_of(runs.ended.begin(), runs.ended.end(), same))
+        return;
+    // The worker's own list follows with the next renewal.
+    m_state.runs.running.push_back({run, {}, 0});
+}
+
 OrderResult Agent::stopRun(const WorkerReport &worker, const workload::RunKey &run,
                            std::int64_t epoch)
 {
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -148,6 +148,7 @@
         m_silent = false;
         m_agentClockMs = state->clockMs;
         m_lastAnswer = m_clock.now();
+        state->receivedAt = m_lastAnswer;
     }
     m_callbacks.onState(m_agent, *std::move(state), news);
     return true;
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -85,6 +85,7 @@
         return;
     const std::string life = lifeKey(agent, *state.worker);
     dropOtherLives(agent, life);
+    m_lifeSeenAt[life] = state.receivedAt;
     planning::Worker worker;
     worker.key = life;
     worker.agent = agent;
@@ -165,14 +166,19 @@
         const core::Instant answer =
             link == m_links.end() ? absl::InfinitePast() : link->second->lastAnswer();
         // An earlier leader may have given permits until it could not store anything any more.
-        const core::Instant permitted = std::max(answer, m_began + PermitFor) + RenewalPermit;
+        // An agent that answers, but does not name the life, does not extend its lease either.
+        const auto seen = m_lifeSeenAt.find(life);
+        const core::Instant named =
+            seen == m_lifeSeenAt.end() ? absl::InfinitePast() : seen->second;
+        const core::Instant permitted = std::max(named, m_began + PermitFor) + RenewalPermit;
         if (now > permitted + m_options.lease * (1 + ClockDrift) + LapseMargin) {
             telemetry::Event("worker_lease_over")
                 .with("life", life)
                 .with("silent_ms",
-                      answer == absl::InfinitePast() ? std::int64_t{-1}
-                                                     : absl::ToInt64Milliseconds(now - answer));
+                      named == absl::InfinitePast() ? std::int64_t{-1}
+                                                    : absl::ToInt64Milliseconds(now - named));
             m_planner.removeWorker(life);
+            m_lifeSeenAt.erase(life);
             continue;
         }
         const auto worker = m_planner.workers().find(life);
--- /dev/null
+++ b/test/control/tst_system.cpp
@@ -0,0 +1,220 @@
+#include "fakerowstore.h"
+#include "simulatedworker.h"
+
+#include <oleandercross/control/agent.h>
+#include <oleandercross/control/entry.h>
+
+#include <absl/time/clock.h>
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace oleandercross;
+using namespace oleandercross::control;
+
+namespace {
+
+constexpr char Key[] = "test";
+// Far beyond what any step takes, so that a slow machine does not fail the test.
+constexpr absl::Duration Limit = absl::Seconds(60);
+
+http::ServerOptions onLoopback(int port)
+{
+    http::ServerOptions options;
+    options.listen = {"127.0.0.1", port};
+    return options;
+}
+
+int freePort()
+{
+    http::Server server(onLoopback(0));
+    REQUIRE(server.start());
+    return server.port();
+}
+
+void announce(RowStore &store, const Member &member)
+{
+    RowChanges changes;
+    changes.puts.push_back({MemberTable, member.name, encodeMember(member)});
+    REQUIRE(store.commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
+}
+
+// An agent process, reached over loopback.
+struct AgentProcess
+{
+    AgentProcess(RowStore &store, WorkerPort &worker, const std::string &name)
+        : port(freePort())
+        , server(onLoopback(port), Key)
+        , agent({name, absl::Milliseconds(500)}, worker)
+    {
+        server.add("watch", [this](const Json::Value &params) -> std::optional<Json::Value> {
+            const auto state = agent.watch(watchCallFromJson(params));
+            return state ? std::optional(toJson(*state)) : std::nullopt;
+        });
+        server.add("orders", [this](const Json::Value &params) -> std::optional<Json::Value> {
+            const auto results = agent.carryOut(*orderCallFromJson(params));
+            if (!results)
+                return std::nullopt;
+            Json::Value answer(Json::objectValue);
+            for (const OrderResult result : *results)
+                answer["results"].append(static_cast<int>(result));
+            return answer;
+        });
+        REQUIRE(server.start());
+        agent.start();
+        announce(store, {name, MemberRole::Agent, {"127.0.0.1", port}, "life"});
+    }
+
+    ~AgentProcess()
+    {
+        agent.stop();
+        server.stop();
+    }
+
+    const int port;
+    rpc::Server server;
+    Agent agent;
+};
+
+// An entry process with a configuration of one service.
+struct EntryProcess
+{
+    EntryProcess(RowStore &store, const std::string &name)
+        : port(freePort())
+        , client({}, Key)
+        , server(onLoopback(port), Key)
+        , entry(options(name), store, client, server, metrics,
+                [](const std::string &) { return std::optional(workload::Catalog{}); })
+    {
+        REQUIRE(server.start());
+        entry.start();
+    }
+
+    ~EntryProcess()
+    {
+        entry.stop();
+        server.stop();
+    }
+
+    EntryOptions options(const std::string &name) const
+    {
+        EntryOptions options;
+        options.own = {name, MemberRole::Entry, {"127.0.0.1", port}, "life"};
+        options.leader.lease = absl::Milliseconds(500);
+        options.configTable = "op";
+        options.configKey = "config";
+        return options;
+    }
+
+    // Waits until the job is in the state, asking as callers do.
+    bool reaches(const std::string &job, planning::JobState state)
+    {
+        const core::BootClock clock;
+        const core::Instant until = clock.now() + Limit;
+        while (clock.now() < until) {
+            const JobAnswer answer = entry.state(job, clock.now() + absl::Seconds(5));
+            if (answer.kind == JobAnswer::Kind::Known && answer.state == state)
+                return true;
+            absl::SleepFor(absl::Milliseconds(20));
+        }
+        return false;
+    }
+
+    const int port;
+    telemetry::Metrics metrics;
+    rpc::Client client;
+    rpc::Server server;
+    Entry entry;
+};
+
+workload::Job job(const std::string &id, int tasks)
+{
+    workload::Job job;
+    job.id = id;
+    job.queue = "q";
+    job.terms.service = "booking";
+    workload::Step step;
+    step.tasks = tasks;
+    step.perTask = {1000, 1000, 1};
+    step.gang = true;
+    job.steps.push_back(step);
+    return job;
+}
+
+core::Instant soon()
+{
+    return core::BootClock().now() + absl::Seconds(10);
+}
+
+} // namespace
+
+// Guards against a break anywhere on the path from the caller to the worker and back.
+TEST_CASE("a job goes from the caller to the worker and its state comes back")
+{
+    testing::FakeRowStore store;
+    testing::SimulatedWorker worker;
+    AgentProcess agent(store, worker, "side");
+    agent.agent.heartbeat(worker.report("i-1", 1000));
+    EntryProcess entry(store, "front");
+    REQUIRE(entry.entry.submit(job("5c0e7a21d94b36f8", 3), soon()) == SubmitOutcome::Accepted);
+    CHECK(entry.reaches("5c0e7a21d94b36f8", planning::JobState::Running));
+    while (worker.completeAll() < 3)
+        absl::SleepFor(absl::Milliseconds(10));
+    CHECK(entry.reaches("5c0e7a21d94b36f8", planning::JobState::Completed));
+    for (const auto &[task, count] : worker.starts())
+        CHECK(count == 1);
+    while (worker.acknowledged() < 3)
+        absl::SleepFor(absl::Milliseconds(10));
+}
+
+// Guards against work that is lost or started again when the leader is replaced.
+TEST_CASE("another entry takes over without touching running work")
+{
+    testing::FakeRowStore store;
+    testing::SimulatedWorker worker;
+    AgentProcess agent(store, worker, "side");
+    agent.agent.heartbeat(worker.report("i-1", 1000));
+    auto first = std::make_unique<EntryProcess>(store, "front-1");
+    REQUIRE(first->entry.submit(job("5c0e7a21d94b36f8", 2), soon()) == SubmitOutcome::Accepted);
+    REQUIRE(first->reaches("5c0e7a21d94b36f8", planning::JobState::Running));
+    EntryProcess second(store, "front-2");
+    first.reset();
+    REQUIRE(second.entry.submit(job("5c0e7a21d94b36f9", 1), soon()) == SubmitOutcome::Accepted);
+    CHECK(second.reaches("5c0e7a21d94b36f9", planning::JobState::Running));
+    for (const auto &[task, count] : worker.starts())
+        CHECK(count == 1);
+    while (worker.starts().size() < 3)
+        absl::SleepFor(absl::Milliseconds(10));
+    worker.completeAll();
+    CHECK(second.reaches("5c0e7a21d94b36f8", planning::JobState::Completed));
+    CHECK(second.reaches("5c0e7a21d94b36f9", planning::JobState::Completed));
+}
+
+// Guards against tasks that wait for ever for a worker that left while nobody led.
+TEST_CASE("tasks of a worker that its agent does not know any more run elsewhere")
+{
+    testing::FakeRowStore store;
+    testing::SimulatedWorker worker;
+    auto first = std::make_unique<EntryProcess>(store, "front");
+    {
+        AgentProcess agent(store, worker, "side-1");
+        agent.agent.heartbeat(worker.report("i-1", 1000));
+        REQUIRE(first->entry.submit(job("5c0e7a21d94b36f8", 1), soon()) == SubmitOutcome::Accepted);
+        REQUIRE(first->reaches("5c0e7a21d94b36f8", planning::JobState::Running));
+        while (worker.starts().empty())
+            absl::SleepFor(absl::Milliseconds(10));
+    }
+    first.reset();
+    testing::SimulatedWorker other;
+    AgentProcess withoutWorker(store, worker, "side-1");
+    AgentProcess agent(store, other, "side-2");
+    agent.agent.heartbeat(other.report("i-2", 2000));
+    EntryProcess second(store, "front");
+    const core::BootClock clock;
+    const core::Instant until = clock.now() + Limit;
+    while (other.starts().empty() && clock.now() < until)
+        absl::SleepFor(absl::Milliseconds(20));
+    REQUIRE(other.starts().size() == 1);
+    other.completeAll();
+    CHECK(second.reaches("5c0e7a21d94b36f8", planning::JobState::Completed));
+}
