--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -111,6 +111,9 @@
     void eachActive(const std::string &worker,
                     const std::function<void(const workload::TaskKey &, Task &)> &visit);
     PlacementRequest request(const Unit &unit, core::Instant now) const;
+    bool suits(const Unit &unit, const Worker &worker, core::Instant now) const;
+    // Leaves only the workers on the rack with the data, if there are any.
+    void keepNearData(PlacementRequest &request) const;
     void chooseExpress(const Room &room, core::Instant now);
     std::vector<Victim> victims(const Unit &unit, core::Instant now) const;
     bool mayStop(const Unit &unit, const JobRecord &victim) const;
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -10,19 +10,6 @@
 
 namespace {
 
-// One accelerator weighs as much as this many cores when work is compared.
-constexpr double CoresPerAccelerator = 8;
-// Stopping and restoring a task from its checkpoint costs about this much of its work.
-constexpr double CheckpointedStopSeconds = 1.0;
-// A stop of a task without a checkpoint is never free, also when it has only just begun.
-constexpr double PlainStopSeconds = 0.3;
-// Work may be stopped for a job up to these multiples of the job's own work: urgent jobs without a
-// guarantee, other jobs that would be late otherwise, and other jobs with time left.
-constexpr double UrgentStopBudget = 3;
-constexpr double LateStopBudget = 0.7;
-constexpr double EarlyStopBudget = 0.08;
-// A job is about to be late when it could not wait for this part of its estimate any more.
-constexpr double LateSlack = 0.3;
 // Room stays reserved while pre-empted tasks stop, and this much longer.
 constexpr absl::Duration ReservationMargin = absl::Milliseconds(600);
 // A step waits at most this long for a rack that suits it, unless its own run time is shorter.
@@ -35,40 +22,13 @@
 constexpr double TrustInEstimate = 0.5;
 // After the last job of priority 0, a rack is kept free for the next one for this long.
 constexpr absl::Duration ExpressTime = absl::Seconds(10);
+// Where stops take no longer than this, room is made when it is needed.
+constexpr absl::Duration CheapStop = absl::Milliseconds(400);
 // With fewer racks, keeping one free would cost too much of the whole.
 constexpr std::size_t MinRacksForExpress = 3;
-// Work that takes longer to stop than this does not run on the rack kept for urgent work.
-constexpr absl::Duration LongestExpressStop = absl::Milliseconds(400);
-// A task that ends by itself within this share of the time of a stop is not stopped to make room.
-constexpr double EndWaitShare = 0.7;
-// Progress that has not changed for this long says nothing of a task's end.
-constexpr absl::Duration ProgressAge = absl::Milliseconds(1000);
 // Due times and time-outs are looked at this often.
 constexpr absl::Duration PlanPeriod = absl::Milliseconds(100);
 
-double weight(const workload::Demand &demand)
-{
-    return static_cast<double>(demand.milliCores) / 1000
-        + CoresPerAccelerator * static_cast<double>(demand.accelerators);
-}
-
-// What the loss of a core second counts, relative to work of the least urgent kind: the second
-// itself is lost whatever it was spent on, and what the work earns rises with its urgency.
-double stopWeight(int priority)
-{
-    constexpr double UrgentWeight = 5;
-    constexpr double MiddleWeight = 1.8;
-    return priority == 0 ? UrgentWeight : priority == 1 ? MiddleWeight : 1;
-}
-
-double stopCost(const workload::Step &step, const Task &task, core::Instant now)
-{
-    const double elapsed = absl::ToDoubleSeconds(now - task.startedAt);
-    const double lost = step.checkpointable ? std::min(CheckpointedStopSeconds, elapsed)
-                                            : elapsed + PlainStopSeconds;
-    return lost * weight(step.perTask);
-}
-
 bool hasLabel(const Worker &worker, const std::string &label)
 {
     return label.empty()
@@ -77,15 +37,6 @@
 
 } // namespace
 
-absl::Duration remainingTime(const workload::Step &step, const Task &task, core::Instant now)
-{
-    if (task.percent <= 0)
-        return absl::Milliseconds(step.estimateMs);
-    const absl::Duration took = task.percentChangedAt - task.startedAt;
-    return took * (static_cast<double>(100 - task.percent) / task.percent)
-        - (now - task.percentChangedAt);
-}
-
 Plan Planner::plan(core::Instant now, std::int64_t wallMs)
 {
     Plan plan;
@@ -197,12 +148,13 @@
             freeOfRack[worker.rack] += room.at(key).accelerators;
     }
     m_expressRack.clear();
-    if (now - m_urgentSeenAt > ExpressTime || freeOfRack.size() < MinRacksForExpress)
+    if (m_options.stopTime <= CheapStop || now - m_urgentSeenAt > ExpressTime
+        || freeOfRack.size() < MinRacksForExpress)
         return;
     const auto emptiest =
         std::max_element(freeOfRack.begin(), freeOfRack.end(),
                          [](const auto &a, const auto &b) { return a.second < b.second; });
-    m_expressRack = std::getenv("XNOEXP") ? std::string() : emptiest->first;
+    m_expressRack = emptiest->first;
 }
 
 std::map<std::string, std::int64_t> Planner::urgentNeeds() const
@@ -266,8 +218,7 @@
                 continue;
             const core::Instant base = job.scheduled ? progress.readySince : record.seenAt();
             const absl::Duration chain = absl::Milliseconds(workload::longestChainMs(job));
-            const absl::Duration objective =
-                chain * job.terms.stretch + absl::Milliseconds(job.terms.targetMs);
+            const absl::Duration objective = latencyObjective(job);
             unit.deadline = base + objective;
             unit.late = now + chain * TrustInEstimate > unit.deadline;
             unit.worthless = now > base + objective * ObjectivesUntilWorthless;
@@ -283,90 +234,43 @@
     request.perTask = unit.spec->perTask;
     request.preferredRack = unit.spec->dataRack;
     std::map<std::string, int> onWorker;
-    std::set<std::string> failedOn;
     for (const Task &task : unit.progress->tasks) {
         if (task.phase == TaskPhase::Active)
             ++onWorker[task.worker];
+    }
+    std::set<std::string> failedOn;
+    for (const int index : unit.indices) {
+        const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
         failedOn.insert(task.failedOn.begin(), task.failedOn.end());
     }
-    int unfit = 0;
-    for (const auto &[key, worker] : m_workers)
-        unfit += m_health.suspicion(key, now) == 2 ? 1 : 0;
-    const bool avoidUnfit = unfit * 3 <= static_cast<int>(m_workers.size());
+    std::map<std::string, int> avoided;
     for (const auto &[key, worker] : m_workers) {
-        const int suspicion = m_health.suspicion(key, now);
-        if (!worker.accepting || worker.service != unit.record->job().terms.service
-            || !hasLabel(worker, unit.spec->neededLabel)
-            || !fits(unit.spec->perTask, worker.capacity) || (suspicion == 2 && avoidUnfit))
-            continue;
         const int most = unit.spec->maxPerWorker > 0 ? unit.spec->maxPerWorker - onWorker[key]
                                                      : std::numeric_limits<int>::max();
-        if (most <= 0)
+        if (most <= 0 || !suits(unit, worker, now))
             continue;
-        request.allowed[key] = most;
-        const int priority = unit.record->job().terms.priority;
-        const bool express = priority > 0 && worker.rack == m_expressRack;
-        if (express && !mayUseExpress(unit, worker, now))
-            continue;
-        const int penalty = suspicion + (failedOn.contains(key) ? 2 : 0) + (express ? 1 : 0);
+        const int suspicion = m_health.suspicion(key, now);
+        const bool express = unit.record->job().terms.priority > 0 && worker.rack == m_expressRack;
+        if (suspicion == 2 || failedOn.contains(key))
+            avoided[key] = most;
+        else
+            request.allowed[key] = most;
+        const int penalty = suspicion + (express ? 1 : 0);
         if (penalty > 0)
             request.penalties[key] = penalty;
     }
+    // Workers that fail are used again when they are too many to do without.
+    if (request.allowed.size() < 2 * avoided.size())
+        request.allowed.insert(avoided.begin(), avoided.end());
     return request;
 }
 
-bool Planner::mayStop(const Unit &unit, const JobRecord &victim) const
-{
-    const workload::Job &job = victim.job();
-    const int priority = unit.record->job().terms.priority;
-    if (job.terms.priority > priority)
-        return true;
-    if (!unit.guaranteed || job.terms.priority != 0)
-        return false;
-    return !withinGuarantee(job.account);
-}
-
-std::vector<Victim> Planner::victims(const Unit &unit, core::Instant now) const
+bool Planner::suits(const Unit &unit, const Worker &worker, core::Instant now) const
 {
-    std::vector<Victim> victims;
-    // Waiting for a task's own end is as good as stopping it, but only once: estimates may be
-    // wrong.
-    const absl::Duration endWait = unit.progress->reservedUntil == absl::InfinitePast()
-        ? m_options.stopTime * EndWaitShare
-        : absl::ZeroDuration();
-    for (const auto &[id, record] : m_jobs) {
-        for (const auto &[number, occurrence] : record.occurrences()) {
-            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-                const workload::Step &spec = record.job().steps[s];
-                Victim gang;
-                for (std::size_t i = 0; i < occurrence.steps[s].tasks.size(); ++i) {
-                    const Task &task = occurrence.steps[s].tasks[i];
-                    const auto worker = m_workers.find(task.worker);
-                    if (task.phase != TaskPhase::Active || worker == m_workers.end()
-                        || (!task.stopWanted && !mayStop(unit, record)))
-                        continue;
-                    const bool endsSoon = task.percent > 0
-                        && now - task.percentChangedAt < ProgressAge
-                        && remainingTime(spec, task, now) < endWait;
-                    Victim single;
-                    Victim &victim = spec.gang ? gang : single;
-                    victim.frees[task.worker] = victim.frees[task.worker] + spec.perTask;
-                    // Room that is about to become free costs nothing more.
-                    if (!task.stopWanted && !endsSoon) {
-                        victim.runs.push_back(
-                            {{id, number, static_cast<int>(s), static_cast<int>(i)}, task.run});
-                        victim.cost +=
-                            stopCost(spec, task, now) * stopWeight(record.job().terms.priority);
-                    }
-                    if (!spec.gang)
-                        victims.push_back(std::move(single));
-                }
-                if (!gang.frees.empty())
-                    victims.push_back(std::move(gang));
-            }
-        }
-    }
-    return victims;
+    const bool express = unit.record->job().terms.priority > 0 && worker.rack == m_expressRack;
+    return worker.accepting && worker.service == unit.record->job().terms.service
+        && hasLabel(worker, unit.spec->neededLabel) && fits(unit.spec->perTask, worker.capacity)
+        && (!express || mayUseExpress(unit, worker, now));
 }
 
 void Planner::reserve(const Unit &unit, Room &room) const
@@ -404,44 +308,26 @@
         tryPlace(unit, wanted, room, now, plan);
         return;
     }
-    if (!wanted.preferredRack.empty() && waited < rackWait) {
-        PlacementRequest near = wanted;
-        std::erase_if(near.allowed, [&](const auto &entry) {
-            return m_workers.at(entry.first).rack != wanted.preferredRack;
-        });
-        if (!near.allowed.empty())
-            wanted = std::move(near);
-    }
     for (int i = 0; i < tasks; ++i) {
         Unit one = unit;
         one.indices = {unit.indices[static_cast<std::size_t>(i)]};
-        if (unit.spec->maxPerWorker > 0 && i > 0)
-            wanted.allowed = request(unit, now).allowed;
+        wanted = request(one, now);
+        if (waited < rackWait)
+            keepNearData(wanted);
         if (!tryPlace(one, wanted, room, now, plan))
             return;
     }
 }
 
-bool Planner::mayUseExpress(const Unit &unit, const Worker &worker, core::Instant now) const
+void Planner::keepNearData(PlacementRequest &request) const
 {
-    const bool cheapToStop = unit.spec->checkpointable && m_options.stopTime <= LongestExpressStop;
-    if (cheapToStop || unit.spec->dataRack == worker.rack)
-        return true;
-    return unit.record->job().terms.priority == 1 && soonLate(unit, now);
-}
-
-bool Planner::soonLate(const Unit &unit, core::Instant now)
-{
-    const absl::Duration chain = absl::Milliseconds(workload::longestChainMs(unit.record->job()));
-    return now + chain * (1 + LateSlack) > unit.deadline;
-}
-
-double Planner::stopBudget(const Unit &unit, core::Instant now) const
-{
-    const workload::Job &job = unit.record->job();
-    if (job.terms.priority == 0)
-        return UrgentStopBudget;
-    return soonLate(unit, now) && !unit.late ? LateStopBudget : EarlyStopBudget;
+    std::map<std::string, int> near;
+    for (const auto &[worker, most] : request.allowed) {
+        if (m_workers.at(worker).rack == request.preferredRack)
+            near.emplace(worker, most);
+    }
+    if (!near.empty())
+        request.allowed = std::move(near);
 }
 
 bool Planner::tryPlace(const Unit &unit, PlacementRequest request, Room &room, core::Instant now,
@@ -476,21 +362,6 @@
     return true;
 }
 
-void Planner::stopVictim(const Victim &victim, const Unit &unit, core::Instant now, Plan &plan)
-{
-    for (const workload::RunKey &run : victim.runs) {
-        Task *task = m_jobs.at(run.task.job).task(run.task);
-        task->stopWanted = true;
-        task->orderSentAt = now;
-        plan.orders.push_back({Order::Kind::Stop,
-                               task->worker,
-                               run,
-                               {},
-                               {},
-                               "pre-empted by " + unit.record->job().id});
-    }
-}
-
 void Planner::start(const Unit &unit, const std::map<std::string, int> &tasks, Room &room,
                     core::Instant now, Plan &plan)
 {
--- a/src/planning/unit.h
+++ b/src/planning/unit.h
@@ -33,4 +33,10 @@
 // The time that a run still needs, from its progress if there is some, else from the estimate.
 absl::Duration remainingTime(const workload::Step &step, const Task &task, core::Instant now);
 
+// The time within which a job earns most.
+absl::Duration latencyObjective(const workload::Job &job);
+
+// The cores that a task holds, with accelerators counted as cores.
+double weight(const workload::Demand &demand);
+
 } // namespace oleandercross::planning
