--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -117,6 +117,8 @@
     std::string m_configText ABSL_GUARDED_BY(m_mutex);
     std::shared_ptr<Leader> m_leader ABSL_GUARDED_BY(m_mutex);
     LeaderSighting m_sighting ABSL_GUARDED_BY(m_mutex);
+    // A stopping leader has released the lead.
+    bool m_handedOver ABSL_GUARDED_BY(m_mutex) = false;
     std::atomic<bool> m_givesWay = false;
     // Used by the election's thread only.
     core::Instant m_leadsNotBefore = absl::InfinitePast();
--- a/src/control/election.cpp
+++ b/src/control/election.cpp
@@ -39,7 +39,9 @@
     announceOwn();
     while (!m_stopping) {
         electionStep();
-        absl::SleepFor(ElectionPeriod);
+        absl::MutexLock lock(&m_mutex);
+        m_mutex.AwaitWithTimeout(absl::Condition(&m_handedOver), ElectionPeriod);
+        m_handedOver = false;
     }
 }
 
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -107,6 +107,7 @@
     server.add("handover", [this](const Json::Value &) -> std::optional<Json::Value> {
         absl::MutexLock lock(&m_mutex);
         m_sighting.healthyAt = absl::InfinitePast();
+        m_handedOver = true;
         return Json::Value(Json::objectValue);
     });
 }
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -66,7 +66,7 @@
 
 bool Leader::healthy() const
 {
-    return !m_deposed && m_clock.now() - m_log->lastCommit() < HealthyFor;
+    return !m_stopping && !m_deposed && m_clock.now() - m_log->lastCommit() < HealthyFor;
 }
 
 void Leader::setAgents(std::map<std::string, http::Endpoint> agents)
