--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -19,6 +19,9 @@
     // Thousandths of a core; stronger entries lead rather than weaker ones.
     std::int64_t strength = 0;
     LeaderOptions leader;
+    // A submission in doubt is repeated for this long. After that its caller is told, who may ask
+    // another entry.
+    absl::Duration doubtTime = absl::Seconds(1);
     // The table and key of the operator's configuration.
     std::string configTable;
     std::string configKey;
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -19,6 +19,8 @@
 constexpr absl::Duration PeerTimeout = absl::Milliseconds(400);
 // Left of a caller's time for the answer's way back.
 constexpr absl::Duration AnswerReserve = absl::Milliseconds(40);
+// One attempt to store a job; a slow store answers within a third of a second.
+constexpr absl::Duration SubmitTimeout = absl::Milliseconds(600);
 constexpr absl::Duration RetryPause = absl::Milliseconds(40);
 
 } // namespace
@@ -231,12 +233,15 @@
     RowChanges changes;
     changes.conditions.push_back({JobTable, job.id, 0});
     changes.puts.push_back({JobTable, job.id, workload::encodeJob(job)});
-    bool inDoubt = false;
+    std::optional<core::Instant> inDoubtSince;
     while (true) {
-        const absl::Duration left = deadline - AnswerReserve - m_clock.now();
-        if (left <= absl::ZeroDuration())
-            return inDoubt ? SubmitOutcome::Unknown : SubmitOutcome::NotAccepted;
-        const CommitResult result = m_store.commit(changes, std::min(left, StoreTimeout));
+        const core::Instant now = m_clock.now();
+        const absl::Duration left = deadline - AnswerReserve - now;
+        const bool givesUp = left <= absl::ZeroDuration()
+            || (inDoubtSince && now - *inDoubtSince >= m_options.doubtTime);
+        if (givesUp)
+            return inDoubtSince ? SubmitOutcome::Unknown : SubmitOutcome::NotAccepted;
+        const CommitResult result = m_store.commit(changes, std::min(left, SubmitTimeout));
         if (result.outcome == CommitOutcome::Applied || result.outcome == CommitOutcome::Conflict) {
             telemetry::Event("job_accepted")
                 .with("job", job.id)
@@ -251,9 +256,10 @@
             .with("outcome", result.outcome == CommitOutcome::Refused ? "refused" : "unknown")
             .with("reason", result.reason);
         // Nothing was done anywhere, so the caller may be told so at once.
-        if (result.outcome == CommitOutcome::Refused && !inDoubt)
+        if (result.outcome == CommitOutcome::Refused && !inDoubtSince)
             return SubmitOutcome::NotAccepted;
-        inDoubt = inDoubt || result.outcome == CommitOutcome::Unknown;
+        if (!inDoubtSince)
+            inDoubtSince = m_clock.now();
         absl::SleepFor(RetryPause);
     }
 }
--- a/test/control/tst_entry.cpp
+++ b/test/control/tst_entry.cpp
@@ -14,19 +14,20 @@
 // An entry without peers that has not been started, so that only the calls of the test act.
 struct EntryFixture
 {
-    EntryFixture()
+    explicit EntryFixture(absl::Duration doubtTime = absl::Minutes(10))
         : client({}, "key")
         , server({}, "key")
-        , entry(options(), store, client, server, metrics,
+        , entry(options(doubtTime), store, client, server, metrics,
                 [](const std::string &) { return std::optional(workload::Catalog{}); })
     { }
 
-    static EntryOptions options()
+    static EntryOptions options(absl::Duration doubtTime)
     {
         EntryOptions options;
         options.own = {"front", MemberRole::Entry, {"127.0.0.1", 7000}, "life"};
         options.configTable = "op";
         options.configKey = "config";
+        options.doubtTime = doubtTime;
         return options;
     }
 
@@ -91,6 +92,18 @@
     CHECK(f.store.applyLate() == 1);
 }
 
+// Guards against a caller who is kept waiting although the submission has been given up.
+TEST_CASE("a submission in doubt is answered long before a distant deadline")
+{
+    EntryFixture f(absl::Milliseconds(300));
+    f.store.plan({Fault::Delay});
+    for (int i = 0; i < 100000; ++i)
+        f.store.plan({Fault::Refuse});
+    const core::Instant deadline = f.in(absl::Hours(1));
+    CHECK(f.entry.submit(f.job(), deadline) == SubmitOutcome::Unknown);
+    CHECK(f.clock.now() < deadline);
+}
+
 // Guards against a job that is stored twice when its caller asks again.
 TEST_CASE("a repeated submission changes nothing and is accepted")
 {
