--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -92,6 +92,8 @@
     Task *task(const workload::TaskKey &key);
     const Task *task(const workload::TaskKey &key) const;
     bool anyActive() const;
+    // The part of the tasks of the open occurrences that is done, 0 to 1.
+    double doneShare() const;
     // True once a task of the job has been started.
     bool begun() const { return m_begun; }
 
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -132,6 +132,21 @@
     return false;
 }
 
+double JobRecord::doneShare() const
+{
+    int done = 0;
+    int all = 0;
+    for (const auto &[number, occurrence] : m_occurrences) {
+        for (const StepProgress &step : occurrence.steps) {
+            all += static_cast<int>(step.tasks.size());
+            done += static_cast<int>(
+                std::count_if(step.tasks.begin(), step.tasks.end(),
+                              [](const Task &task) { return task.phase == TaskPhase::Done; }));
+        }
+    }
+    return all == 0 ? 0 : static_cast<double>(done) / all;
+}
+
 void JobRecord::beginDue(std::int64_t wallMs)
 {
     if (ended(m_state))
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -251,11 +251,13 @@
             continue;
         const int suspicion = m_health.suspicion(key, now);
         const bool express = unit.record->job().terms.priority > 0 && worker.rack == m_expressRack;
-        if (suspicion == 2 || failedOn.contains(key))
+        const bool failedHere = failedOn.contains(key);
+        // A gang needs many workers at once, so that it can seldom do without one of them.
+        if (suspicion == 2 || (failedHere && !unit.spec->gang))
             avoided[key] = most;
         else
             request.allowed[key] = most;
-        const int penalty = suspicion + (express ? 1 : 0);
+        const int penalty = suspicion + (failedHere ? 2 : 0) + (express ? 1 : 0);
         if (penalty > 0)
             request.penalties[key] = penalty;
     }
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -28,18 +28,17 @@
 
 // What the loss of a core second counts, relative to work of the least urgent kind: the second
 // itself is lost whatever it was spent on, and what the work earns rises with its urgency.
-double stopWeight(const JobRecord &record, core::Instant now)
+double stopWeight(const JobRecord &record)
 {
     constexpr double UrgentWeight = 5;
     constexpr double MiddleWeight = 1.8;
-    constexpr double LateWeight = 0.6;
+    constexpr double ProgressWeight = 3;
     const workload::Job &job = record.job();
     const double weight = job.terms.priority == 0 ? UrgentWeight
         : job.terms.priority == 1                 ? MiddleWeight
                                                   : 1;
-    const absl::Duration objective = latencyObjective(job);
-    // A job that is late loses little more by being stopped again.
-    return !job.scheduled && now > record.seenAt() + objective ? weight * LateWeight : weight;
+    // Stops fall on the jobs that are furthest from their end, so that others get there.
+    return weight * (1 + ProgressWeight * record.doneShare());
 }
 
 double stopCost(const workload::Step &step, const Task &task, core::Instant now)
@@ -93,7 +92,7 @@
         ? m_options.stopTime * EndWaitShare
         : absl::ZeroDuration();
     for (const auto &[id, record] : m_jobs) {
-        const double jobWeight = stopWeight(record, now);
+        const double jobWeight = stopWeight(record);
         for (const auto &[number, occurrence] : record.occurrences()) {
             for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
                 const workload::Step &spec = record.job().steps[s];
