--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -38,13 +38,15 @@
     Unknown,
 };
 
-enum class CancelOutcome { Cancelled, NoSuchJob, NotCancelled, Unknown };
+enum class CancelOutcome { Cancelled, NoSuchJob, OtherAccount, NotCancelled, Unknown };
 
 struct JobAnswer
 {
     enum class Kind { Known, NoSuchJob, Unknown };
 
     Kind kind = Kind::Unknown;
+    // Whose job it is, if known.
+    std::string account;
     planning::JobState state = planning::JobState::Queued;
 };
 
@@ -74,7 +76,9 @@
 
     SubmitOutcome submit(const workload::Job &job, core::Instant deadline);
     JobAnswer state(const std::string &job, core::Instant deadline);
-    CancelOutcome cancel(const std::string &job, core::Instant deadline);
+    // An empty account may cancel the jobs of every account.
+    CancelOutcome cancel(const std::string &job, const std::string &account,
+                         core::Instant deadline);
     std::optional<int> waiting(const std::string &queue, core::Instant deadline);
 
 private:
@@ -101,7 +105,7 @@
     void giveWay(const std::shared_ptr<Leader> &own);
     std::shared_ptr<Leader> leader() const;
     std::optional<http::Endpoint> leaderAddress() const;
-    std::optional<planning::JobState> askLeader(const std::string &job, core::Instant deadline);
+    std::optional<JobAnswer> askLeader(const std::string &job, core::Instant deadline);
     JobAnswer stateFromStore(const std::string &job, core::Instant deadline);
 
     const EntryOptions m_options;
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -40,8 +40,17 @@
     void setAgents(std::map<std::string, http::Endpoint> agents);
     void setCatalog(std::shared_ptr<const workload::Catalog> catalog);
 
-    // The stored state of a job, nothing if the job is not known here.
-    std::optional<planning::JobState> state(const std::string &job) const;
+    // What callers may know of a job.
+    struct View
+    {
+        std::string account;
+        std::string queue;
+        planning::JobState state = planning::JobState::Queued;
+        bool begun = false;
+    };
+
+    // The stored state of a job. Fails with UnknownJob if it is not known here.
+    std::optional<View> view(const std::string &job) const;
     // The number of accepted jobs of a queue of which no task has started; nothing before the jobs
     // have been read.
     std::optional<int> waiting(const std::string &queue) const;
@@ -76,13 +85,6 @@
         std::shared_ptr<const workload::Catalog> catalog;
     };
 
-    struct View
-    {
-        std::string queue;
-        planning::JobState state = planning::JobState::Queued;
-        bool begun = false;
-    };
-
     void run();
     bool load();
     std::optional<std::vector<StoredRow>> readAll(const std::string &table);
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -75,11 +75,12 @@
         const std::shared_ptr<Leader> own = leader();
         if (!own)
             return core::fail(core::ResultCode::NotLeader, "this entry does not lead");
-        const auto state = own->state(core::stringMember(params, "job"));
-        if (!state)
+        const auto view = own->view(core::stringMember(params, "job"));
+        if (!view)
             return std::nullopt;
         Json::Value answer(Json::objectValue);
-        answer["state"] = planning::toString(*state);
+        answer["state"] = planning::toString(view->state);
+        answer["account"] = view->account;
         return answer;
     });
     server.add("waiting", [this](const Json::Value &params) -> std::optional<Json::Value> {
@@ -264,10 +265,14 @@
     }
 }
 
-std::optional<planning::JobState> Entry::askLeader(const std::string &job, core::Instant deadline)
+std::optional<JobAnswer> Entry::askLeader(const std::string &job, core::Instant deadline)
 {
-    if (const std::shared_ptr<Leader> own = leader())
-        return own->state(job);
+    if (const std::shared_ptr<Leader> own = leader()) {
+        const auto view = own->view(job);
+        if (!view)
+            return std::nullopt;
+        return JobAnswer{JobAnswer::Kind::Known, view->account, view->state};
+    }
     const std::optional<http::Endpoint> address = leaderAddress();
     if (!address)
         return core::fail(core::ResultCode::NotLeader, "no leader is known");
@@ -278,7 +283,10 @@
                       std::min(PeerTimeout, deadline - AnswerReserve - m_clock.now()));
     if (!answer)
         return std::nullopt;
-    return planning::parseJobState(core::stringMember(*answer, "state"));
+    const auto state = planning::parseJobState(core::stringMember(*answer, "state"));
+    if (!state)
+        return std::nullopt;
+    return JobAnswer{JobAnswer::Kind::Known, core::stringMember(*answer, "account"), *state};
 }
 
 JobAnswer Entry::stateFromStore(const std::string &job, core::Instant deadline)
@@ -288,28 +296,30 @@
     if (!row)
         return {};
     if (!*row)
-        return {JobAnswer::Kind::NoSuchJob, {}};
+        return {JobAnswer::Kind::NoSuchJob, {}, {}};
+    const auto stored = workload::decodeJob(job, (*row)->value);
     const auto progress = m_store.row(ProgressTable, job, std::min(left, StoreTimeout));
-    if (!progress)
+    if (!stored || !progress)
         return {};
     if (!*progress)
-        return {JobAnswer::Kind::Known, planning::JobState::Queued};
+        return {JobAnswer::Kind::Known, stored->account, planning::JobState::Queued};
     const auto value = core::parseJson((*progress)->value);
     const auto state =
         planning::parseJobState(value ? core::stringMember(*value, "state") : std::string());
     if (!state)
         return {};
-    return {JobAnswer::Kind::Known, *state};
+    return {JobAnswer::Kind::Known, stored->account, *state};
 }
 
 JobAnswer Entry::state(const std::string &job, core::Instant deadline)
 {
-    if (const auto state = askLeader(job, deadline))
-        return {JobAnswer::Kind::Known, *state};
+    if (const auto answer = askLeader(job, deadline))
+        return *answer;
     return stateFromStore(job, deadline);
 }
 
-CancelOutcome Entry::cancel(const std::string &job, core::Instant deadline)
+CancelOutcome Entry::cancel(const std::string &job, const std::string &account,
+                            core::Instant deadline)
 {
     bool inDoubt = false;
     while (true) {
@@ -320,6 +330,9 @@
         if (row && !*row)
             return CancelOutcome::NoSuchJob;
         if (row) {
+            const auto stored = workload::decodeJob(job, (*row)->value);
+            if (stored && !account.empty() && stored->account != account)
+                return CancelOutcome::OtherAccount;
             RowChanges changes;
             changes.conditions.push_back({JobTable, job, (*row)->version});
             changes.puts.push_back({JobTable, job + CancelSuffix, "{}"});
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -83,13 +83,13 @@
     m_news = true;
 }
 
-std::optional<planning::JobState> Leader::state(const std::string &job) const
+std::optional<Leader::View> Leader::view(const std::string &job) const
 {
     absl::MutexLock lock(&m_mutex);
     const auto found = m_views.find(job);
     if (found == m_views.end())
         return core::fail(core::ResultCode::UnknownJob, "job " + job + " is not known here");
-    return found->second.state;
+    return found->second;
 }
 
 std::optional<int> Leader::waiting(const std::string &queue) const
@@ -263,7 +263,7 @@
         .with("priority", record.job().terms.priority)
         .with("state", toString(record.state()));
     absl::MutexLock lock(&m_mutex);
-    m_views[row.key] = {queue, record.state(), record.begun()};
+    m_views[row.key] = {record.job().account, queue, record.state(), record.begun()};
 }
 
 bool Leader::commit(const std::vector<StoredRow> &puts, const std::vector<StoredRow> &removals)
@@ -300,7 +300,7 @@
             telemetry::Event("job_ended").with("job", id).with("state", toString(record.state()));
             m_metrics.add(std::string("jobs_ended{state=\"") + toString(record.state()) + "\"}");
         }
-        view = {record.job().queue, record.state(), record.begun()};
+        view = {record.job().account, record.job().queue, record.state(), record.begun()};
     }
 }
 
--- a/test/control/tst_entry.cpp
+++ b/test/control/tst_entry.cpp
@@ -138,11 +138,24 @@
 {
     EntryFixture f;
     const std::string id = f.job().id;
-    CHECK(f.entry.cancel(id, f.in(absl::Seconds(1))) == CancelOutcome::NoSuchJob);
+    CHECK(f.entry.cancel(id, {}, f.in(absl::Seconds(1))) == CancelOutcome::NoSuchJob);
     REQUIRE(f.entry.submit(f.job(), f.in(absl::Seconds(5))) == SubmitOutcome::Accepted);
     f.store.setAway(true);
-    CHECK(f.entry.cancel(id, f.in(absl::Milliseconds(200))) == CancelOutcome::NotCancelled);
+    CHECK(f.entry.cancel(id, {}, f.in(absl::Milliseconds(200))) == CancelOutcome::NotCancelled);
     f.store.setAway(false);
-    CHECK(f.entry.cancel(id, f.in(absl::Seconds(5))) == CancelOutcome::Cancelled);
+    CHECK(f.entry.cancel(id, {}, f.in(absl::Seconds(5))) == CancelOutcome::Cancelled);
     CHECK(f.store.value(JobTable, id + CancelSuffix));
 }
+
+// Guards against one account seeing or cancelling the work of another.
+TEST_CASE("only the account that submitted a job cancels it")
+{
+    EntryFixture f;
+    workload::Job job = f.job();
+    job.account = "families";
+    REQUIRE(f.entry.submit(job, f.in(absl::Seconds(5))) == SubmitOutcome::Accepted);
+    CHECK(f.entry.state(job.id, f.in(absl::Seconds(5))).account == "families");
+    CHECK(f.entry.cancel(job.id, "venues", f.in(absl::Seconds(5))) == CancelOutcome::OtherAccount);
+    CHECK_FALSE(f.store.value(JobTable, job.id + CancelSuffix));
+    CHECK(f.entry.cancel(job.id, "families", f.in(absl::Seconds(5))) == CancelOutcome::Cancelled);
+}
