--- a/include/oleandercross/workload/job.h
+++ b/include/oleandercross/workload/job.h
@@ -60,7 +60,7 @@
     // A label that the worker must have; empty for any worker.
     std::string neededLabel;
     // The rack where the input data lies; empty if it does not matter.
-    std::string dataRack;
+    std::string inputRack;
     // The most tasks of one occurrence on a worker; 0 for no limit.
     int maxPerWorker = 0;
 
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -232,7 +232,7 @@
 {
     PlacementRequest request;
     request.perTask = unit.spec->perTask;
-    request.preferredRack = unit.spec->dataRack;
+    request.preferredRack = unit.spec->inputRack;
     std::map<std::string, int> onWorker;
     for (const Task &task : unit.progress->tasks) {
         if (task.phase == TaskPhase::Active)
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -128,7 +128,7 @@
 
 bool Planner::mayUseExpress(const Unit &unit, const Worker &worker, core::Instant now) const
 {
-    if (unit.spec->dataRack == worker.rack)
+    if (unit.spec->inputRack == worker.rack)
         return true;
     return unit.record->job().terms.priority == 1 && soonLate(unit, now);
 }
--- a/src/workload/codec.cpp
+++ b/src/workload/codec.cpp
@@ -25,8 +25,8 @@
         value["speculative"] = true;
     if (!step.neededLabel.empty())
         value["label"] = step.neededLabel;
-    if (!step.dataRack.empty())
-        value["rack"] = step.dataRack;
+    if (!step.inputRack.empty())
+        value["rack"] = step.inputRack;
     if (step.maxPerWorker > 0)
         value["perWorker"] = step.maxPerWorker;
     return value;
@@ -45,7 +45,7 @@
     step.checkpointable = core::boolMember(value, "checkpointable");
     step.speculative = core::boolMember(value, "speculative");
     step.neededLabel = core::stringMember(value, "label");
-    step.dataRack = core::stringMember(value, "rack");
+    step.inputRack = core::stringMember(value, "rack");
     step.maxPerWorker = static_cast<int>(core::intMember(value, "perWorker"));
     return step;
 }
--- a/test/deployment/tst_decode.cpp
+++ b/test/deployment/tst_decode.cpp
@@ -103,7 +103,7 @@
     CHECK(job->occurrences == 6);
     CHECK(job->scheduled);
     CHECK(job->steps[0].perTask == workload::Demand{500, 256, 1});
-    CHECK(job->steps[0].dataRack == "r1-3");
+    CHECK(job->steps[0].inputRack == "r1-3");
     CHECK(job->steps[1].after == std::vector<int>{0});
     CHECK(job->steps[1].gang);
     CHECK(job->steps[1].sameRack);
--- a/test/planning/tst_planner.cpp
+++ b/test/planning/tst_planner.cpp
@@ -231,7 +231,7 @@
     workload::Job y = f.job("y", 1, 1, 8);
     const auto first = f.starts();
     f.confirm(first);
-    y.steps[0].dataRack = first.at(0).worker < "w3" ? "r1" : "r0";
+    y.steps[0].inputRack = first.at(0).worker < "w3" ? "r1" : "r0";
     f.planner.addJob(y, f.now);
     const auto second = f.starts();
     REQUIRE(second.size() == 1);
--- a/test/workload/tst_job.cpp
+++ b/test/workload/tst_job.cpp
@@ -23,7 +23,7 @@
     first.tasks = 4;
     first.perTask = {500, 256, 1};
     first.estimateMs = 900;
-    first.dataRack = "r1-3";
+    first.inputRack = "r1-3";
     Step second;
     second.tasks = 2;
     second.perTask = {2000, 1024, 8};
