Read whole tables in one place, remove what nobody used

The leader and the table follower had the same loop over pages. The follower's time of the last answer and a one-line accessor of the agent link had no use.

--- a/include/oleandercross/control/agentlink.h
+++ b/include/oleandercross/control/agentlink.h
@@ -56,7 +56,6 @@
     void watchLoop();
     void orderLoop();
     bool watchOnce(WatchCall &call);
-    std::int64_t permit() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     bool hasOrders() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void noteFailure(const char *call);
 
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -87,7 +87,6 @@
 
     void run();
     bool load();
-    std::optional<std::vector<StoredRow>> readAll(const std::string &table);
     Inbox takeInbox(core::Instant until);
     bool hasNews() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void round(core::Instant &next);
--- a/include/oleandercross/control/rowstore.h
+++ b/include/oleandercross/control/rowstore.h
@@ -101,6 +101,10 @@
     virtual std::optional<RowFeed> changes(const std::string &table, std::int64_t after,
                                            absl::Duration wait) = 0;
 
+    // All rows of a table, page by page, with the version of the first page: changes made while the
+    // others are read are seen again in the feed. Fails with StoreUnavailable.
+    std::optional<RowPage> table(const std::string &name, absl::Duration timeout);
+
     // One row, or an inner empty optional if there is none. Fails with StoreUnavailable.
     std::optional<std::optional<StoredRow>> row(const std::string &table, const std::string &key,
                                                 absl::Duration timeout);
--- a/include/oleandercross/control/tablefollower.h
+++ b/include/oleandercross/control/tablefollower.h
@@ -32,21 +32,16 @@
     // Ends the thread; a call that waits for changes delays this by at most its wait.
     void stop();
 
-    // When the store last answered, on the steady clock that counts suspension.
-    absl::Time lastAnswer() const;
-
 private:
     void run();
     bool readOnce(std::optional<std::int64_t> &version);
     bool followOnce(std::optional<std::int64_t> &version);
-    std::optional<std::int64_t> readTable();
 
     RowStore &m_store;
     const std::string m_table;
     const absl::Duration m_wait;
     const Callbacks m_callbacks;
     std::atomic<bool> m_stopping = false;
-    std::atomic<std::int64_t> m_lastAnswerMs = 0;
     std::thread m_thread;
 };
 
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -51,11 +51,6 @@
     return m_lastAnswer;
 }
 
-std::int64_t AgentLink::permit() const
-{
-    return m_permitMs;
-}
-
 bool AgentLink::hasOrders() const
 {
     return m_stopping || m_acknowledge || !m_pending.orders.empty();
@@ -167,7 +162,7 @@
             m_pending.orders.clear();
             m_acknowledge = false;
             call.epoch = m_epoch;
-            call.renewUntilMs = permit();
+            call.renewUntilMs = m_permitMs;
         }
         const auto answer = m_client.call(m_address, "orders", toJson(call), OrderTimeout);
         std::vector<OrderResult> results(call.orders.size(), OrderResult::Unanswered);
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -16,7 +16,6 @@
 
 namespace {
 
-constexpr int RowsPerPage = 500;
 constexpr absl::Duration JobFeedWait = absl::Milliseconds(900);
 // Between two rounds.
 constexpr absl::Duration ShortestPause = absl::Milliseconds(2);
@@ -105,26 +104,11 @@
     return count;
 }
 
-std::optional<std::vector<StoredRow>> Leader::readAll(const std::string &table)
-{
-    std::vector<StoredRow> rows;
-    std::string from;
-    while (true) {
-        const auto page = m_store.range(table, from, RowsPerPage, StoreTimeout);
-        if (!page)
-            return std::nullopt;
-        rows.insert(rows.end(), page->rows.begin(), page->rows.end());
-        if (!page->more || page->rows.empty())
-            return rows;
-        from = page->rows.back().key + '\0';
-    }
-}
-
 bool Leader::load()
 {
     while (!m_stopping) {
-        if (const auto rows = readAll(ProgressTable)) {
-            for (const StoredRow &row : *rows)
+        if (const auto page = m_store.table(ProgressTable, StoreTimeout)) {
+            for (const StoredRow &row : page->rows)
                 m_progress[row.key] = row.value;
             break;
         }
