--- a/bench/daysimulation.cpp
+++ b/bench/daysimulation.cpp
@@ -2,6 +2,9 @@
 
 #include "dayschedulers.h"
 
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <map>
@@ -100,10 +103,14 @@
             if (!m_planNeeded && m_now < m_nextPlan)
                 continue;
             m_planNeeded = false;
+            const core::Instant planBegin = m_clock.now();
             const planning::Plan plan = m_scheduler->plan(m_now);
+            m_planTimes.push_back(m_clock.now() - planBegin);
             m_nextPlan = plan.next;
-            for (const planning::Order &order : plan.orders)
+            for (const planning::Order &order : plan.orders) {
+                addToDigest(order);
                 execute(order);
+            }
             recordCompletedJobs();
         }
         return outcome();
@@ -376,6 +383,14 @@
         m_workers.at(order.worker).runsChanged = true;
     }
 
+    void addToDigest(const planning::Order &order)
+    {
+        const std::string text = absl::StrCat(static_cast<int>(order.kind), " ", order.worker, " ",
+                                              workload::toString(order.run.task), " ",
+                                              order.run.run, " ", absl::ToUnixMillis(m_now));
+        m_orderDigest = XXH64(text.data(), text.size(), m_orderDigest);
+    }
+
     void recordCompletedJobs()
     {
         for (const std::string &id : m_scheduler->takeCompleted())
@@ -417,6 +432,8 @@
         result.valueFraction = totalEarnedValue / std::max(totalAttainableValue, 1e-9);
         result.servedFraction = servedJobs / std::max(countedJobs, 1.0);
         result.wastedWorkFraction = m_wastedWork / std::max(m_totalWork, 1e-9);
+        result.planTimes = m_planTimes;
+        result.orderDigest = m_orderDigest;
         return result;
     }
 
@@ -435,6 +452,9 @@
     int m_jobCount = 0;
     double m_totalWork = 0;
     double m_wastedWork = 0;
+    const core::BootClock m_clock;
+    std::vector<absl::Duration> m_planTimes;
+    std::uint64_t m_orderDigest = 0;
 };
 
 } // namespace
@@ -487,6 +507,17 @@
     return scenario;
 }
 
+DayScenario scaledDeploymentDay(const std::string &accountMix, int workers)
+{
+    DayScenario scenario = grownDeploymentDay(accountMix, 1);
+    const double factor = static_cast<double>(workers) / scenario.workers;
+    scenario.workers = workers;
+    scenario.workersPerRack = 12;
+    for (QueueLoad &queue : scenario.queues)
+        queue.submissionsPerSecond *= factor;
+    return scenario;
+}
+
 DayOutcome simulateDay(const DayScenario &scenario, std::uint64_t seed, bool fifo)
 {
     return DaySimulation(scenario, seed, fifo).run();
--- a/bench/daysimulation.h
+++ b/bench/daysimulation.h
@@ -2,6 +2,8 @@
 
 #include <oleandercross/planning/planner.h>
 
+#include <absl/time/time.h>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -75,6 +77,10 @@
     // Core seconds of work lost by stops, failures and lost gang members, by the core seconds of
     // all work. An accelerator counts as eight cores.
     double wastedWorkFraction = 0;
+    // How long each call of the scheduler's plan() took on this machine.
+    std::vector<absl::Duration> planTimes;
+    // A digest of all orders in sequence; equal digests mean equal decisions.
+    std::uint64_t orderDigest = 0;
 };
 
 // Return the scenario of an account mix at the initial and at the grown size of the deployment,
@@ -82,6 +88,10 @@
 DayScenario initialDeploymentDay(const std::string &accountMix, double load);
 DayScenario grownDeploymentDay(const std::string &accountMix, double load);
 
+// Returns the scenario of the grown deployment with this number of workers, 12 to a rack, and
+// submission rates in proportion.
+DayScenario scaledDeploymentDay(const std::string &accountMix, int workers);
+
 // Simulates a day in virtual time, scheduled by the planner or, if `fifo`, by the first-come
 // first-fit baseline.
 DayOutcome simulateDay(const DayScenario &scenario, std::uint64_t seed, bool fifo);
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -102,7 +102,6 @@
     void applyResults(const OrderResults &results);
     void dropOtherIncarnations(const std::string &agent, const std::string &incarnation);
     void handleUnresponsiveWorkers(core::Instant now);
-    std::set<std::string> activeIncarnations() const;
     bool store(const std::set<std::string> &changed);
     void publish(const std::set<std::string> &changed);
     void acknowledgeEndedRuns();
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <oleandercross/planning/cluster.h>
 #include <oleandercross/planning/estimates.h>
 #include <oleandercross/planning/jobrecord.h>
 #include <oleandercross/planning/placement.h>
@@ -13,6 +14,8 @@
 
 namespace oleandercross::planning {
 
+struct ActiveRun;
+
 struct PlannerOptions
 {
     // The platform's slowdown factor for work on another rack than its data or spread over racks.
@@ -94,6 +97,9 @@
     const JobRecord *job(const std::string &id) const;
     const std::map<std::string, JobRecord> &jobs() const { return m_jobs; }
     const Workers &workers() const { return m_workers; }
+    // Returns the keys with this prefix of all workers and of all incarnations that have active
+    // tasks.
+    std::set<std::string> workerKeys(const std::string &prefix = {});
     // Returns true if a start of the run was decided and its end is not confirmed.
     bool hasActiveRun(const std::string &worker, const workload::RunKey &run) const;
     // Returns true if the run completed. Members of a gang complete together, so the worker may
@@ -104,51 +110,60 @@
 
 private:
     struct SchedulingUnit;
+    struct Round;
 
     JobRecord *find(const std::string &id);
     // Keeps the capacity of the other members of a gang that completed with this run occupied until
     // their workers list them as ended.
     void holdCapacityOfGangMembers(const JobRecord &record, const workload::RunKey &run,
                                    const std::string &worker);
+    void indexActiveTasks(const JobRecord &record);
     void recordEstimates(const workload::Job &job, core::Instant now);
     void recordCompletion(const JobRecord &record, const workload::TaskKey &key, core::Instant now);
     static void requestStop(Task &task, const std::string &reason);
+    // The following functions are the phases of plan(), in sequence.
+    void indexWorkers(Round &round) const;
+    void collectActiveRuns(Round &round);
     // Excludes workers with stalled runs, and stops a stalled run if little progress is lost and
     // another worker has free capacity.
-    void handleStalledRuns(core::Instant now);
-    bool isStalled(const JobRecord &record, const StepProgress &progress,
-                   const workload::Step &spec, const Task &task) const;
-    bool hasFreeCapacityElsewhere(const JobRecord &record, const workload::Step &spec,
-                                  const Task &task, const FreeCapacity &freeCapacity,
-                                  core::Instant now) const;
-    void orderStops(core::Instant now, Plan &plan);
-    void orderStopsOf(JobRecord &record, int occurrence, int step, core::Instant now, Plan &plan);
-    void repeatStart(const workload::TaskKey &key, Task &task, core::Instant now, Plan &plan);
-    FreeCapacity computeFreeCapacity() const;
-    std::vector<SchedulingUnit> readyUnits(core::Instant now);
+    void handleStalledRuns(const Round &round);
+    void rankWorkers(Round &round) const;
+    void orderStops(Round &round);
+    std::vector<SchedulingUnit> readyUnits(const Round &round);
+    void chooseUrgentReserve(Round &round) const;
+    void placeUnit(const SchedulingUnit &unit, Round &round);
+
+    bool isStalled(const ActiveRun &run) const;
+    bool hasFreeCapacityElsewhere(const ActiveRun &run, const Round &round) const;
+    void orderStop(const ActiveRun &run, bool gangIncomplete, Round &round);
+    void repeatStart(const ActiveRun &run, Round &round);
     // Returns the expected run time of a task of the step on a worker of average speed, measured
     // from the step's own runs where possible.
     absl::Duration taskTime(const JobRecord &record, const StepProgress &progress,
                             const workload::Step &spec) const;
     // Returns the number of consecutive waves in which the tasks of a step are expected to run.
-    int waves(const JobRecord &record, const workload::Step &spec) const;
+    static int waves(const JobRecord &record, const workload::Step &spec, const Round &round);
     // Sets the expected times, the deadlines and the value density of a unit from the remaining
     // work of its occurrence.
     void estimateTimesAndValue(SchedulingUnit &unit, const Occurrence &occurrence,
-                               core::Instant now) const;
-    void collectUnits(JobRecord &record, core::Instant now, std::vector<SchedulingUnit> &units);
+                               const Round &round) const;
+    void collectUnits(JobRecord &record, const Round &round, std::vector<SchedulingUnit> &units);
     std::map<std::string, std::int64_t> urgentNeeds() const;
     bool withinGuarantee(const std::string &account) const;
+    // Visits the active tasks of a worker. The visitor may end their runs.
     void forEachActiveTask(const std::string &worker,
                            const std::function<void(const workload::TaskKey &, Task &)> &visit);
-    PlacementRequest request(const SchedulingUnit &unit, core::Instant now) const;
+    PlacementRequest request(const SchedulingUnit &unit, const Round &round) const;
+    // Returns how many more tasks of the step each worker may get.
+    static std::vector<int> taskLimits(const SchedulingUnit &unit, const Round &round);
+    static std::vector<bool> workersWithFailedRuns(const SchedulingUnit &unit, const Round &round);
     // Returns the speed class of the worker, see PlacementRequest.
     int speedClass(const std::string &worker) const;
-    bool isEligible(const SchedulingUnit &unit, const Worker &worker, core::Instant now) const;
+    // Returns true if a worker of a suitable class may run the unit's tasks.
+    bool isEligible(const SchedulingUnit &unit, int worker, const Round &round) const;
     // Restricts the request to the workers on the rack of the input data, if there are any.
-    void restrictToDataRack(PlacementRequest &request) const;
-    void chooseUrgentReserve(const FreeCapacity &freeCapacity, core::Instant now);
-    std::vector<VictimGroup> victims(const SchedulingUnit &unit, core::Instant now) const;
+    static void restrictToDataRack(PlacementRequest &request, const Round &round);
+    const VictimIndex &victims(const SchedulingUnit &unit, Round &round) const;
     bool mayPreempt(const SchedulingUnit &unit, const JobRecord &victim) const;
     // Returns true if work of lower priority may run on a worker of the urgent reserve.
     bool mayUseUrgentReserve(const SchedulingUnit &unit, const Worker &worker,
@@ -156,21 +171,21 @@
     // Returns true if the job is late or has almost no slack left before its deadline.
     static bool isAboutToBeLate(const SchedulingUnit &unit, core::Instant now);
     double preemptionBudget(const SchedulingUnit &unit, core::Instant now) const;
-    void deductReservation(const SchedulingUnit &unit, FreeCapacity &freeCapacity) const;
-    void placeUnit(const SchedulingUnit &unit, FreeCapacity &freeCapacity, core::Instant now,
-                   Plan &plan);
-    bool tryPlace(const SchedulingUnit &unit, PlacementRequest request, FreeCapacity &freeCapacity,
-                  core::Instant now, Plan &plan);
-    void startTasks(const SchedulingUnit &unit, const std::map<std::string, int> &tasks,
-                    FreeCapacity &freeCapacity, core::Instant now, Plan &plan);
-    void preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, core::Instant now,
-                      Plan &plan);
+    static void deductReservation(const SchedulingUnit &unit, Round &round);
+    bool tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
+    void startTasks(const SchedulingUnit &unit, const std::map<int, int> &tasks, Round &round);
+    static void preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round);
 
     PlannerOptions m_options;
     std::map<std::string, std::int64_t> m_guarantees;
     std::map<std::string, std::int64_t> m_urgentNeeds;
     std::map<std::string, JobRecord> m_jobs;
+    // The jobs that have not ended or have active tasks, and ended ones until the next round.
+    std::map<std::string, JobRecord *> m_openJobs;
     Workers m_workers;
+    // The active tasks by worker. Tasks whose run has ended are removed when the entry is next
+    // visited.
+    std::map<std::string, std::set<workload::TaskKey>> m_tasksByWorker;
     // Resources held by members of completed gangs until their worker's next listing.
     std::map<std::string, workload::Demand> m_heldByEndingMembers;
     WorkerHealth m_health;
@@ -178,8 +193,6 @@
     WorkerSpeeds m_speeds;
     std::set<std::string> m_changed;
     UrgentDemandForecast m_urgentDemand;
-    // Workers reserved for upcoming jobs of priority 0.
-    std::set<std::string> m_urgentReserve;
 };
 
 } // namespace oleandercross::planning
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -4,7 +4,6 @@
 
 #include <oleandercross/telemetry/eventlog.h>
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 namespace oleandercross::control {
@@ -54,32 +53,14 @@
 
 void Leader::dropOtherIncarnations(const std::string &agent, const std::string &incarnation)
 {
-    for (const std::string &other : activeIncarnations()) {
-        if (other == incarnation || !absl::StartsWith(other, agent + "/"))
+    for (const std::string &other : m_planner.workerKeys(agent + "/")) {
+        if (other == incarnation)
             continue;
         telemetry::Event("worker_life_ended").with("life", other).with("by", incarnation);
         m_planner.removeWorker(other);
     }
 }
 
-std::set<std::string> Leader::activeIncarnations() const
-{
-    std::set<std::string> incarnations;
-    for (const auto &[key, worker] : m_planner.workers())
-        incarnations.insert(key);
-    for (const auto &[id, record] : m_planner.jobs()) {
-        for (const auto &[number, occurrence] : record.occurrences()) {
-            for (const planning::StepProgress &step : occurrence.steps) {
-                for (const planning::Task &task : step.tasks) {
-                    if (task.phase == planning::TaskPhase::Active)
-                        incarnations.insert(task.worker);
-                }
-            }
-        }
-    }
-    return incarnations;
-}
-
 void Leader::applyState(const std::string &agent, const AgentState &state, core::Instant now)
 {
     if (!state.worker)
@@ -167,7 +148,7 @@
 
 void Leader::handleUnresponsiveWorkers(core::Instant now)
 {
-    for (const std::string &incarnation : activeIncarnations()) {
+    for (const std::string &incarnation : m_planner.workerKeys()) {
         const std::string agent = incarnation.substr(0, incarnation.find('/'));
         const auto link = m_links.find(agent);
         const core::Instant lastContact =
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -1,10 +1,11 @@
 #include <oleandercross/planning/planner.h>
 
-#include "schedulingunit.h"
+#include "planninground.h"
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 namespace oleandercross::planning {
 
@@ -31,154 +32,200 @@
 
 } // namespace
 
+void Planner::Round::deduct(const std::string &worker, const workload::Demand &perTask, int count)
+{
+    const int index = indexOf(worker);
+    if (index == NoWorker)
+        return;
+    free(index) = free(index)
+        - workload::Demand{perTask.milliCores * count, perTask.memoryMb * count,
+                           perTask.accelerators * count};
+}
+
 Plan Planner::plan(core::Instant now, std::int64_t unixMs)
 {
-    Plan plan;
-    for (auto &[id, record] : m_jobs)
+    for (auto it = m_openJobs.begin(); it != m_openJobs.end();) {
+        JobRecord &record = *it->second;
+        if (ended(record.state()) && !record.hasActiveTasks()) {
+            it = m_openJobs.erase(it);
+            continue;
+        }
         record.openDueOccurrences(unixMs);
+        ++it;
+    }
     m_urgentNeeds = urgentNeeds();
-    handleStalledRuns(now);
-    orderStops(now, plan);
-    std::vector<SchedulingUnit> units = readyUnits(now);
-    FreeCapacity freeCapacity = computeFreeCapacity();
+    Round round;
+    round.now = now;
+    indexWorkers(round);
+    collectActiveRuns(round);
+    handleStalledRuns(round);
+    rankWorkers(round);
+    orderStops(round);
+    std::vector<SchedulingUnit> units = readyUnits(round);
     for (const SchedulingUnit &unit : units)
-        deductReservation(unit, freeCapacity);
-    chooseUrgentReserve(freeCapacity, now);
+        deductReservation(unit, round);
+    chooseUrgentReserve(round);
     for (const SchedulingUnit &unit : units)
-        placeUnit(unit, freeCapacity, now, plan);
-    plan.next = now + PlanPeriod;
-    return plan;
+        placeUnit(unit, round);
+    round.plan.next = now + PlanPeriod;
+    return std::move(round.plan);
+}
+
+void Planner::indexWorkers(Round &round) const
+{
+    std::vector<std::string> rackNames;
+    round.indices.reserve(m_workers.size());
+    for (const auto &[key, worker] : m_workers) {
+        round.indices.emplace(key, static_cast<int>(round.workers.size()));
+        round.workers.push_back(&worker);
+        round.capacities.push_back(worker.capacity);
+        round.freeCapacity.push_back(worker.capacity - worker.orphanedDemand);
+        rackNames.push_back(worker.rack);
+        auto same =
+            std::find_if(round.workerClasses.begin(), round.workerClasses.end(),
+                         [&worker = worker](const WorkerClass &c) {
+                             return c.service == worker.service && c.capacity == worker.capacity;
+                         });
+        if (same == round.workerClasses.end())
+            same = round.workerClasses.insert(same, {worker.service, worker.capacity, 0});
+        ++same->count;
+        round.classes.push_back(static_cast<int>(same - round.workerClasses.begin()));
+    }
+    round.racks = RackIndex(rackNames);
+    for (const auto &[key, demand] : m_heldByEndingMembers)
+        round.deduct(key, demand, 1);
 }
 
-void Planner::orderStops(core::Instant now, Plan &plan)
+void Planner::collectActiveRuns(Round &round)
 {
-    for (auto &[id, record] : m_jobs) {
-        for (auto &[number, occurrence] : record.occurrences()) {
-            for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
-                orderStopsOf(record, number, static_cast<int>(s), now, plan);
+    for (const auto &[id, record] : m_openJobs) {
+        for (auto &[number, occurrence] : record->occurrences()) {
+            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+                StepProgress &progress = occurrence.steps[s];
+                const workload::Step &spec = record->job().steps[s];
+                for (std::size_t i = 0; i < progress.tasks.size(); ++i) {
+                    Task &task = progress.tasks[i];
+                    if (task.phase != TaskPhase::Active)
+                        continue;
+                    const int worker = round.indexOf(task.worker);
+                    round.activeRuns.push_back({record, &progress, &spec, &task, number,
+                                                static_cast<int>(s), static_cast<int>(i), worker});
+                    if (worker != Round::NoWorker)
+                        round.free(worker) = round.free(worker) - spec.perTask;
+                }
+            }
         }
     }
 }
 
-void Planner::orderStopsOf(JobRecord &record, int occurrence, int step, core::Instant now,
-                           Plan &plan)
+void Planner::rankWorkers(Round &round) const
 {
-    const workload::Step &spec = record.job().steps[static_cast<std::size_t>(step)];
-    StepProgress &progress =
-        record.occurrences().at(occurrence).steps[static_cast<std::size_t>(step)];
-    std::vector<Task> &tasks = progress.tasks;
-    const bool gangIncomplete =
-        spec.gang && std::any_of(tasks.begin(), tasks.end(), [](const Task &t) {
-            return t.phase == TaskPhase::Pending
-                || (t.phase == TaskPhase::Active && t.stopRequested);
-        });
-    for (std::size_t i = 0; i < tasks.size(); ++i) {
-        Task &task = tasks[i];
-        const auto worker = m_workers.find(task.worker);
-        if (task.phase != TaskPhase::Active || worker == m_workers.end())
-            continue;
-        const workload::TaskKey key{record.job().id, occurrence, step, static_cast<int>(i)};
-        const bool mustMove = worker->second.draining && spec.checkpointable
-            && remainingTime(task, taskTime(record, progress, spec), now)
-                > worker->second.leavesAt - now;
-        if (!task.stopRequested && (ended(record.state()) || gangIncomplete || mustMove))
-            requestStop(task,
-                        ended(record.state()) ? "job ended"
-                            : gangIncomplete  ? "gang incomplete"
-                                              : "worker is leaving");
-        if (!task.stopRequested)
-            repeatStart(key, task, now, plan);
-        if (task.stopRequested && now - task.orderSentAt >= m_options.orderRepeat) {
-            task.orderSentAt = now;
-            plan.orders.push_back(
-                {Order::Kind::Stop, task.worker, {key, task.run}, {}, {}, task.stopReason});
+    for (const Worker *worker : round.workers) {
+        round.suspicionLevels.push_back(m_health.suspicionLevel(worker->key, round.now));
+        round.speedClasses.push_back(speedClass(worker->key));
+    }
+    round.inUrgentReserve.resize(round.workers.size());
+}
+
+void Planner::orderStops(Round &round)
+{
+    const StepProgress *previous = nullptr;
+    bool gangIncomplete = false;
+    for (const ActiveRun &run : round.activeRuns) {
+        if (run.progress != previous) {
+            previous = run.progress;
+            gangIncomplete = run.spec->gang
+                && std::any_of(run.progress->tasks.begin(), run.progress->tasks.end(),
+                               [](const Task &t) {
+                                   return t.phase == TaskPhase::Pending
+                                       || (t.phase == TaskPhase::Active && t.stopRequested);
+                               });
         }
+        if (run.worker != Round::NoWorker)
+            orderStop(run, gangIncomplete, round);
     }
 }
 
-void Planner::repeatStart(const workload::TaskKey &key, Task &task, core::Instant now, Plan &plan)
+void Planner::orderStop(const ActiveRun &run, bool gangIncomplete, Round &round)
 {
-    if (task.running)
-        return;
-    if (now - task.startedAt >= m_options.startTimeout) {
-        requestStop(task, "start had no effect");
-    } else if (now - task.orderSentAt >= m_options.orderRepeat) {
+    Task &task = *run.task;
+    const JobRecord &record = *run.record;
+    const Worker &worker = round.worker(run.worker);
+    const core::Instant now = round.now;
+    const bool mustMove = worker.draining && run.spec->checkpointable
+        && remainingTime(task, taskTime(record, *run.progress, *run.spec), now)
+            > worker.leavesAt - now;
+    if (!task.stopRequested && (ended(record.state()) || gangIncomplete || mustMove))
+        requestStop(task,
+                    ended(record.state()) ? "job ended"
+                        : gangIncomplete  ? "gang incomplete"
+                                          : "worker is leaving");
+    if (!task.stopRequested)
+        repeatStart(run, round);
+    if (task.stopRequested && now - task.orderSentAt >= m_options.orderRepeat) {
         task.orderSentAt = now;
-        plan.orders.push_back({Order::Kind::Start,
-                               task.worker,
-                               {key, task.run},
-                               m_jobs.at(key.job).job().payload,
-                               task.checkpoint,
-                               "repeated"});
+        round.plan.orders.push_back(
+            {Order::Kind::Stop, task.worker, run.key(), {}, {}, task.stopReason});
     }
 }
 
-FreeCapacity Planner::computeFreeCapacity() const
+void Planner::repeatStart(const ActiveRun &run, Round &round)
 {
-    FreeCapacity freeCapacity;
-    for (const auto &[key, worker] : m_workers)
-        freeCapacity[key] = worker.capacity - worker.orphanedDemand;
-    for (const auto &[key, demand] : m_heldByEndingMembers) {
-        const auto found = freeCapacity.find(key);
-        if (found != freeCapacity.end())
-            found->second = found->second - demand;
-    }
-    for (const auto &[id, record] : m_jobs) {
-        for (const auto &[number, occurrence] : record.occurrences()) {
-            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-                for (const Task &task : occurrence.steps[s].tasks) {
-                    const auto found = freeCapacity.find(task.worker);
-                    if (task.phase == TaskPhase::Active && found != freeCapacity.end())
-                        found->second = found->second - record.job().steps[s].perTask;
-                }
-            }
-        }
+    Task &task = *run.task;
+    if (task.running)
+        return;
+    if (round.now - task.startedAt >= m_options.startTimeout) {
+        requestStop(task, "start had no effect");
+    } else if (round.now - task.orderSentAt >= m_options.orderRepeat) {
+        task.orderSentAt = round.now;
+        round.plan.orders.push_back({Order::Kind::Start, task.worker, run.key(),
+                                     run.record->job().payload, task.checkpoint, "repeated"});
     }
-    return freeCapacity;
 }
 
-void Planner::chooseUrgentReserve(const FreeCapacity &freeCapacity, core::Instant now)
+void Planner::chooseUrgentReserve(Round &round) const
 {
-    m_urgentReserve.clear();
-    std::map<std::string, std::int64_t> freeOfRack;
+    const std::size_t workerCount = round.workers.size();
+    std::vector<std::int64_t> freeOfRack(round.racks.workersByRack().size());
+    std::vector<int> accepting;
     std::int64_t largest = 0;
-    std::size_t accepting = 0;
-    for (const auto &[key, worker] : m_workers) {
-        if (!worker.accepting)
+    for (std::size_t i = 0; i < workerCount; ++i) {
+        const auto index = static_cast<int>(i);
+        if (!round.workers[i]->accepting)
             continue;
-        freeOfRack[worker.rack] += freeCapacity.at(key).accelerators;
-        largest = std::max(largest, worker.capacity.accelerators);
-        ++accepting;
+        freeOfRack[static_cast<std::size_t>(round.racks.rackOf(index))] +=
+            round.freeCapacity[i].accelerators;
+        largest = std::max(largest, round.workers[i]->capacity.accelerators);
+        accepting.push_back(index);
     }
     const absl::Duration horizon = UrgentReactionTime + StopTimesInHorizon * m_options.stopTime;
-    const double wanted = m_urgentDemand.forecastAccelerators(now, horizon)
+    const double wanted = m_urgentDemand.forecastAccelerators(round.now, horizon)
         / static_cast<double>(std::max<std::int64_t>(1, largest));
-    const auto count = static_cast<std::size_t>(
-        std::lround(std::min(wanted, MaxUrgentReserveFraction * static_cast<double>(accepting))));
-    std::vector<const Worker *> rankedWorkers;
-    for (const auto &[key, worker] : m_workers) {
-        if (worker.accepting)
-            rankedWorkers.push_back(&worker);
+    const auto count = static_cast<std::size_t>(std::lround(
+        std::min(wanted, MaxUrgentReserveFraction * static_cast<double>(accepting.size()))));
+    if (count == 0)
+        return;
+    using Rank = std::tuple<std::int64_t, int, std::int64_t, double, int>;
+    std::vector<Rank> ranks;
+    for (const int worker : accepting) {
+        const int rack = round.racks.rackOf(worker);
+        ranks.emplace_back(-freeOfRack[static_cast<std::size_t>(rack)], rack,
+                           -round.free(worker).accelerators,
+                           -m_speeds.speed(round.worker(worker).key), worker);
     }
-    std::stable_sort(rankedWorkers.begin(), rankedWorkers.end(),
-                     [&](const Worker *a, const Worker *b) {
-                         const auto rank = [&](const Worker *w) {
-                             return std::make_tuple(-freeOfRack[w->rack], w->rack,
-                                                    -freeCapacity.at(w->key).accelerators,
-                                                    -m_speeds.speed(w->key));
-                         };
-                         return rank(a) < rank(b);
-                     });
-    for (std::size_t i = 0; i < count && i < rankedWorkers.size(); ++i)
-        m_urgentReserve.insert(rankedWorkers[i]->key);
+    const std::size_t chosen = std::min(count, ranks.size());
+    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(chosen),
+                      ranks.end());
+    for (std::size_t i = 0; i < chosen; ++i)
+        round.inUrgentReserve[static_cast<std::size_t>(std::get<4>(ranks[i]))] = true;
 }
 
 std::map<std::string, std::int64_t> Planner::urgentNeeds() const
 {
     std::map<std::string, std::int64_t> needs;
-    for (const auto &[id, record] : m_jobs) {
-        const workload::Job &job = record.job();
-        if (ended(record.state()) || job.terms.priority != 0)
+    for (const auto &[id, record] : m_openJobs) {
+        const workload::Job &job = record->job();
+        if (ended(record->state()) || job.terms.priority != 0)
             continue;
         std::int64_t peakAccelerators = 0;
         for (const workload::Step &step : job.steps)
@@ -196,12 +243,12 @@
         && (need == m_urgentNeeds.end() || need->second <= guarantee->second);
 }
 
-std::vector<Planner::SchedulingUnit> Planner::readyUnits(core::Instant now)
+std::vector<Planner::SchedulingUnit> Planner::readyUnits(const Round &round)
 {
     std::vector<SchedulingUnit> units;
-    for (auto &[id, record] : m_jobs) {
-        if (!ended(record.state()))
-            collectUnits(record, now, units);
+    for (const auto &[id, record] : m_openJobs) {
+        if (!ended(record->state()))
+            collectUnits(*record, round, units);
     }
     std::stable_sort(
         units.begin(), units.end(),
@@ -209,7 +256,8 @@
     return units;
 }
 
-void Planner::collectUnits(JobRecord &record, core::Instant now, std::vector<SchedulingUnit> &units)
+void Planner::collectUnits(JobRecord &record, const Round &round,
+                           std::vector<SchedulingUnit> &units)
 {
     const workload::Job &job = record.job();
     for (auto &[number, occurrence] : record.occurrences()) {
@@ -217,7 +265,7 @@
             if (!record.ready(occurrence, static_cast<int>(s)))
                 continue;
             StepProgress &progress = occurrence.steps[s];
-            progress.readySince = std::min(progress.readySince, now);
+            progress.readySince = std::min(progress.readySince, round.now);
             SchedulingUnit unit;
             unit.record = &record;
             unit.progress = &progress;
@@ -234,182 +282,218 @@
             if (unit.taskIndices.empty() || (unit.spec->gang && active))
                 continue;
             unit.guaranteed = job.terms.priority == 0 && withinGuarantee(job.account);
-            estimateTimesAndValue(unit, occurrence, now);
+            estimateTimesAndValue(unit, occurrence, round);
             units.push_back(std::move(unit));
         }
     }
 }
 
-PlacementRequest Planner::request(const SchedulingUnit &unit, core::Instant now) const
+PlacementRequest Planner::request(const SchedulingUnit &unit, const Round &round) const
 {
+    const std::size_t workerCount = round.workers.size();
+    const bool usesReserve = unit.record->job().terms.priority == 0;
     PlacementRequest request;
     request.perTask = unit.spec->perTask;
-    request.preferredRack = unit.spec->inputRack;
-    std::map<std::string, int> onWorker;
-    for (const Task &task : unit.progress->tasks) {
-        if (task.phase == TaskPhase::Active)
-            ++onWorker[task.worker];
-    }
-    std::set<std::string> workersWithFailedRuns;
-    for (const int index : unit.taskIndices) {
-        const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
-        workersWithFailedRuns.insert(task.workersWithFailedRuns.begin(),
-                                     task.workersWithFailedRuns.end());
-    }
-    std::map<std::string, int> avoided;
-    for (const auto &[key, worker] : m_workers) {
-        const int limit = unit.spec->maxPerWorker > 0 ? unit.spec->maxPerWorker - onWorker[key]
-                                                      : std::numeric_limits<int>::max();
-        if (limit <= 0 || !isEligible(unit, worker, now))
+    request.preferredRack = round.racks.find(unit.spec->inputRack);
+    request.taskLimits.resize(workerCount);
+    request.penalties.resize(workerCount);
+    request.speedClasses = round.speedClasses;
+    const std::vector<int> limits = taskLimits(unit, round);
+    const std::vector<bool> failedHere = workersWithFailedRuns(unit, round);
+    std::vector<bool> suitableClasses;
+    for (const WorkerClass &workers : round.workerClasses)
+        suitableClasses.push_back(workers.service == unit.record->job().terms.service
+                                  && fits(unit.spec->perTask, workers.capacity));
+    std::vector<int> avoided;
+    std::size_t preferred = 0;
+    for (std::size_t i = 0; i < workerCount; ++i) {
+        const auto worker = static_cast<int>(i);
+        if (limits[i] <= 0 || !suitableClasses[static_cast<std::size_t>(round.classes[i])]
+            || !isEligible(unit, worker, round))
             continue;
-        const int suspicionLevel = m_health.suspicionLevel(key, now);
-        const bool inUrgentReserve =
-            unit.record->job().terms.priority > 0 && m_urgentReserve.contains(worker.key);
-        const bool failedHere = workersWithFailedRuns.contains(key);
+        const int suspicionLevel = round.suspicionLevels[i];
+        request.penalties[i] = suspicionLevel + (failedHere[i] ? 2 : 0)
+            + (!usesReserve && round.inUrgentReserve[i] ? 1 : 0);
         // A gang needs many workers at once and can seldom avoid one, so that a worker on which it
         // failed only gets a penalty.
-        if (suspicionLevel == 2 || (failedHere && !unit.spec->gang))
-            avoided[key] = limit;
-        else
-            request.taskLimits[key] = limit;
-        request.speedClasses[key] = speedClass(key);
-        const int penalty = suspicionLevel + (failedHere ? 2 : 0) + (inUrgentReserve ? 1 : 0);
-        if (penalty > 0)
-            request.penalties[key] = penalty;
+        if (suspicionLevel == 2 || (failedHere[i] && !unit.spec->gang)) {
+            avoided.push_back(worker);
+            continue;
+        }
+        request.taskLimits[i] = limits[i];
+        ++preferred;
     }
     // Avoided workers are used anyway if they are more than half as many as the others, since there
     // are then too few others.
-    if (request.taskLimits.size() < 2 * avoided.size())
-        request.taskLimits.insert(avoided.begin(), avoided.end());
+    if (preferred < 2 * avoided.size()) {
+        for (const int worker : avoided) {
+            const auto i = static_cast<std::size_t>(worker);
+            request.taskLimits[i] = limits[i];
+        }
+    }
     return request;
 }
 
+std::vector<int> Planner::taskLimits(const SchedulingUnit &unit, const Round &round)
+{
+    const bool limited = unit.spec->maxPerWorker > 0;
+    std::vector<int> limits(round.workers.size(),
+                            limited ? unit.spec->maxPerWorker : std::numeric_limits<int>::max());
+    for (std::size_t i = 0; limited && i < unit.progress->tasks.size(); ++i) {
+        const Task &task = unit.progress->tasks[i];
+        const int worker =
+            task.phase == TaskPhase::Active ? round.indexOf(task.worker) : Round::NoWorker;
+        if (worker != Round::NoWorker)
+            --limits[static_cast<std::size_t>(worker)];
+    }
+    return limits;
+}
+
+std::vector<bool> Planner::workersWithFailedRuns(const SchedulingUnit &unit, const Round &round)
+{
+    std::vector<bool> failed(round.workers.size());
+    for (const int index : unit.taskIndices) {
+        const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
+        for (const std::string &key : task.workersWithFailedRuns) {
+            if (const int worker = round.indexOf(key); worker != Round::NoWorker)
+                failed[static_cast<std::size_t>(worker)] = true;
+        }
+    }
+    return failed;
+}
+
 int Planner::speedClass(const std::string &worker) const
 {
     const double speed = m_speeds.speed(worker);
     return speed > MinFastSpeed ? 0 : speed > MaxSlowSpeed ? 1 : 2;
 }
 
-bool Planner::isEligible(const SchedulingUnit &unit, const Worker &worker, core::Instant now) const
+bool Planner::isEligible(const SchedulingUnit &unit, int index, const Round &round) const
 {
-    const bool inUrgentReserve =
-        unit.record->job().terms.priority > 0 && m_urgentReserve.contains(worker.key);
-    return worker.accepting && worker.service == unit.record->job().terms.service
-        && hasLabel(worker, unit.spec->neededLabel) && fits(unit.spec->perTask, worker.capacity)
-        && (!inUrgentReserve || mayUseUrgentReserve(unit, worker, now));
+    const Worker &worker = round.worker(index);
+    const bool reserved = round.inUrgentReserve[static_cast<std::size_t>(index)]
+        && unit.record->job().terms.priority > 0;
+    return worker.accepting && hasLabel(worker, unit.spec->neededLabel)
+        && (!reserved || mayUseUrgentReserve(unit, worker, round.now));
 }
 
-void Planner::deductReservation(const SchedulingUnit &unit, FreeCapacity &freeCapacity) const
+void Planner::deductReservation(const SchedulingUnit &unit, Round &round)
 {
-    for (const auto &[worker, count] : unit.progress->reservation) {
-        const auto found = freeCapacity.find(worker);
-        for (int i = 0; i < count && found != freeCapacity.end(); ++i)
-            found->second = found->second - unit.spec->perTask;
-    }
+    for (const auto &[worker, count] : unit.progress->reservation)
+        round.deduct(worker, unit.spec->perTask, count);
 }
 
-void Planner::placeUnit(const SchedulingUnit &unit, FreeCapacity &freeCapacity, core::Instant now,
-                        Plan &plan)
+void Planner::placeUnit(const SchedulingUnit &unit, Round &round)
 {
     // Returns the capacity of the step's own reservation before the step is placed.
-    for (const auto &[worker, count] : unit.progress->reservation) {
-        const auto found = freeCapacity.find(worker);
-        for (int i = 0; i < count && found != freeCapacity.end(); ++i)
-            found->second = found->second + unit.spec->perTask;
-    }
-    const bool reserved = now < unit.progress->reservedUntil;
-    if (!reserved)
+    for (const auto &[worker, count] : unit.progress->reservation)
+        round.deduct(worker, unit.spec->perTask, -count);
+    if (round.now >= unit.progress->reservedUntil)
         unit.progress->reservation.clear();
-    PlacementRequest wanted = request(unit, now);
-    const absl::Duration waited = now - unit.progress->readySince;
+    const absl::Duration waited = round.now - unit.progress->readySince;
     const absl::Duration rackWait =
         unit.guaranteed ? GuaranteedRackWait : std::min(MaxRackWait, unit.taskTime);
-    const int tasks = static_cast<int>(unit.taskIndices.size());
     if (unit.spec->gang) {
-        wanted.tasks = tasks;
-        wanted.singleRack = unit.spec->sameRack && fitsOnSingleRack(wanted, m_workers);
-        if (tryPlace(unit, wanted, freeCapacity, now, plan) || !wanted.singleRack
-            || waited < rackWait)
+        PlacementRequest wanted = request(unit, round);
+        wanted.tasks = static_cast<int>(unit.taskIndices.size());
+        wanted.singleRack =
+            unit.spec->sameRack && fitsOnSingleRack(wanted, round.racks, round.capacities);
+        if (tryPlace(unit, wanted, round) || !wanted.singleRack || waited < rackWait)
             return;
         wanted.singleRack = false;
-        tryPlace(unit, wanted, freeCapacity, now, plan);
+        tryPlace(unit, wanted, round);
         return;
     }
-    for (int i = 0; i < tasks; ++i) {
-        SchedulingUnit one = unit;
-        one.taskIndices = {unit.taskIndices[static_cast<std::size_t>(i)]};
-        wanted = request(one, now);
-        if (waited < rackWait)
-            restrictToDataRack(wanted);
-        if (!tryPlace(one, wanted, freeCapacity, now, plan))
+    SchedulingUnit one = unit;
+    // The request of a task without failed runs, which the other such tasks share if starting one
+    // of them does not change the limits of the workers.
+    std::optional<PlacementRequest> shared;
+    for (const int index : unit.taskIndices) {
+        one.taskIndices = {index};
+        const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
+        const bool canShare = unit.spec->maxPerWorker == 0 && task.workersWithFailedRuns.empty();
+        if (!canShare || !shared) {
+            shared = request(one, round);
+            if (waited < rackWait)
+                restrictToDataRack(*shared, round);
+        }
+        if (!tryPlace(one, *shared, round))
             return;
+        if (!canShare)
+            shared.reset();
     }
 }
 
-void Planner::restrictToDataRack(PlacementRequest &request) const
+void Planner::restrictToDataRack(PlacementRequest &request, const Round &round)
 {
-    std::map<std::string, int> near;
-    for (const auto &[worker, limit] : request.taskLimits) {
-        if (m_workers.at(worker).rack == request.preferredRack)
-            near.emplace(worker, limit);
-    }
-    if (!near.empty())
-        request.taskLimits = std::move(near);
+    if (request.preferredRack == RackIndex::NoRack)
+        return;
+    const std::vector<int> &near =
+        round.racks.workersByRack()[static_cast<std::size_t>(request.preferredRack)];
+    const auto limit = [&request](int worker) {
+        return request.taskLimits[static_cast<std::size_t>(worker)];
+    };
+    if (std::none_of(near.begin(), near.end(), [&](int worker) { return limit(worker) > 0; }))
+        return;
+    std::vector<int> limits(request.taskLimits.size());
+    for (const int worker : near)
+        limits[static_cast<std::size_t>(worker)] = limit(worker);
+    request.taskLimits = std::move(limits);
 }
 
-bool Planner::tryPlace(const SchedulingUnit &unit, PlacementRequest request,
-                       FreeCapacity &freeCapacity, core::Instant now, Plan &plan)
+bool Planner::tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
 {
-    if (const auto placed = place(request, m_workers, freeCapacity, {})) {
-        startTasks(unit, placed->tasks, freeCapacity, now, plan);
+    if (const auto placed = place(request, round.racks, round.freeCapacity, nullptr)) {
+        startTasks(unit, placed->tasks, round);
         return true;
     }
     if (!unit.progress->reservation.empty()) {
-        deductReservation(unit, freeCapacity);
+        deductReservation(unit, round);
         return true;
     }
-    const std::vector<VictimGroup> candidates = victims(unit, now);
-    const auto placed = place(request, m_workers, freeCapacity, candidates);
+    const VictimIndex &candidates = victims(unit, round);
+    const auto placed = place(request, round.racks, round.freeCapacity, &candidates);
     if (!placed)
         return false;
     const double ownWork = weightedCores(unit.spec->perTask) * absl::ToDoubleSeconds(unit.taskTime)
         * static_cast<double>(unit.taskIndices.size());
-    if (!unit.guaranteed && placed->cost > ownWork * preemptionBudget(unit, now))
+    if (!unit.guaranteed && placed->cost > ownWork * preemptionBudget(unit, round.now))
         return false;
     for (const std::size_t index : placed->victims)
-        preemptGroup(candidates[index], unit, now, plan);
+        preemptGroup(candidates.group(index), unit, round);
+    round.victims.clear();
     if (unit.spec->gang || unit.spec->tasks == 1) {
-        unit.progress->reservation = placed->tasks;
-        unit.progress->reservedUntil = now + m_options.stopTime + ReservationMargin;
-    }
-    for (const auto &[worker, count] : placed->tasks) {
-        for (int i = 0; i < count; ++i)
-            freeCapacity[worker] = freeCapacity[worker] - unit.spec->perTask;
+        for (const auto &[worker, count] : placed->tasks)
+            unit.progress->reservation.emplace(round.worker(worker).key, count);
+        unit.progress->reservedUntil = round.now + m_options.stopTime + ReservationMargin;
     }
+    for (const auto &[worker, count] : placed->tasks)
+        round.deduct(round.worker(worker).key, unit.spec->perTask, count);
     return true;
 }
 
-void Planner::startTasks(const SchedulingUnit &unit, const std::map<std::string, int> &tasks,
-                         FreeCapacity &freeCapacity, core::Instant now, Plan &plan)
+void Planner::startTasks(const SchedulingUnit &unit, const std::map<int, int> &tasks, Round &round)
 {
     int run = 0;
     for (const Task &task : unit.progress->tasks)
         run = std::max(run, task.run);
     std::size_t next = 0;
-    for (const auto &[worker, count] : tasks) {
+    for (const auto &[index, count] : tasks) {
+        const std::string &worker = round.worker(index).key;
         for (int i = 0; i < count; ++i) {
             const workload::TaskKey key{unit.record->job().id, unit.occurrence, unit.step,
                                         unit.taskIndices[next++]};
             Task *task = unit.record->task(key);
-            unit.record->start(key, unit.spec->gang ? run + 1 : task->run + 1, worker, now);
-            task->orderSentAt = now;
-            freeCapacity[worker] = freeCapacity[worker] - unit.spec->perTask;
-            plan.orders.push_back({Order::Kind::Start,
-                                   worker,
-                                   {key, task->run},
-                                   unit.record->job().payload,
-                                   task->checkpoint,
-                                   "placed"});
+            unit.record->start(key, unit.spec->gang ? run + 1 : task->run + 1, worker, round.now);
+            task->orderSentAt = round.now;
+            m_tasksByWorker[worker].insert(key);
+            round.free(index) = round.free(index) - unit.spec->perTask;
+            round.plan.orders.push_back({Order::Kind::Start,
+                                         worker,
+                                         {key, task->run},
+                                         unit.record->job().payload,
+                                         task->checkpoint,
+                                         "placed"});
         }
     }
     unit.progress->reservation.clear();
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -32,7 +32,8 @@
 {
     const std::string id = job.id;
     recordEstimates(job, now);
-    m_jobs.try_emplace(id, std::move(job), now - age);
+    const auto added = m_jobs.try_emplace(id, std::move(job), now - age).first;
+    m_openJobs.emplace(id, &added->second);
 }
 
 bool Planner::restoreJob(workload::Job job, const std::string &progress, core::Instant now,
@@ -43,10 +44,26 @@
         return false;
     const std::string id = record.job().id;
     recordEstimates(record.job(), now);
-    m_jobs.insert_or_assign(id, std::move(record));
+    const auto restored = m_jobs.insert_or_assign(id, std::move(record)).first;
+    m_openJobs.insert_or_assign(id, &restored->second);
+    indexActiveTasks(restored->second);
     return true;
 }
 
+void Planner::indexActiveTasks(const JobRecord &record)
+{
+    for (const auto &[number, occurrence] : record.occurrences()) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            const std::vector<Task> &tasks = occurrence.steps[s].tasks;
+            for (std::size_t i = 0; i < tasks.size(); ++i) {
+                if (tasks[i].phase == TaskPhase::Active)
+                    m_tasksByWorker[tasks[i].worker].insert(
+                        {record.job().id, number, static_cast<int>(s), static_cast<int>(i)});
+            }
+        }
+    }
+}
+
 void Planner::recordEstimates(const workload::Job &job, core::Instant now)
 {
     double work = 0;
@@ -72,6 +89,7 @@
 
 void Planner::removeJob(const std::string &id)
 {
+    m_openJobs.erase(id);
     m_jobs.erase(id);
     m_changed.erase(id);
 }
@@ -96,17 +114,39 @@
 void Planner::forEachActiveTask(const std::string &worker,
                                 const std::function<void(const workload::TaskKey &, Task &)> &visit)
 {
-    for (auto &[id, record] : m_jobs) {
-        for (auto &[number, occurrence] : record.occurrences()) {
-            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-                std::vector<Task> &tasks = occurrence.steps[s].tasks;
-                for (std::size_t i = 0; i < tasks.size(); ++i) {
-                    if (tasks[i].phase == TaskPhase::Active && tasks[i].worker == worker)
-                        visit({id, number, static_cast<int>(s), static_cast<int>(i)}, tasks[i]);
-                }
-            }
+    const auto found = m_tasksByWorker.find(worker);
+    if (found == m_tasksByWorker.end())
+        return;
+    std::set<workload::TaskKey> &keys = found->second;
+    for (auto it = keys.begin(); it != keys.end();) {
+        JobRecord *record = find(it->job);
+        Task *task = record ? record->task(*it) : nullptr;
+        if (!task || task->phase != TaskPhase::Active || task->worker != worker) {
+            it = keys.erase(it);
+            continue;
         }
+        visit(*it, *task);
+        ++it;
+    }
+    if (keys.empty())
+        m_tasksByWorker.erase(found);
+}
+
+std::set<std::string> Planner::workerKeys(const std::string &prefix)
+{
+    std::set<std::string> keys;
+    for (auto it = m_workers.lower_bound(prefix);
+         it != m_workers.end() && it->first.starts_with(prefix); ++it)
+        keys.insert(it->first);
+    for (auto it = m_tasksByWorker.lower_bound(prefix);
+         it != m_tasksByWorker.end() && it->first.starts_with(prefix);) {
+        // Visiting the tasks may remove the entry.
+        const std::string key = it->first;
+        ++it;
+        forEachActiveTask(key,
+                          [&keys, &key](const workload::TaskKey &, Task &) { keys.insert(key); });
     }
+    return keys;
 }
 
 void Planner::beginListing(const std::string &worker)
--- /dev/null
+++ b/src/planning/planninground.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "schedulingunit.h"
+
+#include <oleandercross/planning/planner.h>
+
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace oleandercross::planning {
+
+// A task that was active at the begin of a round.
+struct ActiveRun
+{
+    JobRecord *record = nullptr;
+    StepProgress *progress = nullptr;
+    const workload::Step *spec = nullptr;
+    Task *task = nullptr;
+    int occurrence = 0;
+    int step = 0;
+    int index = 0;
+    // The index of its worker, or Planner::Round::NoWorker.
+    int worker = 0;
+
+    workload::RunKey key() const
+    {
+        return {{record->job().id, occurrence, step, index}, task->run};
+    }
+};
+
+// Workers of a service with the same capacity.
+struct WorkerClass
+{
+    std::string_view service;
+    workload::Demand capacity;
+    int count = 0;
+};
+
+// The state of one call of plan(). Everything that is looked up for each task or for each pair of a
+// task and a worker is computed once and stored by index, so that the cost of a round is the size
+// of the cluster plus that of the placements, not their product with string lookups.
+struct Planner::Round
+{
+    static constexpr int NoWorker = -1;
+
+    core::Instant now;
+    Plan plan;
+    // The members below that are vectors have one element for each worker, in the order of their
+    // keys.
+    std::vector<const Worker *> workers;
+    std::vector<workload::Demand> capacities;
+    FreeCapacity freeCapacity;
+    std::vector<int> suspicionLevels;
+    std::vector<int> speedClasses;
+    // Workers reserved for upcoming jobs of priority 0.
+    std::vector<bool> inUrgentReserve;
+    RackIndex racks;
+    std::vector<WorkerClass> workerClasses;
+    // The index of each worker's class.
+    std::vector<int> classes;
+    // In the order of their keys.
+    std::vector<ActiveRun> activeRuns;
+
+    // Which runs a unit may pre-empt, and whether it waits for runs that end soon.
+    struct VictimKind
+    {
+        int priority = 0;
+        bool guaranteed = false;
+        bool waitsForEnds = false;
+
+        friend auto operator<=>(const VictimKind &, const VictimKind &) = default;
+    };
+
+    // The victims for each kind of unit. Cleared when runs are pre-empted.
+    std::map<VictimKind, VictimIndex> victims;
+
+    int indexOf(const std::string &worker) const
+    {
+        const auto found = indices.find(worker);
+        return found == indices.end() ? NoWorker : found->second;
+    }
+    const Worker &worker(int index) const { return *workers[static_cast<std::size_t>(index)]; }
+    workload::Demand &free(int index) { return freeCapacity[static_cast<std::size_t>(index)]; }
+    // Subtracts `count` tasks from, or with a negative count adds them to, the free capacity of a
+    // worker if it is known.
+    void deduct(const std::string &worker, const workload::Demand &perTask, int count);
+
+    std::unordered_map<std::string_view, int> indices;
+};
+
+} // namespace oleandercross::planning
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -1,6 +1,6 @@
 #include <oleandercross/planning/planner.h>
 
-#include "schedulingunit.h"
+#include "planninground.h"
 
 #include <algorithm>
 
@@ -83,48 +83,47 @@
     return !withinGuarantee(job.account);
 }
 
-std::vector<VictimGroup> Planner::victims(const SchedulingUnit &unit, core::Instant now) const
+const VictimIndex &Planner::victims(const SchedulingUnit &unit, Round &round) const
 {
-    std::vector<VictimGroup> victims;
+    const Round::VictimKind kind{unit.record->job().terms.priority, unit.guaranteed,
+                                 unit.progress->reservedUntil == absl::InfinitePast()};
+    const auto found = round.victims.find(kind);
+    if (found != round.victims.end())
+        return found->second;
     // A task that ends soon is not stopped, but only on the first attempt to place the unit, since
     // the estimate may be wrong.
-    const absl::Duration endWait = unit.progress->reservedUntil == absl::InfinitePast()
-        ? m_options.stopTime * EndWaitFraction
-        : absl::ZeroDuration();
-    for (const auto &[id, record] : m_jobs) {
-        const double jobWeight = stopWeight(record);
-        for (const auto &[number, occurrence] : record.occurrences()) {
-            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-                const workload::Step &spec = record.job().steps[s];
-                VictimGroup gang;
-                for (std::size_t i = 0; i < occurrence.steps[s].tasks.size(); ++i) {
-                    const Task &task = occurrence.steps[s].tasks[i];
-                    const auto worker = m_workers.find(task.worker);
-                    if (task.phase != TaskPhase::Active || worker == m_workers.end()
-                        || (!task.stopRequested && !mayPreempt(unit, record)))
-                        continue;
-                    const bool endsSoon = task.percent > 0
-                        && now - task.percentChangedAt < MaxProgressAge
-                        && remainingTime(task, m_options.stopTime, now) < endWait;
-                    VictimGroup single;
-                    VictimGroup &victim = spec.gang ? gang : single;
-                    victim.freedCapacity[task.worker] =
-                        victim.freedCapacity[task.worker] + spec.perTask;
-                    // Capacity that is about to become free has no pre-emption cost.
-                    if (!task.stopRequested && !endsSoon) {
-                        victim.runs.push_back(
-                            {{id, number, static_cast<int>(s), static_cast<int>(i)}, task.run});
-                        victim.cost += stopCost(spec, task, now) * jobWeight;
-                    }
-                    if (!spec.gang)
-                        victims.push_back(std::move(single));
-                }
-                if (!gang.freedCapacity.empty())
-                    victims.push_back(std::move(gang));
-            }
+    const absl::Duration endWait =
+        kind.waitsForEnds ? m_options.stopTime * EndWaitFraction : absl::ZeroDuration();
+    std::vector<VictimGroup> groups;
+    const JobRecord *job = nullptr;
+    const StepProgress *gang = nullptr;
+    double jobWeight = 0;
+    bool preemptible = false;
+    for (std::size_t i = 0; i < round.activeRuns.size(); ++i) {
+        const ActiveRun &run = round.activeRuns[i];
+        if (run.record != job) {
+            job = run.record;
+            jobWeight = stopWeight(*job);
+            preemptible = mayPreempt(unit, *job);
         }
+        const Task &task = *run.task;
+        if (run.worker == Round::NoWorker || (!task.stopRequested && !preemptible))
+            continue;
+        if (!run.spec->gang || run.progress != gang)
+            groups.emplace_back();
+        gang = run.spec->gang ? run.progress : nullptr;
+        VictimGroup &victim = groups.back();
+        victim.free(run.worker, run.spec->perTask);
+        const bool endsSoon = task.percent > 0 && round.now - task.percentChangedAt < MaxProgressAge
+            && remainingTime(task, m_options.stopTime, round.now) < endWait;
+        // Capacity that is about to become free has no pre-emption cost.
+        if (task.stopRequested || endsSoon)
+            continue;
+        victim.runs.push_back(i);
+        victim.cost += stopCost(*run.spec, task, round.now) * jobWeight;
     }
-    return victims;
+    return round.victims.emplace(kind, VictimIndex(std::move(groups), round.workers.size()))
+        .first->second;
 }
 
 bool Planner::mayUseUrgentReserve(const SchedulingUnit &unit, const Worker &worker,
@@ -150,14 +149,14 @@
     return isAboutToBeLate(unit, now) && !unit.willBeLate(now) ? LateStopBudget : EarlyStopBudget;
 }
 
-void Planner::preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, core::Instant now,
-                           Plan &plan)
+void Planner::preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round)
 {
-    for (const workload::RunKey &run : victim.runs) {
-        Task *task = m_jobs.at(run.task.job).task(run.task);
-        requestStop(*task, "pre-empted by " + unit.record->job().id);
-        task->orderSentAt = now;
-        plan.orders.push_back({Order::Kind::Stop, task->worker, run, {}, {}, task->stopReason});
+    for (const std::size_t index : victim.runs) {
+        const ActiveRun &run = round.activeRuns[index];
+        requestStop(*run.task, "pre-empted by " + unit.record->job().id);
+        run.task->orderSentAt = round.now;
+        round.plan.orders.push_back(
+            {Order::Kind::Stop, run.task->worker, run.key(), {}, {}, run.task->stopReason});
     }
 }
 
--- a/src/planning/stalls.cpp
+++ b/src/planning/stalls.cpp
@@ -1,6 +1,6 @@
 #include <oleandercross/planning/planner.h>
 
-#include "schedulingunit.h"
+#include "planninground.h"
 
 #include <algorithm>
 
@@ -18,49 +18,42 @@
 
 } // namespace
 
-bool Planner::isStalled(const JobRecord &record, const StepProgress &progress,
-                        const workload::Step &spec, const Task &task) const
+bool Planner::isStalled(const ActiveRun &run) const
 {
-    if (!task.running || task.stopRequested)
+    const Task &task = *run.task;
+    const absl::Duration withoutProgress = task.lastListedAt - task.percentChangedAt;
+    if (!task.running || task.stopRequested || withoutProgress <= MinStallTime)
         return false;
     const absl::Duration onePercent = task.bestProgressRate > 0
         ? absl::Seconds(1 / task.bestProgressRate)
-        : taskTime(record, progress, spec) / m_speeds.speed(task.worker) / 100;
-    return task.lastListedAt - task.percentChangedAt
-        > std::max(MinStallTime, MinStallPercentSteps * onePercent);
+        : taskTime(*run.record, *run.progress, *run.spec) / m_speeds.speed(task.worker) / 100;
+    return withoutProgress > MinStallPercentSteps * onePercent;
 }
 
-bool Planner::hasFreeCapacityElsewhere(const JobRecord &record, const workload::Step &spec,
-                                       const Task &task, const FreeCapacity &freeCapacity,
-                                       core::Instant now) const
+bool Planner::hasFreeCapacityElsewhere(const ActiveRun &run, const Round &round) const
 {
-    return std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &entry) {
-        const Worker &worker = entry.second;
-        return entry.first != task.worker && worker.accepting
-            && worker.service == record.job().terms.service && hasLabel(worker, spec.neededLabel)
-            && m_health.suspicionLevel(entry.first, now) == 0
-            && fits(spec.perTask, freeCapacity.at(entry.first));
-    });
+    for (std::size_t i = 0; i < round.workers.size(); ++i) {
+        const Worker &worker = *round.workers[i];
+        if (static_cast<int>(i) != run.worker && worker.accepting
+            && fits(run.spec->perTask, round.freeCapacity[i])
+            && worker.service == run.record->job().terms.service
+            && hasLabel(worker, run.spec->neededLabel)
+            && m_health.suspicionLevel(worker.key, round.now) == 0)
+            return true;
+    }
+    return false;
 }
 
-void Planner::handleStalledRuns(core::Instant now)
+void Planner::handleStalledRuns(const Round &round)
 {
-    const FreeCapacity freeCapacity = computeFreeCapacity();
-    for (auto &[id, record] : m_jobs) {
-        for (auto &[number, occurrence] : record.occurrences()) {
-            for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-                const workload::Step &spec = record.job().steps[s];
-                for (Task &task : occurrence.steps[s].tasks) {
-                    if (task.phase != TaskPhase::Active
-                        || !isStalled(record, occurrence.steps[s], spec, task))
-                        continue;
-                    m_health.recordStall(task.worker, now);
-                    if ((task.percent <= MaxDiscardedPercent || spec.checkpointable)
-                        && hasFreeCapacityElsewhere(record, spec, task, freeCapacity, now))
-                        requestStop(task, "run is stalled");
-                }
-            }
-        }
+    for (const ActiveRun &run : round.activeRuns) {
+        if (!isStalled(run))
+            continue;
+        Task &task = *run.task;
+        m_health.recordStall(task.worker, round.now);
+        if ((task.percent <= MaxDiscardedPercent || run.spec->checkpointable)
+            && hasFreeCapacityElsewhere(run, round))
+            requestStop(task, "run is stalled");
     }
 }
 
--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -1,6 +1,6 @@
 #include <oleandercross/planning/planner.h>
 
-#include "schedulingunit.h"
+#include "planninground.h"
 
 #include <algorithm>
 #include <cmath>
@@ -51,20 +51,21 @@
                     m_estimates.expectedTime(record.job().queue, spec.estimateMs));
 }
 
-int Planner::waves(const JobRecord &record, const workload::Step &spec) const
+int Planner::waves(const JobRecord &record, const workload::Step &spec, const Round &round)
 {
     int totalSlots = 0;
-    for (const auto &[key, worker] : m_workers) {
-        if (worker.service == record.job().terms.service)
-            totalSlots += fittingTaskCount(spec.perTask, worker.capacity);
+    for (const WorkerClass &workers : round.workerClasses) {
+        if (workers.service == record.job().terms.service)
+            totalSlots += workers.count * fittingTaskCount(spec.perTask, workers.capacity);
     }
     const int tasksPerWave = std::max(1, totalSlots / WaveCapacityDivisor);
     return (spec.tasks + tasksPerWave - 1) / tasksPerWave;
 }
 
 void Planner::estimateTimesAndValue(SchedulingUnit &unit, const Occurrence &occurrence,
-                                    core::Instant now) const
+                                    const Round &round) const
 {
+    const core::Instant now = round.now;
     const JobRecord &record = *unit.record;
     const workload::Job &job = record.job();
     unit.taskTime = taskTime(record, *unit.progress, *unit.spec);
@@ -87,7 +88,7 @@
             remainingBegin =
                 std::max(remainingBegin, remainingEnds[static_cast<std::size_t>(earlier)]);
         }
-        ends.push_back(begin + time * waves(record, spec));
+        ends.push_back(begin + time * waves(record, spec, round));
         remainingEnds.push_back(remainingTasks > 0 ? remainingBegin + time : remainingBegin);
         criticalPath = std::max(criticalPath, ends.back());
         unit.remainingCriticalPath = std::max(unit.remainingCriticalPath, remainingEnds.back());
--- a/test/planning/tst_planner.cpp
+++ b/test/planning/tst_planner.cpp
@@ -341,3 +341,29 @@
     REQUIRE(second.size() == 1);
     CHECK(second[0].worker == starts[1].worker);
 }
+
+// Guards against an index of active tasks that misses one: a worker whose tasks it does not list
+// would neither be watched nor have its runs started elsewhere when its lease ends.
+TEST_CASE("the keys of workers include those known only from active tasks", "[planning]")
+{
+    PlannerFixture fixture(2);
+    fixture.planner.addJob(PlannerFixture::job("j", 1, 2, 8, false), fixture.now);
+    const std::vector<Order> starts = fixture.planStarts();
+    REQUIRE(starts.size() == 2);
+    fixture.confirm(starts);
+
+    PlannerFixture restored(0);
+    REQUIRE(restored.planner.restoreJob(PlannerFixture::job("j", 1, 2, 8, false),
+                                        fixture.planner.job("j")->encode(), restored.now));
+    CHECK(restored.planner.workerKeys() == std::set<std::string>{"w0", "w1"});
+    CHECK(restored.planner.workerKeys("w1") == std::set<std::string>{"w1"});
+    restored.planner.removeWorker("w1");
+    CHECK(restored.planner.workerKeys() == std::set<std::string>{"w0"});
+    restored.planner.runEnded("w0", {{"j", 0, 0, starts[0].run.task.index}, 1}, RunEnd::Stopped, {},
+                              restored.now);
+    CHECK(restored.planner.workerKeys().empty());
+    // Both tasks are pending again and start on a worker that has joined.
+    restored.planner.updateWorker(PlannerFixture::worker(5));
+    CHECK(restored.planStarts().size() == 1);
+    CHECK(restored.planner.workerKeys() == std::set<std::string>{"w5"});
+}
