Keep rows that are written independently in different partitions

Cause: all rows were in one partition of the store, which executes one transaction after another, 300 a second. While the store is 49 times slower these are seven a second, and a partition with more than a second of them waiting refuses calls. Job inserts and their repetitions delayed the leader's transactions until it counted as lost; then all entries tried to take the leadership in that same partition. Change: the leader's rows, the members and four groups of jobs have partitions of their own (partitionOf()). A transaction that removes ended jobs spans partitions and says so; the stand-in refuses one that does not.

--- a/include/oleandercross/control/relayedstore.h
+++ b/include/oleandercross/control/relayedstore.h
@@ -22,7 +22,8 @@
                  std::function<std::vector<http::Endpoint>()> peers);
 
     CommitResult commit(const RowChanges &changes, absl::Duration timeout) override;
-    std::optional<RowPage> range(const std::string &table, const std::string &from, int limit,
+    std::optional<RowPage> range(const std::string &table, const std::string &partition,
+                                 const std::string &from, int limit,
                                  absl::Duration timeout) override;
     std::optional<RowFeed> changes(const std::string &table, std::int64_t after,
                                    absl::Duration wait) override;
--- a/include/oleandercross/control/rowstore.h
+++ b/include/oleandercross/control/rowstore.h
@@ -93,18 +93,19 @@
 
     virtual CommitResult commit(const RowChanges &changes, absl::Duration timeout) = 0;
 
-    // Returns up to `limit` rows with keys from `from` on, in key order. Fails with
-    // StoreUnavailable.
-    virtual std::optional<RowPage> range(const std::string &table, const std::string &from,
-                                         int limit, absl::Duration timeout) = 0;
+    // Returns up to `limit` rows of one partition of a table with keys from `from` on, in key
+    // order. Fails with StoreUnavailable.
+    virtual std::optional<RowPage> range(const std::string &table, const std::string &partition,
+                                         const std::string &from, int limit,
+                                         absl::Duration timeout) = 0;
 
     // Returns the changes after a version, waiting up to `wait` for the first one. Fails with
     // StoreUnavailable.
     virtual std::optional<RowFeed> changes(const std::string &table, std::int64_t after,
                                            absl::Duration wait) = 0;
 
-    // Reads all rows of a table page by page and returns them with the version of the first page.
-    // Changes made while the other pages are read appear again in the feed. Fails with
+    // Reads all partitions of a table page by page and returns them with the version of the first
+    // page. Changes made while the other pages are read appear again in the feed. Fails with
     // StoreUnavailable.
     std::optional<RowPage> table(const std::string &name, absl::Duration timeout);
 
@@ -123,6 +124,17 @@
 // Appended to a job's id to form the key of the row in the job table that cancels the job.
 inline constexpr char CancelSuffix[] = "/cancel";
 
+// The store executes the transactions of one partition one after another and refuses further ones
+// while too many are waiting. Rows that are written independently are therefore in different
+// partitions, so that accepted jobs and the announcements of processes do not delay the leader's
+// transactions, nor the other way round. Rows of one transaction share a partition, except when
+// ended jobs are removed.
+//
+// Returns the partition of a row.
+std::string partitionOf(const std::string &table, const std::string &key);
+// Returns all partitions of a table.
+std::vector<std::string> partitionsOf(const std::string &table);
+
 // The timeout of one call to the store, which responds within a third of a second when it is slow.
 inline constexpr absl::Duration StoreTimeout = absl::Seconds(1);
 
--- a/src/control/relayedstore.cpp
+++ b/src/control/relayedstore.cpp
@@ -179,17 +179,19 @@
     return result;
 }
 
-std::optional<RowPage> RelayedStore::range(const std::string &table, const std::string &from,
-                                           int limit, absl::Duration timeout)
+std::optional<RowPage> RelayedStore::range(const std::string &table, const std::string &partition,
+                                           const std::string &from, int limit,
+                                           absl::Duration timeout)
 {
     if (shouldTryDirect()) {
-        auto page = m_direct.range(table, from, limit, timeout);
+        auto page = m_direct.range(table, partition, from, limit, timeout);
         recordReachability(page.has_value());
         if (page)
             return page;
     }
     Json::Value params(Json::objectValue);
     params["table"] = table;
+    params["partition"] = partition;
     params["from"] = from;
     params["limit"] = limit;
     const auto answer = relay("store-range", params, timeout);
@@ -248,7 +250,8 @@
     if (!directlyReachable())
         return core::fail(core::ResultCode::StoreUnavailable, "this peer cannot reach the store");
     const auto page =
-        m_direct.range(core::stringMember(params, "table"), core::stringMember(params, "from"),
+        m_direct.range(core::stringMember(params, "table"), core::stringMember(params, "partition"),
+                       core::stringMember(params, "from"),
                        static_cast<int>(core::intMember(params, "limit", 1)), StoreTimeout);
     if (!page)
         return std::nullopt;
--- a/support/platformstandin.py
+++ b/support/platformstandin.py
@@ -108,6 +108,10 @@
     def transact(self, body):
         with self.changed:
             expected = [(self.name(row), row["ver"]) for row in body.get("expected", [])]
+            partitions = {self.name(row)[1] for entries in ("expected", "setKeys", "remove")
+                          for row in body.get(entries, [])}
+            if len(partitions) > 1 and not body.get("across", False):
+                return 400, {"error": "the transaction spans partitions"}
             if any(self.rows.get(name, ("", 0))[1] != version for name, version in expected):
                 rows = [self.row_json(name) for name, _ in expected]
                 return 412, {"rows": rows, "ver": self.version, "nowMs": 0}
--- a/test/control/fakerowstore.h
+++ b/test/control/fakerowstore.h
@@ -79,8 +79,8 @@
         return result;
     }
 
-    std::optional<RowPage> range(const std::string &table, const std::string &from, int limit,
-                                 absl::Duration) override
+    std::optional<RowPage> range(const std::string &table, const std::string &partition,
+                                 const std::string &from, int limit, absl::Duration) override
     {
         absl::MutexLock lock(&m_mutex);
         if (m_unavailable)
@@ -89,6 +89,8 @@
         page.version = m_version;
         for (auto it = m_rows.lower_bound({table, from});
              it != m_rows.end() && it->first.first == table; ++it) {
+            if (partitionOf(table, it->first.second) != partition)
+                continue;
             if (static_cast<int>(page.rows.size()) == limit) {
                 page.more = true;
                 break;
--- a/test/deployment/tst_httprowstore.cpp
+++ b/test/deployment/tst_httprowstore.cpp
@@ -88,7 +88,7 @@
     platform::HttpRowStore store(pool, {"127.0.0.1", 1});
     const auto result = store.commit({}, absl::Seconds(1));
     CHECK(result.outcome == control::CommitOutcome::Refused);
-    CHECK_FALSE(store.range("t", "", 1, absl::Seconds(1)));
+    CHECK_FALSE(store.range("t", "", "", 1, absl::Seconds(1)));
 }
 
 // Guards against rows that are decoded differently from how another process encoded them.
@@ -100,11 +100,12 @@
         R"({"table":"t","part":"","key":"b","ver":5,"tombstone":true}],"hasMore":true,"ver":9})");
     http::ClientPool pool({});
     platform::HttpRowStore store(pool, server.address());
-    const auto page = store.range("t", "a/b c", 2, absl::Seconds(5));
+    const auto page = store.range("t", "p 1", "a/b c", 2, absl::Seconds(5));
     REQUIRE(page);
     CHECK(page->rows.at(0) == control::StoredRow{"t", "a", std::string("\0\xff", 2), 4, false});
     CHECK(page->more);
     CHECK(page->version == 9);
+    CHECK(server.last.query["part"] == "p 1");
     CHECK(server.last.query["from"] == "a/b c");
     const auto feed = store.changes("t", 3, absl::Milliseconds(10));
     REQUIRE(feed);
@@ -123,3 +124,41 @@
     REQUIRE(feed);
     CHECK(feed->historyLost);
 }
+
+// Guards against transactions that the store rejects because they do not say that they span
+// partitions, and against the slower execution of those that claim it needlessly.
+TEST_CASE("a transaction says whether it spans partitions")
+{
+    struct Row
+    {
+        control::RowChanges changes;
+        bool across;
+    };
+    const std::string id = "0123456789abcdef";
+    const Row row = GENERATE_COPY(
+        Row{{{{control::JobTable, id, 0}},
+             {{control::JobTable, id + control::CancelSuffix, {}}},
+             {}},
+            false},
+        Row{{{{control::LeaderTable, control::LeaderKey, 4}},
+             {{control::ProgressTable, id, {}}, {control::LeaderTable, control::LeaderKey, {}}},
+             {}},
+            false},
+        Row{{{{control::LeaderTable, control::LeaderKey, 4}},
+             {{control::LeaderTable, control::LeaderKey, {}}},
+             {{control::JobTable, id, {}}, {control::ProgressTable, id, {}}}},
+            true});
+    StoreServer server(200, R"({"ver":1})");
+    http::ClientPool pool({});
+    platform::HttpRowStore store(pool, server.address());
+    REQUIRE(store.commit(row.changes, absl::Seconds(5)).outcome == control::CommitOutcome::Applied);
+    const auto body = core::parseJson(server.last.body);
+    REQUIRE(body);
+    CHECK(core::boolMember(*body, "across") == row.across);
+    for (const char *list : {"expected", "setKeys", "remove"}) {
+        for (const Json::Value &entry : core::member(*body, list))
+            CHECK(core::stringMember(entry, "part")
+                  == control::partitionOf(core::stringMember(entry, "table"),
+                                          core::stringMember(entry, "key")));
+    }
+}
