Let entries succeed a lost leader by rank

Cause: all entries read the leader row every 80 ms while there is no healthy leader (437 reads a second for 35 entries, more than a store that is 49 times slower serves) and took an available leadership at once, also from each other. Ruled out: a random delay, which lets weak entries win and then give way again. Change: entries announce their processor share; Candidacy gives each a rank, and the first rank acts at once, each further one reads less often and waits longer.

--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -15,11 +15,9 @@
 
 struct EntryOptions
 {
+    // Entries with a larger processor share are preferred as leader.
     Member self;
     std::vector<http::Endpoint> seeds;
-    // The processor share in thousandths of a core; entries with a larger share are preferred as
-    // leader.
-    std::int64_t milliCores = 0;
     LeaderOptions leader;
     // How long a submission with an unknown outcome is retried. After that the caller gets
     // SubmitOutcome::Unknown and may ask another entry.
@@ -116,6 +114,8 @@
     void superviseOwnLeadership();
     void requestStepDown(const Leadership &leadership);
     void stepDown(const std::shared_ptr<Leader> &ownLeader);
+    // Returns the rank of this entry among those that may succeed the last known leader.
+    std::size_t rank() const;
     std::shared_ptr<Leader> leader() const;
     std::optional<http::Endpoint> leaderAddress() const;
     std::optional<JobStatus> queryLeader(const std::string &job, core::Instant deadline);
@@ -155,6 +155,7 @@
     // the time since which that version has been seen.
     std::int64_t m_leaderRowVersion = -1;
     core::Instant m_leaderRowUnchangedSince = absl::InfiniteFuture();
+    Candidacy m_candidacy;
     std::thread m_election;
 };
 
--- a/include/oleandercross/control/members.h
+++ b/include/oleandercross/control/members.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <oleandercross/control/candidacy.h>
 #include <oleandercross/control/rowstore.h>
 #include <oleandercross/http/message.h>
 
@@ -21,6 +22,8 @@
     MemberRole role = MemberRole::Entry;
     http::Endpoint address;
     std::string incarnation;
+    // The processor share of an entry in thousandths of a core; 0 if it is not known.
+    std::int64_t milliCores = 0;
 
     friend bool operator==(const Member &, const Member &) = default;
 };
@@ -47,6 +50,8 @@
     // Returns the addresses of the other entries.
     std::vector<http::Endpoint> peers() const;
     std::map<std::string, http::Endpoint> agents() const;
+    // Returns all known entries, including this process.
+    std::vector<Candidate> candidates() const;
     // Returns a number that increases with every update, so that callers can detect changes.
     std::int64_t version() const;
 
--- a/src/control/election.cpp
+++ b/src/control/election.cpp
@@ -14,8 +14,6 @@
 
 constexpr absl::Duration LeaderProbePeriod = absl::Milliseconds(200);
 constexpr absl::Duration ProbeTimeout = absl::Milliseconds(400);
-// The period of election steps while no leader reports that it is healthy.
-constexpr absl::Duration NoLeaderPeriod = absl::Milliseconds(80);
 // The number of consecutive probes that must find no leader at the leader's address, by its
 // response or by a refused connection. A process that is about to become the leader may still deny
 // it once.
@@ -45,10 +43,11 @@
     m_startedAt = m_clock.now();
     announceSelf();
     while (!m_electionStopping) {
-        const bool leaderHealthy = electionStep();
+        const absl::Duration period =
+            electionStep() ? LeaderProbePeriod : Candidacy::readPeriod(rank());
         absl::MutexLock lock(&m_mutex);
         if (!m_handedOver)
-            m_handoverReceived.waitFor(m_mutex, leaderHealthy ? LeaderProbePeriod : NoLeaderPeriod);
+            m_handoverReceived.waitFor(m_mutex, period);
         m_handedOver = false;
     }
 }
@@ -107,16 +106,16 @@
 
 void Entry::requestStepDown(const Leadership &leadership)
 {
-    const bool hasLargerShare = static_cast<double>(m_options.milliCores)
+    const bool hasLargerShare = static_cast<double>(m_options.self.milliCores)
         > ProcessorShareRatio * static_cast<double>(leadership.milliCores);
     if (!hasLargerShare || leadership.holder.empty() || !m_store.directlyReachable()
         || m_clock.now() - m_startedAt < MinUptimeBeforeClaim)
         return;
     Json::Value params(Json::objectValue);
-    params["strength"] = static_cast<Json::Int64>(m_options.milliCores);
+    params["strength"] = static_cast<Json::Int64>(m_options.self.milliCores);
     telemetry::Event("leadership_claimed")
         .with("from", leadership.holder)
-        .with("strength", m_options.milliCores)
+        .with("strength", m_options.self.milliCores)
         .with("holder_strength", leadership.milliCores);
     m_client.call(leadership.address, "give-way", params, ProbeTimeout);
 }
@@ -139,7 +138,8 @@
         return;
     const core::Instant now = m_clock.now();
     if (!*row) {
-        becomeLeader(*row);
+        if (m_candidacy.shouldTake(true, 0, rank(), now))
+            becomeLeader(*row);
         return;
     }
     const std::optional<Leadership> leadership = decodeLeadership((*row)->value);
@@ -155,16 +155,29 @@
         && leadership->address == m_probedAddress;
     const bool available = !leadership || leadership->holder.empty()
         || leadership->holder == m_options.self.name || leaderLost;
-    if (available || now - m_leaderRowUnchangedSince >= LeaderRowTimeout)
+    const bool unchanged = now - m_leaderRowUnchangedSince >= LeaderRowTimeout;
+    if (m_candidacy.shouldTake(available || unchanged, (*row)->version, rank(), now))
         becomeLeader(*row);
 }
 
+std::size_t Entry::rank() const
+{
+    std::string lostLeader;
+    {
+        absl::MutexLock lock(&m_mutex);
+        if (m_leadership)
+            lostLeader = m_leadership->holder;
+    }
+    const Member &self = m_members.self();
+    return candidateRank(m_members.candidates(), {self.name, self.milliCores}, lostLeader);
+}
+
 void Entry::becomeLeader(const std::optional<StoredRow> &row)
 {
     Leadership leadership;
     leadership.holder = m_options.self.name;
     leadership.address = m_options.self.address;
-    leadership.milliCores = m_options.milliCores;
+    leadership.milliCores = m_options.self.milliCores;
     leadership.incarnation = m_options.self.incarnation;
     auto log = std::make_unique<LeaderLog>(m_store, leadership);
     if (!log->acquire(row, [this] { return m_electionStopping.load(); })) {
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -96,7 +96,7 @@
         return answer;
     });
     server.add("give-way", [this](const Json::Value &params) -> std::optional<Json::Value> {
-        if (core::intMember(params, "strength") > m_options.milliCores)
+        if (core::intMember(params, "strength") > m_options.self.milliCores)
             m_stepDownRequested = true;
         return Json::Value(Json::objectValue);
     });
--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -14,6 +14,8 @@
     value["role"] = member.role == MemberRole::Entry ? "entry" : "agent";
     value["address"] = toString(member.address);
     value["incarnation"] = member.incarnation;
+    if (member.milliCores > 0)
+        value["milliCores"] = static_cast<Json::Int64>(member.milliCores);
     return core::writeJson(value);
 }
 
@@ -29,7 +31,7 @@
     if (role != "entry" && role != "agent")
         return core::fail(core::ResultCode::BadField, "\"" + role + "\" is not a member role");
     return Member{name, role == "entry" ? MemberRole::Entry : MemberRole::Agent, *address,
-                  core::stringMember(*value, "incarnation")};
+                  core::stringMember(*value, "incarnation"), core::intMember(*value, "milliCores")};
 }
 
 Members::Members(Member self)
@@ -120,6 +122,17 @@
     return agents;
 }
 
+std::vector<Candidate> Members::candidates() const
+{
+    absl::MutexLock lock(&m_mutex);
+    std::vector<Candidate> candidates{{m_self.name, m_self.milliCores}};
+    for (const auto &[name, member] : m_members) {
+        if (member.role == MemberRole::Entry && name != m_self.name)
+            candidates.push_back({name, member.milliCores});
+    }
+    return candidates;
+}
+
 std::int64_t Members::version() const
 {
     absl::MutexLock lock(&m_mutex);
