Count sent bytes before the call that sends them

Cause: the server added to its count after send() returned, so that a test could read the count when the client already had the response. Ruled out: lost bytes; the difference was always the last response. Change: the size is added before the call, and what was not sent is subtracted after it.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -108,8 +108,11 @@
             m_writeDeadline = m_clock.now() + m_writeTimeout;
         if (!is_writable())
             return -1;
+        // Counted before the call, since the receiver may have the data before send() returns.
+        const auto requested = static_cast<std::int64_t>(size);
+        m_traffic.sent += requested;
         const ssize_t n = ::send(m_socket, data, size, MSG_NOSIGNAL);
-        m_traffic.sent += std::max<ssize_t>(n, 0);
+        m_traffic.sent -= requested - std::max<ssize_t>(n, 0);
         return n;
     }
 
