Log what the configuration follower does between two calls

Cause: the logs did not tell a late response of the store from an entry that does not ask it. Change: config_changed has the number of rows and the pause before the call; config_pushed has the time and the unanswered peers; config_follow_pause_seconds is the distribution of the pauses.

--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -128,6 +128,9 @@
     const core::BootClock m_clock;
     Members m_members;
     RelayedStore m_store;
+    // Used by the thread of m_configFollower only: how long it did not ask the store before its
+    // latest call.
+    absl::Duration m_configPause = absl::ZeroDuration();
     TableFollower m_configFollower;
     TableFollower m_memberFollower;
     std::atomic<bool> m_electionStopping = false;
--- a/include/oleandercross/control/tablefollower.h
+++ b/include/oleandercross/control/tablefollower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleandercross/control/rowstore.h>
+#include <oleandercross/core/clock.h>
 
 #include <atomic>
 #include <functional>
@@ -21,6 +22,9 @@
         std::function<void(const std::vector<StoredRow> &rows)> onChanges;
         // Called after a failed call, before it is retried. May be empty.
         std::function<void()> onFailure;
+        // Called before each call but the first one, with the time since the previous call ended,
+        // during which changes were not noticed. May be empty.
+        std::function<void(absl::Duration pause)> onCall;
     };
 
     TableFollower(RowStore &store, std::string table, absl::Duration wait, Callbacks callbacks);
@@ -36,6 +40,7 @@
 
 private:
     void run();
+    void reportPause();
     bool readOnce(std::optional<std::int64_t> &version);
     bool followOnce(std::optional<std::int64_t> &version);
 
@@ -43,6 +48,9 @@
     const std::string m_table;
     const absl::Duration m_wait;
     const Callbacks m_callbacks;
+    const core::BootClock m_clock;
+    // Used by the thread only: when the previous call ended.
+    core::Instant m_callEndedAt = absl::InfinitePast();
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
 };
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -36,10 +36,15 @@
     , m_store(directStore, client, [this] { return m_members.peers(); })
     , m_configFollower(m_store, m_options.configTable, ConfigFeedWait,
                        {[this](const auto &rows) { applyConfig(rows); },
-                        [this](const auto &rows) { applyConfig(rows); }, [this] { pullConfig(); }})
+                        [this](const auto &rows) { applyConfig(rows); }, [this] { pullConfig(); },
+                        [this](absl::Duration pause) {
+                            m_configPause = pause;
+                            m_metrics.observe("config_follow_pause_seconds", pause);
+                        }})
     , m_memberFollower(m_store, MemberTable, MemberFeedWait,
                        {[this](const auto &rows) { m_members.replaceAll(rows); },
                         [this](const auto &rows) { m_members.apply(rows); },
+                        {},
                         {}})
 {
     m_members.setSeeds(m_options.seeds);
@@ -179,6 +184,9 @@
 
 void Entry::applyConfig(const std::vector<StoredRow> &rows)
 {
+    telemetry::Event("config_changed")
+        .with("rows", static_cast<std::int64_t>(rows.size()))
+        .with("pause_ms", absl::ToInt64Milliseconds(m_configPause));
     for (const StoredRow &row : rows) {
         if (row.key == m_options.configKey && !row.removed && adoptConfig(row.value, "store"))
             pushConfig(row.value);
@@ -218,8 +226,13 @@
 {
     Json::Value params(Json::objectValue);
     params["config"] = text;
+    const core::Instant begin = m_clock.now();
+    int unanswered = 0;
     for (const http::Endpoint &peer : m_members.peers())
-        m_client.call(peer, "push-config", params, PeerTimeout);
+        unanswered += m_client.call(peer, "push-config", params, PeerTimeout) ? 0 : 1;
+    telemetry::Event("config_pushed")
+        .with("unanswered", unanswered)
+        .with("took_ms", absl::ToInt64Milliseconds(m_clock.now() - begin));
 }
 
 void Entry::pullConfig()
--- a/src/control/tablefollower.cpp
+++ b/src/control/tablefollower.cpp
@@ -40,6 +40,7 @@
 {
     std::optional<std::int64_t> version;
     while (!m_stopping) {
+        reportPause();
         const bool answered = version ? followOnce(version) : readOnce(version);
         if (answered || m_stopping)
             continue;
@@ -49,9 +50,16 @@
     }
 }
 
+void TableFollower::reportPause()
+{
+    if (m_callbacks.onCall && m_callEndedAt != absl::InfinitePast())
+        m_callbacks.onCall(m_clock.now() - m_callEndedAt);
+}
+
 bool TableFollower::readOnce(std::optional<std::int64_t> &version)
 {
     const std::optional<RowPage> page = m_store.table(m_table, StoreTimeout);
+    m_callEndedAt = m_clock.now();
     if (!page)
         return false;
     m_callbacks.onTable(page->rows);
@@ -62,6 +70,7 @@
 bool TableFollower::followOnce(std::optional<std::int64_t> &version)
 {
     const std::optional<RowFeed> feed = m_store.changes(m_table, *version, m_wait);
+    m_callEndedAt = m_clock.now();
     if (!feed)
         return false;
     if (feed->historyLost) {
