Reproduce a configuration that is late while peers do not answer

Cause: the thread that follows the configuration calls the peers in turn. Change: a test with peers that accept calls and never answer; the timeout of calls to peers is an option, so that the test does not depend on time.

--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -22,6 +22,8 @@
     // How long a submission with an unknown outcome is retried. After that the caller gets
     // SubmitOutcome::Unknown and may ask another entry.
     absl::Duration inDoubtTimeout = absl::Seconds(1);
+    // The timeout of calls that a peer answers from memory.
+    absl::Duration peerTimeout = absl::Milliseconds(400);
     // The row that holds the operator's configuration.
     std::string configTable;
     std::string configKey;
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -15,8 +15,6 @@
 // a dead connection is detected soon.
 constexpr absl::Duration ConfigFeedWait = absl::Milliseconds(700);
 constexpr absl::Duration MemberFeedWait = absl::Seconds(2);
-// The timeout of calls that a peer answers from memory.
-constexpr absl::Duration PeerTimeout = absl::Milliseconds(400);
 // The part of a caller's timeout that is reserved for sending the response.
 constexpr absl::Duration ResponseReserve = absl::Milliseconds(40);
 // The timeout of one attempt to store a job. A slow store takes up to a third of a second to
@@ -143,7 +141,7 @@
         return;
     ownLeader->release();
     for (const http::Endpoint &peer : m_members.peers())
-        m_client.call(peer, "handover", Json::Value(Json::objectValue), PeerTimeout);
+        m_client.call(peer, "handover", Json::Value(Json::objectValue), m_options.peerTimeout);
     absl::MutexLock lock(&m_mutex);
     m_leader.reset();
 }
@@ -229,7 +227,7 @@
     const core::Instant begin = m_clock.now();
     int unanswered = 0;
     for (const http::Endpoint &peer : m_members.peers())
-        unanswered += m_client.call(peer, "push-config", params, PeerTimeout) ? 0 : 1;
+        unanswered += m_client.call(peer, "push-config", params, m_options.peerTimeout) ? 0 : 1;
     telemetry::Event("config_pushed")
         .with("unanswered", unanswered)
         .with("took_ms", absl::ToInt64Milliseconds(m_clock.now() - begin));
@@ -241,7 +239,7 @@
     const std::shared_ptr<const workload::Catalog> current = catalog();
     params["have"] = current ? static_cast<Json::Int64>(current->version) : Json::Int64{-1};
     for (const http::Endpoint &peer : m_members.peers()) {
-        const auto answer = m_client.call(peer, "config", params, PeerTimeout);
+        const auto answer = m_client.call(peer, "config", params, m_options.peerTimeout);
         if (answer && answer->isMember("config"))
             adoptConfig(core::stringMember(*answer, "config"), "peer");
     }
@@ -298,7 +296,7 @@
     params["job"] = job;
     const auto answer =
         m_client.call(*address, "job-state", params,
-                      std::min(PeerTimeout, deadline - ResponseReserve - m_clock.now()));
+                      std::min(m_options.peerTimeout, deadline - ResponseReserve - m_clock.now()));
     if (!answer)
         return std::nullopt;
     const auto state = planning::parseJobState(core::stringMember(*answer, "state"));
@@ -378,7 +376,7 @@
     params["queue"] = queue;
     const auto answer =
         m_client.call(*address, "waiting", params,
-                      std::min(PeerTimeout, deadline - ResponseReserve - m_clock.now()));
+                      std::min(m_options.peerTimeout, deadline - ResponseReserve - m_clock.now()));
     if (!answer)
         return std::nullopt;
     return static_cast<int>(core::intMember(*answer, "waiting"));
--- /dev/null
+++ b/test/control/tst_entryconfig.cpp
@@ -0,0 +1,133 @@
+#include "fakerowstore.h"
+#include "silentpeer.h"
+
+#include <oleandercross/control/entry.h>
+
+#include <absl/cleanup/cleanup.h>
+#include <absl/strings/numbers.h>
+#include <absl/time/clock.h>
+#include <catch2/catch.hpp>
+
+#include <memory>
+
+using namespace oleandercross;
+using namespace oleandercross::control;
+
+namespace {
+
+constexpr char ConfigTable[] = "op";
+constexpr char ConfigKey[] = "config";
+// Much longer than any step takes, so that the test does not fail on a slow machine.
+constexpr absl::Duration StateTimeout = absl::Seconds(20);
+
+// A configuration is the text of its version.
+std::optional<workload::Catalog> decodeVersion(const std::string &text)
+{
+    workload::Catalog catalog;
+    return absl::SimpleAtoi(text, &catalog.version) ? std::optional(catalog) : std::nullopt;
+}
+
+// A started entry whose calls to peers have no timeout that could end them during the test.
+struct StartedEntry
+{
+    StartedEntry(testing::FakeRowStore &store, std::vector<http::Endpoint> seeds)
+        : client({}, "key")
+        , server({}, "key")
+        , entry(options(std::move(seeds)), store, client, server, metrics, decodeVersion)
+    {
+        entry.start();
+    }
+
+    ~StartedEntry() { entry.stop(); }
+
+    static EntryOptions options(std::vector<http::Endpoint> seeds)
+    {
+        EntryOptions options;
+        options.self = {"front", MemberRole::Entry, {"127.0.0.1", 7000}, "life"};
+        options.seeds = std::move(seeds);
+        options.configTable = ConfigTable;
+        options.configKey = ConfigKey;
+        options.peerTimeout = absl::Hours(1);
+        return options;
+    }
+
+    std::int64_t configVersion() const
+    {
+        const auto catalog = entry.catalog();
+        return catalog ? catalog->version : -1;
+    }
+
+    bool reachesConfigVersion(std::int64_t version) const
+    {
+        const core::Instant until = clock.now() + StateTimeout;
+        while (configVersion() != version && clock.now() < until)
+            absl::SleepFor(absl::Milliseconds(5));
+        return configVersion() == version;
+    }
+
+    core::BootClock clock;
+    telemetry::Metrics metrics;
+    rpc::Client client;
+    rpc::Server server;
+    Entry entry;
+};
+
+void writeConfig(testing::FakeRowStore &store, std::int64_t version)
+{
+    RowChanges changes;
+    changes.puts.push_back({ConfigTable, ConfigKey, std::to_string(version)});
+    REQUIRE(store.commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
+}
+
+} // namespace
+
+// Guards against an entry that does not read the configuration while it waits for peers that do
+// not answer: callers would be served by an old version for as long as the peers are dark.
+TEST_CASE("configuration changes take effect while peers do not answer", "[!shouldfail]")
+{
+    struct Case
+    {
+        const char *what;
+        int silentPeers;
+        // The entry cannot read the store before the last version is written.
+        bool storeUnavailableAtFirst;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"one silent peer", 1, false},
+        {"more silent peers than calls at a time", 12, false},
+        {"the store returns from an outage", 3, true},
+    }));
+    CAPTURE(c.what);
+    std::vector<std::unique_ptr<testing::SilentPeer>> peers;
+    std::vector<http::Endpoint> addresses;
+    for (int i = 0; i < c.silentPeers; ++i) {
+        peers.push_back(std::make_unique<testing::SilentPeer>());
+        addresses.push_back(peers.back()->address());
+    }
+    const auto calls = [&peers] {
+        int sum = 0;
+        for (const auto &peer : peers)
+            sum += peer->calls();
+        return sum;
+    };
+    testing::FakeRowStore store;
+    writeConfig(store, 1);
+    store.setUnavailable(c.storeUnavailableAtFirst);
+    StartedEntry f(store, addresses);
+    // Ends the pending calls before the entry is stopped.
+    const auto release = absl::MakeCleanup([&peers] {
+        for (const auto &peer : peers)
+            peer->release();
+    });
+    if (c.storeUnavailableAtFirst) {
+        const core::Instant until = f.clock.now() + StateTimeout;
+        while (calls() == 0 && f.clock.now() < until)
+            absl::SleepFor(absl::Milliseconds(5));
+        store.setUnavailable(false);
+    }
+    for (std::int64_t version = 2; version <= 4; ++version) {
+        writeConfig(store, version);
+        REQUIRE(f.reachesConfigVersion(version));
+    }
+    CHECK(calls() > 0);
+}
