Notify peers in parallel when a leader or an agent stops

Looked at and left: RelayedStore tries two peers at most; an agent announces itself to three seeds at most, on a thread of its own; LeaseDriver, Term and TermGangs already call in parallel. Change: callPeers() becomes rpc::broadcast() and serves both. Result: the new unit case, eight peers that do not answer, failed before (one was called) and passes.

--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -1,8 +1,8 @@
 #include <oleandercross/control/configreplica.h>
 
-#include <oleandercross/control/peercalls.h>
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
+#include <oleandercross/rpc/broadcast.h>
 #include <oleandercross/telemetry/eventlog.h>
 
 #include <algorithm>
@@ -172,7 +172,7 @@
     const core::Instant begin = m_clock.now();
     const std::vector<http::Endpoint> peers = m_callbacks.peers();
     const int answered =
-        callPeers(m_client, peers, "config-version", params, m_options.peerTimeout);
+        rpc::broadcast(m_client, peers, "config-version", params, m_options.peerTimeout);
     telemetry::Event("config_announced")
         .with("version", core::intMember(params, "version"))
         .with("unanswered", static_cast<std::int64_t>(peers.size()) - answered)
@@ -204,11 +204,11 @@
         absl::MutexLock lock(&m_mutex);
         params["have"] = static_cast<Json::Int64>(version());
     }
-    callPeers(m_client, peers, "config", params, m_options.peerTimeout,
-              [this](const Json::Value &answer) {
-                  if (answer.isMember("config"))
-                      adopt(core::stringMember(answer, "config"), "peer");
-              });
+    rpc::broadcast(m_client, peers, "config", params, m_options.peerTimeout,
+                   [this](const Json::Value &answer) {
+                       if (answer.isMember("config"))
+                           adopt(core::stringMember(answer, "config"), "peer");
+                   });
 }
 
 } // namespace oleandercross::control
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
+#include <oleandercross/rpc/broadcast.h>
 #include <oleandercross/telemetry/eventlog.h>
 #include <oleandercross/workload/codec.h>
 
@@ -122,8 +123,8 @@
     if (!ownLeader)
         return;
     ownLeader->release();
-    for (const http::Endpoint &peer : m_members.peers())
-        m_client.call(peer, "handover", Json::Value(Json::objectValue), m_options.peerTimeout);
+    rpc::broadcast(m_client, m_members.peers(), "handover", Json::Value(Json::objectValue),
+                   m_options.peerTimeout);
     absl::MutexLock lock(&m_mutex);
     m_leader.reset();
 }
--- a/src/daemon/heartbeater.cpp
+++ b/src/daemon/heartbeater.cpp
@@ -3,6 +3,7 @@
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/daemon/manifestservice.h>
+#include <oleandercross/rpc/broadcast.h>
 #include <oleandercross/telemetry/log.h>
 
 #include <absl/strings/str_cat.h>
@@ -65,8 +66,10 @@
     Json::Value params;
     params["agent"] = m_settings.id;
     params["incarnation"] = static_cast<Json::Int64>(m_incarnation);
+    std::vector<http::Endpoint> entries;
     for (const config::EntryAddress &entry : m_settings.entries)
-        m_client.call(entry.rpc, "leave", params, CallTimeout);
+        entries.push_back(entry.rpc);
+    rpc::broadcast(m_client, entries, "leave", params, CallTimeout);
 }
 
 bool Heartbeater::ready() const
--- a/src/control/peercalls.cpp
+++ b/src/rpc/broadcast.cpp
@@ -1,10 +1,10 @@
-#include <oleandercross/control/peercalls.h>
+#include <oleandercross/rpc/broadcast.h>
 
 #include <algorithm>
 #include <atomic>
 #include <thread>
 
-namespace oleandercross::control {
+namespace oleandercross::rpc {
 
 namespace {
 
@@ -12,15 +12,15 @@
 
 } // namespace
 
-int callPeers(rpc::Client &client, const std::vector<http::Endpoint> &peers,
+int broadcast(Client &client, const std::vector<http::Endpoint> &endpoints,
               const std::string &method, const Json::Value &params, absl::Duration timeout,
-              const PeerAnswerHandler &onAnswer)
+              const AnswerHandler &onAnswer)
 {
     std::atomic<std::size_t> next = 0;
     std::atomic<int> answered = 0;
     const auto callRemaining = [&] {
-        for (std::size_t i = next++; i < peers.size(); i = next++) {
-            const auto answer = client.call(peers[i], method, params, timeout);
+        for (std::size_t i = next++; i < endpoints.size(); i = next++) {
+            const auto answer = client.call(endpoints[i], method, params, timeout);
             if (!answer)
                 continue;
             ++answered;
@@ -30,7 +30,7 @@
     };
     // The calling thread makes calls as well.
     std::vector<std::thread> helpers;
-    for (std::size_t i = 1; i < std::min(peers.size(), MaxParallelCalls); ++i)
+    for (std::size_t i = 1; i < std::min(endpoints.size(), MaxParallelCalls); ++i)
         helpers.emplace_back(callRemaining);
     callRemaining();
     for (std::thread &helper : helpers)
@@ -38,4 +38,4 @@
     return answered;
 }
 
-} // namespace oleandercross::control
+} // namespace oleandercross::rpc
--- a/test/control/tst_entryconfig.cpp
+++ b/test/control/tst_entrypeers.cpp
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <thread>
 
 using namespace oleandercross;
 using namespace oleandercross::control;
@@ -73,6 +74,15 @@
         return options;
     }
 
+    template <typename Condition>
+    bool waitUntil(Condition condition) const
+    {
+        const core::Instant until = clock.now() + StateTimeout;
+        while (!condition() && clock.now() < until)
+            absl::SleepFor(absl::Milliseconds(5));
+        return condition();
+    }
+
     std::int64_t configVersion() const
     {
         const auto catalog = entry.catalog();
@@ -81,10 +91,7 @@
 
     bool reachesConfigVersion(std::int64_t version) const
     {
-        const core::Instant until = clock.now() + StateTimeout;
-        while (configVersion() != version && clock.now() < until)
-            absl::SleepFor(absl::Milliseconds(5));
-        return configVersion() == version;
+        return waitUntil([&] { return configVersion() == version; });
     }
 
     core::BootClock clock;
@@ -94,6 +101,41 @@
     Entry entry;
 };
 
+class SilentPeers
+{
+public:
+    explicit SilentPeers(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            m_peers.push_back(std::make_unique<testing::SilentPeer>());
+    }
+
+    std::vector<http::Endpoint> addresses() const
+    {
+        std::vector<http::Endpoint> addresses;
+        for (const auto &peer : m_peers)
+            addresses.push_back(peer->address());
+        return addresses;
+    }
+
+    int calls() const
+    {
+        int sum = 0;
+        for (const auto &peer : m_peers)
+            sum += peer->calls();
+        return sum;
+    }
+
+    void release()
+    {
+        for (const auto &peer : m_peers)
+            peer->release();
+    }
+
+private:
+    std::vector<std::unique_ptr<testing::SilentPeer>> m_peers;
+};
+
 void writeConfig(testing::FakeRowStore &store, std::int64_t version)
 {
     RowChanges changes;
@@ -120,38 +162,22 @@
         {"the store returns from an outage", 3, true},
     }));
     CAPTURE(c.what);
-    std::vector<std::unique_ptr<testing::SilentPeer>> peers;
-    std::vector<http::Endpoint> addresses;
-    for (int i = 0; i < c.silentPeers; ++i) {
-        peers.push_back(std::make_unique<testing::SilentPeer>());
-        addresses.push_back(peers.back()->address());
-    }
-    const auto calls = [&peers] {
-        int sum = 0;
-        for (const auto &peer : peers)
-            sum += peer->calls();
-        return sum;
-    };
+    SilentPeers peers(c.silentPeers);
     testing::FakeRowStore store;
     writeConfig(store, 1);
     store.setUnavailable(c.storeUnavailableAtFirst);
-    StartedEntry f(store, addresses);
+    StartedEntry f(store, peers.addresses());
     // Ends the pending calls before the entry is stopped.
-    const auto release = absl::MakeCleanup([&peers] {
-        for (const auto &peer : peers)
-            peer->release();
-    });
+    const auto release = absl::MakeCleanup([&peers] { peers.release(); });
     if (c.storeUnavailableAtFirst) {
-        const core::Instant until = f.clock.now() + StateTimeout;
-        while (calls() == 0 && f.clock.now() < until)
-            absl::SleepFor(absl::Milliseconds(5));
+        REQUIRE(f.waitUntil([&] { return peers.calls() > 0; }));
         store.setUnavailable(false);
     }
     for (std::int64_t version = 2; version <= 4; ++version) {
         writeConfig(store, version);
         REQUIRE(f.reachesConfigVersion(version));
     }
-    CHECK(calls() > 0);
+    CHECK(peers.calls() > 0);
 }
 
 // Guards against an entry that keeps an old configuration because the store does not answer it.
@@ -170,3 +196,19 @@
         REQUIRE(other.reachesConfigVersion(version));
     }
 }
+
+// Guards against a planned stop that waits for one silent peer after the other, exceeds its grace
+// period and is ended by a signal with requests in flight.
+TEST_CASE("a stopping leader notifies all peers while none of them answers")
+{
+    constexpr int PeerCount = 8;
+    SilentPeers peers(PeerCount);
+    testing::FakeRowStore store;
+    StartedEntry f(store, peers.addresses());
+    const auto hasLeader = [&] { return store.value(LeaderTable, LeaderKey).has_value(); };
+    REQUIRE(f.waitUntil(hasLeader));
+    std::thread stopping([&f] { f.entry.beginStop(); });
+    CHECK(f.waitUntil([&] { return peers.calls() == PeerCount; }));
+    peers.release();
+    stopping.join();
+}
