Log the runs that end with their worker

Cause: a run that ends because its worker crashes left no line and no count. Change: run_lost and runs_lost{reason}; agents report whether the worker's process ended without being asked to.

--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -42,6 +42,8 @@
     std::optional<WorkerReport> worker;
     // Nothing runs on the worker any more: it crashed, deregistered or its lease expired.
     bool workerLost = false;
+    // The worker is lost because its process has ended without being asked to.
+    bool workerCrashed = false;
     // The worker has listed its runs since it registered, so that `runs` is complete.
     bool listed = false;
     WorkerRuns runs;
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -100,7 +100,10 @@
     void applyRuns(const std::string &incarnation, const AgentState &state,
                    planning::Worker &worker, core::Instant now);
     void applyResults(const OrderResults &results);
-    void dropOtherIncarnations(const std::string &agent, const std::string &incarnation);
+    // Removes an incarnation of a worker and logs the runs that are lost with it.
+    void removeWorker(const std::string &incarnation, planning::WorkerEnd end, core::Instant now);
+    void dropOtherIncarnations(const std::string &agent, const std::string &incarnation,
+                               core::Instant now);
     void handleUnresponsiveWorkers(core::Instant now);
     bool store(const std::set<std::string> &changed);
     void publish(const std::set<std::string> &changed);
--- a/include/oleandercross/planning/cluster.h
+++ b/include/oleandercross/planning/cluster.h
@@ -31,6 +31,14 @@
     friend bool operator==(const Worker &, const Worker &) = default;
 };
 
+// Why an incarnation of a worker ended. Crashed: its process ended without being asked to. Left: it
+// was draining or deregistered. LeaseExpired: it was out of contact for so long that all its runs
+// have ended.
+enum class WorkerEnd { Crashed, Left, LeaseExpired };
+
+// Returns "crashed", "left" or "lease expired".
+const char *toString(WorkerEnd end);
+
 // Returns true if the worker has the label or the label is empty.
 bool hasLabel(const Worker &worker, const std::string &label);
 
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -72,8 +72,9 @@
 
     void updateWorker(const Worker &worker);
     // Removes an incarnation of a worker that is permanently lost or was replaced by a new one; all
-    // its runs have ended.
-    void removeWorker(const std::string &key);
+    // its runs have ended. Returns the runs that were active on it.
+    std::vector<workload::RunKey> removeWorker(const std::string &key, WorkerEnd end,
+                                               core::Instant now);
 
     // Starts a complete listing of the worker's runs, which is passed by calls of runSeen() and
     // runEnded().
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -94,6 +94,7 @@
             .with("service", report.service)
             .with("rack", report.rack);
         m_state.workerLost = false;
+        m_state.workerCrashed = false;
         m_state.listed = false;
         m_state.runs = {};
         m_acknowledged = 0;
@@ -112,6 +113,7 @@
         // A heartbeat proves that the worker is running, even if its connections failed.
         telemetry::Event("worker_back").with("worker", report.id);
         m_state.workerLost = false;
+        m_state.workerCrashed = false;
         m_state.listed = false;
         m_refusedConnections = 0;
         m_failingSince = absl::InfiniteFuture();
@@ -277,6 +279,7 @@
     if (!ended && now < m_leaseEnd)
         return;
     m_state.workerLost = true;
+    m_state.workerCrashed = ended && !m_state.worker->draining;
     telemetry::Event("worker_gone")
         .with("worker", worker.id)
         .with("outcome", toString(outcome))
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -129,6 +129,7 @@
     if (state.worker)
         value["worker"] = toJson(*state.worker);
     value["gone"] = state.workerLost;
+    value["crashed"] = state.workerCrashed;
     value["listed"] = state.listed;
     value["listedAge"] = toMilliseconds(state.runListAge);
     for (const RunningTask &task : state.runs.running) {
@@ -160,6 +161,7 @@
             return std::nullopt;
     }
     state.workerLost = core::boolMember(value, "gone");
+    state.workerCrashed = core::boolMember(value, "crashed");
     state.listed = core::boolMember(value, "listed");
     state.runListAge = absl::Milliseconds(core::intMember(value, "listedAge"));
     for (const Json::Value &row : core::member(value, "running")) {
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -51,13 +51,30 @@
     }
 }
 
-void Leader::dropOtherIncarnations(const std::string &agent, const std::string &incarnation)
+void Leader::dropOtherIncarnations(const std::string &agent, const std::string &incarnation,
+                                   core::Instant now)
 {
     for (const std::string &other : m_planner.workerKeys(agent + "/")) {
         if (other == incarnation)
             continue;
         telemetry::Event("worker_life_ended").with("life", other).with("by", incarnation);
-        m_planner.removeWorker(other);
+        const auto worker = m_planner.workers().find(other);
+        const bool draining = worker != m_planner.workers().end() && worker->second.draining;
+        removeWorker(other, draining ? planning::WorkerEnd::Left : planning::WorkerEnd::Crashed,
+                     now);
+    }
+}
+
+void Leader::removeWorker(const std::string &incarnation, planning::WorkerEnd end,
+                          core::Instant now)
+{
+    for (const workload::RunKey &run : m_planner.removeWorker(incarnation, end, now)) {
+        m_metrics.add(absl::StrCat("runs_lost{reason=\"", toString(end), "\"}"));
+        telemetry::Event("run_lost")
+            .with("task", toString(run.task))
+            .with("run", run.run)
+            .with("worker", incarnation)
+            .with("reason", toString(end));
     }
 }
 
@@ -66,7 +83,7 @@
     if (!state.worker)
         return;
     const std::string incarnation = incarnationKey(agent, *state.worker);
-    dropOtherIncarnations(agent, incarnation);
+    dropOtherIncarnations(agent, incarnation, now);
     m_incarnationSeenAt[incarnation] = state.receivedAt;
     planning::Worker worker;
     worker.key = incarnation;
@@ -81,7 +98,11 @@
         worker.leavesAt = now + state.worker->drainRemaining;
     applyRuns(incarnation, state, worker, now);
     if (state.workerLost) {
-        m_planner.removeWorker(incarnation);
+        removeWorker(incarnation,
+                     state.workerCrashed          ? planning::WorkerEnd::Crashed
+                         : state.worker->draining ? planning::WorkerEnd::Left
+                                                  : planning::WorkerEnd::LeaseExpired,
+                     now);
         return;
     }
     m_planner.updateWorker(worker);
@@ -168,7 +189,7 @@
                       lastReported == absl::InfinitePast()
                           ? std::int64_t{-1}
                           : absl::ToInt64Milliseconds(now - lastReported));
-            m_planner.removeWorker(incarnation);
+            removeWorker(incarnation, planning::WorkerEnd::LeaseExpired, now);
             m_incarnationSeenAt.erase(incarnation);
             continue;
         }
--- a/src/planning/cluster.cpp
+++ b/src/planning/cluster.cpp
@@ -1,6 +1,7 @@
 #include <oleandercross/planning/cluster.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace oleandercross::planning {
@@ -26,6 +27,12 @@
 
 } // namespace
 
+const char *toString(WorkerEnd end)
+{
+    constexpr std::array<const char *, 3> Names = {"crashed", "left", "lease expired"};
+    return Names.at(static_cast<std::size_t>(end));
+}
+
 bool hasLabel(const Worker &worker, const std::string &label)
 {
     return label.empty()
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -99,16 +99,20 @@
     m_workers.insert_or_assign(worker.key, worker);
 }
 
-void Planner::removeWorker(const std::string &key)
+std::vector<workload::RunKey> Planner::removeWorker(const std::string &key, WorkerEnd /*end*/,
+                                                    core::Instant /*now*/)
 {
     m_workers.erase(key);
     m_health.removeWorker(key);
     m_speeds.removeWorker(key);
     m_heldByEndingMembers.erase(key);
-    forEachActiveTask(key, [this, &key](const workload::TaskKey &task, Task &run) {
-        m_jobs.at(task.job).requeue({task, run.run}, key);
+    std::vector<workload::RunKey> lost;
+    forEachActiveTask(key, [this, &key, &lost](const workload::TaskKey &task, Task &run) {
+        lost.push_back({task, run.run});
+        m_jobs.at(task.job).requeue(lost.back(), key);
         m_changed.insert(task.job);
     });
+    return lost;
 }
 
 void Planner::forEachActiveTask(const std::string &worker,
--- a/test/planning/tst_planner.cpp
+++ b/test/planning/tst_planner.cpp
@@ -265,7 +265,7 @@
     f.planner.runSeen("w0", first[0].run, "c1", 40, f.now);
     f.planner.updateWorker(f.worker(1));
     CHECK(f.planStarts().empty());
-    f.planner.removeWorker("w0");
+    f.planner.removeWorker("w0", WorkerEnd::LeaseExpired, f.now);
     const auto second = f.planStarts();
     REQUIRE(second.size() == 1);
     CHECK(second[0].worker == "w1");
@@ -357,7 +357,7 @@
                                         fixture.planner.job("j")->encode(), restored.now));
     CHECK(restored.planner.workerKeys() == std::set<std::string>{"w0", "w1"});
     CHECK(restored.planner.workerKeys("w1") == std::set<std::string>{"w1"});
-    restored.planner.removeWorker("w1");
+    restored.planner.removeWorker("w1", WorkerEnd::LeaseExpired, restored.now);
     CHECK(restored.planner.workerKeys() == std::set<std::string>{"w0"});
     restored.planner.runEnded("w0", {{"j", 0, 0, starts[0].run.task.index}, 1}, RunEnd::Stopped, {},
                               restored.now);
