--- a/test/planning/tst_planner.cpp
+++ b/test/planning/tst_planner.cpp
@@ -255,6 +255,34 @@
     CHECK(starts.size() == 4);
 }
 
+// Guards against starts that exceed the capacity of a worker that has shrunk while tasks run on it.
+TEST_CASE("starts follow a capacity that shrinks and grows")
+{
+    PlannerFixture f(1);
+    Worker worker = f.worker(0);
+    const auto resize = [&f, &worker](std::int64_t accelerators) {
+        worker.capacity.accelerators = accelerators;
+        f.planner.updateWorker(worker);
+    };
+    f.planner.addJob(f.job("first", 1, 1, 6), f.now);
+    const auto first = f.planStarts();
+    REQUIRE(first.size() == 1);
+    f.confirm(first);
+    resize(4);
+    f.planner.addJob(f.job("second", 1, 2, 2, false), f.now);
+    f.planner.addJob(f.job("urgent", 0, 1, 4), f.now);
+    CHECK(f.planStarts().empty());
+    f.end(first[0], RunEnd::Stopped);
+    const auto urgent = f.planStarts();
+    REQUIRE(urgent.size() == 1);
+    CHECK(urgent[0].run.task.job == "urgent");
+    f.confirm(urgent);
+    resize(7);
+    const auto second = f.planStarts();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].run.task.job == "second");
+}
+
 // Guards against treating a worker as idle when its runs are merely missing from its listing.
 TEST_CASE("tasks of a removed worker are restarted elsewhere as a new run")
 {
