--- a/src/daemon/leasedriver.cpp
+++ b/src/daemon/leasedriver.cpp
@@ -2,11 +2,11 @@
 
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
+#include <oleandercross/rpc/broadcast.h>
 #include <oleandercross/telemetry/log.h>
 
 #include <absl/strings/str_cat.h>
 
-#include <thread>
 #include <vector>
 
 namespace oleandercross::daemon {
@@ -166,18 +166,14 @@
 // stop() waits for running tasks but drops queued ones.
 void LeaseDriver::run(const ownership::AnnounceRelease &action)
 {
-    std::vector<std::thread> calls;
+    std::vector<http::Endpoint> peers;
     for (const config::EntryAddress &entry : m_settings.entries) {
-        if (entry.id.str() == m_settings.id || entry.dataCentre != m_settings.dataCentre)
-            continue;
-        calls.emplace_back([this, entry, epoch = action.epoch] {
-            Json::Value message;
-            message["epoch"] = static_cast<Json::Int64>(epoch);
-            m_client.call(entry.rpc, "leaseReleased", message, AnnounceTimeout);
-        });
+        if (entry.id.str() != m_settings.id && entry.dataCentre == m_settings.dataCentre)
+            peers.push_back(entry.rpc);
     }
-    for (std::thread &call : calls)
-        call.join();
+    Json::Value message;
+    message["epoch"] = static_cast<Json::Int64>(action.epoch);
+    rpc::broadcast(m_client, peers, "leaseReleased", message, AnnounceTimeout);
 }
 
 void LeaseDriver::epochSeen(ownership::Epoch epoch)
