Pace wide urgent jobs with long tasks to their deadline

Cause: priority 0 goes first and jobs of priority 0 cannot pre-empt each other, so a wide job took each worker that became free. Its latency objective assumes that a step uses a quarter of the service at a time; the planner used all of it. The class of fault: head-of-line blocking of short work behind long work. Change: a step of an urgent job whose tasks run for longer than the typical objective of recent urgent jobs runs only as wide as its deadline requires, with a margin, and at least a quarter of the service. Guaranteed work, gangs and lower priorities are exempt.

--- a/include/oleandercross/planning/estimates.h
+++ b/include/oleandercross/planning/estimates.h
@@ -64,12 +64,16 @@
     std::map<std::string, QueueStatistics> m_queues;
 };
 
-// Forecasts how many accelerators urgent jobs (of priority 0) request, so that capacity can be
-// reserved for them.
+// Records the recent urgent jobs (of priority 0): forecasts how many accelerators they request, so
+// that capacity can be reserved for them, and how long they can wait.
 class UrgentDemandForecast
 {
 public:
-    void recordJob(std::int64_t accelerators, core::Instant now);
+    void recordJob(std::int64_t accelerators, absl::Duration objective, core::Instant now);
+
+    // Returns the geometric mean of the latency objectives of recent urgent jobs, infinite if there
+    // were none.
+    absl::Duration typicalObjective() const;
 
     // Returns the accelerators that urgent jobs request within the horizon if the number of
     // these jobs is one standard deviation above its mean.
@@ -79,6 +83,8 @@
     // Exponentially decaying sums.
     double m_jobs = 0;
     double m_accelerators = 0;
+    // Logarithms of the objectives in milliseconds.
+    double m_logObjectives = 0;
     core::Instant m_updatedAt = absl::InfinitePast();
 };
 
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -144,6 +144,13 @@
     absl::Duration taskTime(const JobRecord &record, const StepProgress &progress,
                             const workload::Step &spec) const;
     // Returns the number of consecutive waves in which the tasks of a step are expected to run.
+    // Returns how many tasks of a step form a wave: as many as fit into a quarter of the service.
+    static int tasksPerWave(const JobRecord &record, const workload::Step &spec,
+                            const Round &round);
+    // Returns how many tasks of the unit's step may run at the same time. Other jobs of priority 0
+    // cannot pre-empt them. If they run for longer than such jobs can wait, the step runs only as
+    // wide as its deadline requires, but at least one wave.
+    int maxParallelTasks(const SchedulingUnit &unit, const Round &round) const;
     static int waves(const JobRecord &record, const workload::Step &spec, const Round &round);
     // Sets the expected times, the deadlines and the value density of a unit from the remaining
     // work of its occurrence.
--- a/src/planning/estimates.cpp
+++ b/src/planning/estimates.cpp
@@ -98,15 +98,24 @@
     return absl::Milliseconds(std::exp(expectedLogMs));
 }
 
-void UrgentDemandForecast::recordJob(std::int64_t accelerators, core::Instant now)
+void UrgentDemandForecast::recordJob(std::int64_t accelerators, absl::Duration objective,
+                                     core::Instant now)
 {
     const double decayFactor =
         m_jobs > 0 ? std::exp2(-absl::FDivDuration(now - m_updatedAt, UrgentDemandHalfLife)) : 0;
     m_jobs = m_jobs * decayFactor + 1;
     m_accelerators = m_accelerators * decayFactor + static_cast<double>(accelerators);
+    m_logObjectives = m_logObjectives * decayFactor
+        + std::log(std::max(1.0, absl::ToDoubleMilliseconds(objective)));
     m_updatedAt = now;
 }
 
+absl::Duration UrgentDemandForecast::typicalObjective() const
+{
+    return m_jobs > 0 ? absl::Milliseconds(std::exp(m_logObjectives / m_jobs))
+                      : absl::InfiniteDuration();
+}
+
 double UrgentDemandForecast::forecastAccelerators(core::Instant now, absl::Duration horizon) const
 {
     if (m_jobs <= 0)
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -347,11 +347,16 @@
         tryPlace(unit, wanted, round);
         return;
     }
+    auto parallel = std::count_if(unit.progress->tasks.begin(), unit.progress->tasks.end(),
+                                  [](const Task &t) { return t.phase == TaskPhase::Active; });
+    const int maxParallel = maxParallelTasks(unit, round);
     SchedulingUnit one = unit;
     // The request of a task without failed runs, which the other such tasks share if starting one
     // of them does not change the limits of the workers.
     std::optional<PlacementRequest> shared;
     for (const int index : unit.taskIndices) {
+        if (parallel++ >= maxParallel)
+            return;
         one.taskIndices = {index};
         const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
         const bool canShare =
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -77,7 +77,7 @@
     for (const workload::Step &step : job.steps)
         peakAccelerators = std::max(peakAccelerators, step.tasks * step.perTask.accelerators);
     if (job.terms.priority == 0)
-        m_urgentDemand.recordJob(peakAccelerators, now);
+        m_urgentDemand.recordJob(peakAccelerators, workload::latencyObjective(job), now);
 }
 
 void Planner::cancelJob(const std::string &id, core::Instant now)
--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -29,6 +29,9 @@
 // A step is expected to use at most 1 / WaveCapacityDivisor of the service's task slots at a time;
 // a larger step runs in several waves.
 constexpr int WaveCapacityDivisor = 4;
+// A paced step runs with this multiple of the parallel tasks that its deadline requires, since runs
+// get lost and estimates err.
+constexpr double PaceMargin = 1.5;
 
 // Returns 0 if the job cannot complete by `limit`, otherwise a factor that rises to 1 as the slack
 // falls to 0.
@@ -51,15 +54,38 @@
                     m_estimates.expectedTime(record.job().queue, spec.estimateMs));
 }
 
-int Planner::waves(const JobRecord &record, const workload::Step &spec, const Round &round)
+int Planner::tasksPerWave(const JobRecord &record, const workload::Step &spec, const Round &round)
 {
     int totalSlots = 0;
     for (const WorkerClass &workers : round.workerClasses) {
         if (workers.service == record.job().terms.service)
             totalSlots += workers.count * fittingTaskCount(spec.perTask, workers.capacity);
     }
-    const int tasksPerWave = std::max(1, totalSlots / WaveCapacityDivisor);
-    return (spec.tasks + tasksPerWave - 1) / tasksPerWave;
+    return std::max(1, totalSlots / WaveCapacityDivisor);
+}
+
+int Planner::waves(const JobRecord &record, const workload::Step &spec, const Round &round)
+{
+    const int perWave = tasksPerWave(record, spec, round);
+    return (spec.tasks + perWave - 1) / perWave;
+}
+
+int Planner::maxParallelTasks(const SchedulingUnit &unit, const Round &round) const
+{
+    const bool delaysUrgentJobs = unit.record->job().terms.priority == 0 && !unit.guaranteed
+        && unit.taskTime > m_urgentDemand.typicalObjective();
+    if (!delaysUrgentJobs || unit.spec->gang)
+        return unit.spec->tasks;
+    const auto remainingTasks =
+        std::count_if(unit.progress->tasks.begin(), unit.progress->tasks.end(),
+                      [](const Task &t) { return t.phase != TaskPhase::Done; });
+    const bool canMeetDeadline = round.now + unit.taskTime < unit.deadline;
+    const core::Instant end = canMeetDeadline ? unit.deadline : unit.zeroValueAt;
+    const absl::Duration timeLeft = std::max(end - round.now, unit.taskTime);
+    const double required =
+        static_cast<double>(remainingTasks) * absl::FDivDuration(unit.taskTime, timeLeft);
+    return std::max(tasksPerWave(*unit.record, *unit.spec, round),
+                    static_cast<int>(std::ceil(PaceMargin * required)));
 }
 
 void Planner::estimateTimesAndValue(SchedulingUnit &unit, const Occurrence &occurrence,
--- a/test/planning/tst_estimates.cpp
+++ b/test/planning/tst_estimates.cpp
@@ -71,7 +71,7 @@
     UrgentDemandForecast demand;
     CHECK(demand.forecastAccelerators(Start, absl::Seconds(1)) == 0);
     for (int i = 0; i < 20; ++i)
-        demand.recordJob(8, Start + absl::Seconds(i));
+        demand.recordJob(8, absl::Seconds(3), Start + absl::Seconds(i));
     const core::Instant now = Start + absl::Seconds(20);
     const double withinOneSecond = demand.forecastAccelerators(now, absl::Seconds(1));
     CHECK(withinOneSecond >= 8);
@@ -80,6 +80,18 @@
     CHECK(demand.forecastAccelerators(now + absl::Minutes(5), absl::Seconds(1)) < 1);
 }
 
+// Guards against long jobs that make urgent jobs seem to tolerate long waits.
+TEST_CASE("the typical objective of urgent jobs is that of most recent ones", "[planning]")
+{
+    UrgentDemandForecast demand;
+    CHECK(demand.typicalObjective() == absl::InfiniteDuration());
+    for (int i = 0; i < 20; ++i)
+        demand.recordJob(8, i % 10 == 0 ? absl::Seconds(300) : absl::Seconds(3),
+                         Start + absl::Seconds(i));
+    CHECK(demand.typicalObjective() > absl::Seconds(3));
+    CHECK(demand.typicalObjective() < absl::Seconds(6));
+}
+
 TEST_CASE("a worker that is slower than others gets a lower speed", "[planning]")
 {
     WorkerSpeeds speeds;
