--- a/include/oleandercross/control/configreplica.h
+++ b/include/oleandercross/control/configreplica.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include <oleandercross/control/tablefollower.h>
-#include <oleandercross/core/condvar.h>
 #include <oleandercross/rpc/rpc.h>
 #include <oleandercross/telemetry/metrics.h>
 #include <oleandercross/workload/catalog.h>
 
+#include <absl/synchronization/mutex.h>
+
+#include <functional>
 #include <map>
 #include <memory>
+#include <thread>
 
 namespace oleandercross::control {
 
@@ -44,8 +47,9 @@
     ConfigReplica(const ConfigReplica &) = delete;
     ConfigReplica &operator=(const ConfigReplica &) = delete;
 
-    // Registers the RPC methods that peers call.
+    // Registers the RPC methods that peers call. Must be called before the server is started.
     void serve(rpc::Server &server);
+    // Starts following the store.
     void start();
     void stop();
 
@@ -54,6 +58,8 @@
 
 private:
     void applyRows(const std::vector<StoredRow> &rows);
+    // Replaces the configuration if the text is a newer version. Returns false if it is not, or if
+    // it cannot be decoded.
     bool adopt(const std::string &text, const char *source);
     std::int64_t version() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     bool hasPeerWork() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -70,6 +76,7 @@
     const CatalogDecoder m_decoder;
     const Callbacks m_callbacks;
     const core::BootClock m_clock;
+    // Held while a version is adopted; no calls to other processes are made under it.
     absl::Mutex m_adoptMutex;
     mutable absl::Mutex m_mutex;
     std::shared_ptr<const workload::Catalog> m_catalog ABSL_GUARDED_BY(m_mutex);
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -168,10 +168,10 @@
     // Returns true if a pending task of the unit is suspected to crash workers and has been started
     // recently; after a while it may start beside others, so that it does not wait without a limit.
     static bool isSuspect(const SchedulingUnit &unit, core::Instant now);
-    // Returns true if the unit may start on the worker without hiding which task crashes it. A
-    // suspected task starts only where no other start is recent, and nothing starts beside it until
-    // it has run for a while.
-    static bool allowsBlame(bool suspect, int worker, const Round &round);
+    // Returns true if the unit may start beside the worker's recent starts, so that a crash of the
+    // worker can still be attributed to one task: a suspected task starts only where no other start
+    // is recent, and nothing starts beside it until it has run for a while.
+    static bool mayShareWorker(bool suspect, int worker, const Round &round);
     static std::vector<bool> workersWithFailedRuns(const SchedulingUnit &unit, const Round &round);
     // Returns the speed class of the worker, see PlacementRequest.
     int speedClass(const std::string &worker) const;
--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -100,15 +100,15 @@
     telemetry::Event("config_changed")
         .with("rows", static_cast<std::int64_t>(rows.size()))
         .with("pause_ms", absl::ToInt64Milliseconds(m_followPause));
-    // A response may contain several versions of the row; only the last one matters.
-    const auto isConfig = [this](const StoredRow &row) {
-        return row.key == m_options.key && !row.removed;
-    };
-    const auto newest = std::find_if(rows.rbegin(), rows.rend(), isConfig);
-    if (newest == rows.rend() || !adopt(newest->value, "store"))
+    // A response may contain several versions of the row, of which only the newest readable one is
+    // needed.
+    for (auto row = rows.rbegin(); row != rows.rend(); ++row) {
+        if (row->key != m_options.key || row->removed || !adopt(row->value, "store"))
+            continue;
+        absl::MutexLock lock(&m_mutex);
+        m_announcePending = true;
         return;
-    absl::MutexLock lock(&m_mutex);
-    m_announcePending = true;
+    }
 }
 
 bool ConfigReplica::adopt(const std::string &text, const char *source)
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -15,13 +15,16 @@
 constexpr std::array<const char *, 6> RunEndNames = {"completed", "failed", "stopped",
                                                      "lapsed",    "broken", "alone"};
 
-// A job fails when a task has crashed this many workers right after its start, or this many workers
-// have crashed under it at any time. A task that did not cause the first crashes seldom gets there,
-// since suspected tasks start apart from others.
+// A job fails when this many workers have crashed right after the start of one of its tasks. A task
+// that did not cause the first crash seldom gets there, since suspected tasks start apart from
+// others.
 constexpr int MaxStartCrashes = 3;
+// A job also fails when this many workers have crashed under one of its tasks at any time. The
+// platform allows two more starts after three crashes.
 constexpr int MaxCrashes = 5;
-// Agents notice the crash of a worker within 0.3 s; the rest is for the way to the leader.
-constexpr absl::Duration CrashBlameTime = absl::Seconds(1);
+// A crash of the worker within this time of a confirmed start is attributed to the task. Agents
+// notice a crash within 0.3 s; the rest is for the report to the leader.
+constexpr absl::Duration CrashAttributionTime = absl::Seconds(1);
 
 void resetRun(Task &task)
 {
@@ -84,7 +87,7 @@
 
 bool Task::startedRecently(core::Instant now) const
 {
-    return now - runningSince < CrashBlameTime;
+    return now - runningSince < CrashAttributionTime;
 }
 
 bool Occurrence::complete() const
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -243,7 +243,7 @@
     for (std::size_t i = 0; i < workerCount; ++i) {
         const auto worker = static_cast<int>(i);
         if (limits[i] <= 0 || !suitableClasses[static_cast<std::size_t>(round.classes[i])]
-            || !isEligible(unit, worker, round) || !allowsBlame(suspect, worker, round))
+            || !isEligible(unit, worker, round) || !mayShareWorker(suspect, worker, round))
             continue;
         const int suspicionLevel = round.suspicionLevels[i];
         request.penalties[i] = suspicionLevel + (failedHere[i] ? 2 : 0)
@@ -292,7 +292,7 @@
     });
 }
 
-bool Planner::allowsBlame(bool suspect, int worker, const Round &round)
+bool Planner::mayShareWorker(bool suspect, int worker, const Round &round)
 {
     const auto index = static_cast<std::size_t>(worker);
     return suspect ? !round.hasRecentStart[index] : !round.onProbation[index];
