--- a/support/platformstandin.py
+++ b/support/platformstandin.py
@@ -204,6 +204,13 @@
             self.runs, self.last_runs, self.ended = {}, {}, []
             self.on_event("life", self, None, 0, None)
 
+    def crash(self, generation):
+        """Ends this incarnation, if it is still the given one, and starts the next one."""
+        with self.changed:
+            if generation == self.generation:
+                self.begin_incarnation(self.id.rsplit("-", 1)[0])
+                self.changed.notify_all()
+
     def now(self):
         return time.monotonic() - self.started_at
 
