Stop following the configuration before the last requests complete

Cause, from its log: ready for 2.6 s, as the platform needs; the last submission, whose store calls were not answered, completed 4.3 s after the signal; only then was the thread that follows the configuration asked to exit, and joined after its pending call of up to 1.3 s and, since the replica, the peers' calls of up to 0.8 s. The class of fault is that of the late configuration: waits that add up where they could overlap. Ruled out: a process frozen by the soak (it wrote lines until 1.7 s before) and a slow machine (0.3 ms for the requests in between). Change: the replica is asked to stop when the last requests begin to complete; its calls then end beside them.

--- a/include/oleandercross/control/configreplica.h
+++ b/include/oleandercross/control/configreplica.h
@@ -51,6 +51,8 @@
     void serve(rpc::Server &server);
     // Starts following the store.
     void start();
+    // Asks both threads to exit after their current calls.
+    void beginStop();
     void stop();
 
     // Returns the current configuration, or null before the first one has been read.
--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -77,6 +77,10 @@
     // Begins a graceful stop: the entry is no longer ready and releases the leadership if it has
     // it. Callers are still served.
     void beginStop();
+    // Stops following the configuration, since no new requests are served any more. Its pending
+    // calls to the store and to peers end while the last requests are completed, so that stop()
+    // does not wait for them.
+    void stopFollowing() { m_config.beginStop(); }
     void stop();
 
     // Sets the addresses of entries that are used until the member table lists some.
--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -73,13 +73,17 @@
     m_peerThread = std::thread([this] { peerLoop(); });
 }
 
+void ConfigReplica::beginStop()
+{
+    m_follower.beginStop();
+    absl::MutexLock lock(&m_mutex);
+    m_stopping = true;
+}
+
 void ConfigReplica::stop()
 {
+    beginStop();
     m_follower.stop();
-    {
-        absl::MutexLock lock(&m_mutex);
-        m_stopping = true;
-    }
     if (m_peerThread.joinable())
         m_peerThread.join();
 }
--- a/test/control/fakerowstore.h
+++ b/test/control/fakerowstore.h
@@ -53,6 +53,14 @@
         return m_commits;
     }
 
+    // Returns how many calls have asked for the changes of the table.
+    int reads(const std::string &table) const
+    {
+        absl::MutexLock lock(&m_mutex);
+        const auto found = m_reads.find(table);
+        return found == m_reads.end() ? 0 : found->second;
+    }
+
     std::optional<std::string> value(const std::string &table, const std::string &key) const
     {
         absl::MutexLock lock(&m_mutex);
@@ -104,6 +112,7 @@
                                    absl::Duration wait) override
     {
         absl::MutexLock lock(&m_mutex);
+        ++m_reads[table];
         if (m_unavailable)
             return std::nullopt;
         const auto hasChanges = [&] { return m_version > after || m_unavailable; };
@@ -148,6 +157,7 @@
     std::vector<RowChanges> m_delayed ABSL_GUARDED_BY(m_mutex);
     bool m_unavailable ABSL_GUARDED_BY(m_mutex) = false;
     int m_commits ABSL_GUARDED_BY(m_mutex) = 0;
+    std::map<std::string, int> m_reads ABSL_GUARDED_BY(m_mutex);
 };
 
 } // namespace oleandercross::control::testing
--- a/test/control/tst_entrypeers.cpp
+++ b/test/control/tst_entrypeers.cpp
@@ -212,3 +212,22 @@
     peers.release();
     stopping.join();
 }
+
+// Guards against a planned stop that waits for the store after the last request has been answered,
+// and exceeds its grace period while the store does not answer.
+TEST_CASE("a stopping entry makes no further calls for the configuration")
+{
+    testing::FakeRowStore store;
+    writeConfig(store, 1);
+    StartedEntry f(store, {});
+    REQUIRE(f.reachesConfigVersion(1));
+    f.entry.stopFollowing();
+    const int reads = store.reads(ConfigTable);
+    for (std::int64_t version = 2; version <= 6; ++version) {
+        writeConfig(store, version);
+        absl::SleepFor(absl::Milliseconds(20));
+    }
+    f.entry.stop();
+    // One call may have been about to begin.
+    CHECK(store.reads(ConfigTable) <= reads + 1);
+}
