Forget crashes of workers when a task saves a new checkpoint

Cause: found when reading the change. The limit of five crashes added up over the life of a task, so a job that runs for weeks and advances would have failed after five unrelated host failures. Change: the count starts again with each run that has saved a new checkpoint; crashes at the start still count.

--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -38,8 +38,8 @@
     // The number of the latest run; 0 before the first.
     int run = 0;
     int failures = 0;
-    // Workers that crashed while they ran this task, and those of them that crashed right after its
-    // start, so that the task is the likely cause.
+    // Workers that crashed while they ran this task since it last saved a new checkpoint, and those
+    // that crashed right after its start, so that the task is the likely cause.
     int crashes = 0;
     int startCrashes = 0;
     // The key of the worker of the latest run.
@@ -75,6 +75,8 @@
     core::Instant rateBaseAt = absl::InfinitePast();
     // Keys of the workers on which a run of this task failed.
     std::set<std::string> workersWithFailedRuns;
+    // The run has saved a new checkpoint.
+    bool savedCheckpoint = false;
     // The run did not start from a checkpoint, so its progress allows an estimate of the run time.
     bool startedWithoutCheckpoint = false;
 
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -19,7 +19,8 @@
 // that did not cause the first crash seldom gets there, since suspected tasks start apart from
 // others.
 constexpr int MaxStartCrashes = 3;
-// A job also fails when this many workers have crashed under one of its tasks at any time. The
+// A job also fails when this many workers have crashed under one of its tasks without a new
+// checkpoint in between; the crashes of weeks must not add up for a task that advances. The
 // platform allows two more starts after three crashes.
 constexpr int MaxCrashes = 5;
 // A crash of the worker within this time of a confirmed start is attributed to the task. Agents
@@ -202,6 +203,7 @@
     target->run = run;
     target->worker = worker;
     target->running = false;
+    target->savedCheckpoint = false;
     target->runningSince = absl::InfiniteFuture();
     target->stopRequested = false;
     target->orderSentAt = absl::InfinitePast();
@@ -282,7 +284,7 @@
     if (!requeue(key, worker))
         return false;
     Task *target = task(key.task);
-    ++target->crashes;
+    target->crashes = target->savedCheckpoint ? 1 : target->crashes + 1;
     if (target->startedRecently(now))
         ++target->startCrashes;
     const bool tooMany = target->startCrashes >= MaxStartCrashes || target->crashes >= MaxCrashes;
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -171,8 +171,10 @@
     Task *task = find(run.task.job)->task(run.task);
     task->running = true;
     task->runningSince = std::min(task->runningSince, now);
-    if (!checkpoint.empty())
+    if (!checkpoint.empty()) {
+        task->savedCheckpoint = task->savedCheckpoint || checkpoint != task->checkpoint;
         task->checkpoint = checkpoint;
+    }
     task->lastListedAt = std::max(task->lastListedAt, now);
     if (percent == task->percent || now <= task->percentChangedAt)
         return;
