--- a/test/control/silentpeer.h
+++ b/test/control/silentpeer.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "loopback.h"
+
 #include <oleandercross/http/server.h>
 
 #include <absl/synchronization/notification.h>
@@ -15,7 +17,7 @@
 {
 public:
     SilentPeer()
-        : m_server(options())
+        : m_server(onLoopback(0))
     {
         m_server.route("POST", "/rpc", [this](const http::Request &) {
             ++m_calls;
@@ -37,13 +39,6 @@
     }
 
 private:
-    static http::ServerOptions options()
-    {
-        http::ServerOptions options;
-        options.listen = {"127.0.0.1", 0};
-        return options;
-    }
-
     std::atomic<int> m_calls = 0;
     absl::Notification m_released;
     http::Server m_server;
--- a/test/control/tst_entrypeers.cpp
+++ b/test/control/tst_entrypeers.cpp
@@ -1,4 +1,5 @@
 #include "fakerowstore.h"
+#include "loopback.h"
 #include "silentpeer.h"
 
 #include <oleandercross/control/entry.h>
@@ -13,6 +14,8 @@
 
 using namespace oleandercross;
 using namespace oleandercross::control;
+using testing::freePort;
+using testing::onLoopback;
 
 namespace {
 
@@ -21,20 +24,6 @@
 // Much longer than any step takes, so that the test does not fail on a slow machine.
 constexpr absl::Duration StateTimeout = absl::Seconds(20);
 
-http::ServerOptions onLoopback(int port)
-{
-    http::ServerOptions options;
-    options.listen = {"127.0.0.1", port};
-    return options;
-}
-
-int freePort()
-{
-    http::Server server(onLoopback(0));
-    REQUIRE(server.start());
-    return server.port();
-}
-
 // A configuration is the text of its version.
 std::optional<workload::Catalog> decodeVersion(const std::string &text)
 {
--- a/test/control/tst_system.cpp
+++ b/test/control/tst_system.cpp
@@ -1,4 +1,5 @@
 #include "fakerowstore.h"
+#include "loopback.h"
 #include "simulatedworker.h"
 
 #include <oleandercross/control/agent.h>
@@ -11,6 +12,8 @@
 
 using namespace oleandercross;
 using namespace oleandercross::control;
+using testing::freePort;
+using testing::onLoopback;
 
 namespace {
 
@@ -18,20 +21,6 @@
 // Much longer than any step takes, so that the test does not fail on a slow machine.
 constexpr absl::Duration StateTimeout = absl::Seconds(60);
 
-http::ServerOptions onLoopback(int port)
-{
-    http::ServerOptions options;
-    options.listen = {"127.0.0.1", port};
-    return options;
-}
-
-int freePort()
-{
-    http::Server server(onLoopback(0));
-    REQUIRE(server.start());
-    return server.port();
-}
-
 void announce(RowStore &store, const Member &member)
 {
     RowChanges changes;
