Log how old a call with orders is when an agent receives it

The log could not tell an order of a fresh call from one of a call that a frozen agent or a cut link held back: `start_carried_out` names neither.

New lines `orders_received`, with the time left of the call's own permit and of the permit that the agent holds, and `permit_renewed`, written when a call brings a valid permit after the last one had expired. `start_carried_out` and `stop_carried_out` say how long after the arrival of their call they are written. Behaviour is unchanged.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -50,13 +50,14 @@
     core::Instant lastContact() const;
 
 private:
-    bool acceptEpoch(std::int64_t epoch, std::int64_t renewUntilMs);
+    bool acceptEpoch(const char *call, std::int64_t epoch, std::int64_t renewUntilMs);
+    void logReceived(const OrderCall &call, bool applicable);
     void renewLoop();
     void renewOnce(absl::Duration wait);
     void updateRuns(const WorkerReport &worker, WorkerRuns runs);
     void recordFailure(const WorkerReport &worker, OrderOutcome outcome);
     OrderResult execute(const WorkerReport &worker, const planning::Order &order,
-                        std::int64_t epoch);
+                        std::int64_t epoch, core::Instant receivedAt);
     OrderResult start(const WorkerReport &worker, const planning::Order &order, std::int64_t epoch);
     void recordStart(const WorkerReport &worker, const workload::RunKey &run);
     OrderResult stopRun(const WorkerReport &worker, const workload::RunKey &run,
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -138,7 +138,7 @@
     markChanged();
 }
 
-bool Agent::acceptEpoch(std::int64_t epoch, std::int64_t renewUntilMs)
+bool Agent::acceptEpoch(const char *call, std::int64_t epoch, std::int64_t renewUntilMs)
 {
     absl::MutexLock lock(&m_mutex);
     if (epoch < m_epoch) {
@@ -151,6 +151,14 @@
         m_stateChanged.signalAll();
     }
     m_lastContact = m_clock.now();
+    const std::int64_t now = absl::ToUnixMillis(m_lastContact);
+    if (m_renewUntilMs <= now && now < renewUntilMs) {
+        telemetry::Event("permit_renewed")
+            .with("call", call)
+            .with("epoch", epoch)
+            .with("permit_until", renewUntilMs)
+            .with("expired_ms", m_renewUntilMs == 0 ? std::int64_t{-1} : now - m_renewUntilMs);
+    }
     m_renewUntilMs = std::max(m_renewUntilMs, renewUntilMs);
     return true;
 }
@@ -163,7 +171,7 @@
 
 std::optional<AgentState> Agent::watch(const WatchCall &call)
 {
-    if (!acceptEpoch(call.epoch, call.renewUntilMs))
+    if (!acceptEpoch("watch", call.epoch, call.renewUntilMs))
         return std::nullopt;
     const core::Instant until = m_clock.now() + call.wait;
     absl::MutexLock lock(&m_mutex);
@@ -287,9 +295,27 @@
     markChanged();
 }
 
+void Agent::logReceived(const OrderCall &call, bool applicable)
+{
+    const auto starts =
+        std::count_if(call.orders.begin(), call.orders.end(), [](const planning::Order &order) {
+            return order.kind == planning::Order::Kind::Start;
+        });
+    absl::MutexLock lock(&m_mutex);
+    telemetry::Event("orders_received")
+        .with("life", call.workerIncarnation)
+        .with("applicable", applicable)
+        .with("starts", static_cast<std::int64_t>(starts))
+        .with("stops", static_cast<std::int64_t>(call.orders.size()) - starts)
+        .with("permit_until", call.renewUntilMs)
+        .with("permit_left_ms", call.renewUntilMs - nowMs())
+        .with("held_permit_left_ms", m_renewUntilMs - nowMs());
+}
+
 std::optional<std::vector<OrderResult>> Agent::execute(const OrderCall &call)
 {
-    if (!acceptEpoch(call.epoch, call.renewUntilMs))
+    const core::Instant receivedAt = m_clock.now();
+    if (!acceptEpoch("orders", call.epoch, call.renewUntilMs))
         return std::nullopt;
     WorkerReport worker;
     bool applicable = false;
@@ -308,15 +334,17 @@
             }
         }
     }
+    if (!call.orders.empty())
+        logReceived(call, applicable);
     std::vector<OrderResult> results;
     for (const planning::Order &order : call.orders)
-        results.push_back(applicable ? execute(worker, order, call.epoch)
+        results.push_back(applicable ? execute(worker, order, call.epoch, receivedAt)
                                      : OrderResult::NotApplicable);
     return results;
 }
 
 OrderResult Agent::execute(const WorkerReport &worker, const planning::Order &order,
-                           std::int64_t epoch)
+                           std::int64_t epoch, core::Instant receivedAt)
 {
     const bool starts = order.kind == planning::Order::Kind::Start;
     const OrderResult result =
@@ -326,6 +354,7 @@
         .with("run", order.run.run)
         .with("worker", worker.id)
         .with("epoch", epoch)
+        .with("since_call_ms", absl::ToInt64Milliseconds(m_clock.now() - receivedAt))
         .with("result", toString(result))
         .with("reason", result == OrderResult::Done ? "" : core::lastReason().message);
     return result;
