Log ends that the leader acknowledges without applying them

Planner::runEnded() ignores an end of a run that the leader no longer expects on the worker, and Leader::applyRuns() acknowledges it all the same. No line said so.

New line `end_ignored`, written once for each end; it names the latest run of the task. Behaviour is unchanged.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -97,6 +97,7 @@
     void applyJobRow(const StoredRow &row, core::Instant now);
     void applyAgents(std::map<std::string, http::Endpoint> agents);
     void applyState(const std::string &agent, const AgentState &state, core::Instant now);
+    void logIgnoredEnd(const std::string &incarnation, const EndedTask &ended) const;
     void applyRuns(const std::string &incarnation, const AgentState &state,
                    planning::Worker &worker, core::Instant now);
     void applyResults(const OrderResults &results);
@@ -127,6 +128,8 @@
     // Links to agents that have been removed; their threads exit asynchronously.
     std::vector<std::unique_ptr<AgentLink>> m_stoppedLinks;
     std::map<std::string, std::int64_t> m_toAcknowledge;
+    // The incarnation that each agent last reported ends of, and the highest number of them.
+    std::map<std::string, std::pair<std::string, std::int64_t>> m_lastEnd;
     // When an agent last reported an incarnation as that of its worker.
     std::map<std::string, core::Instant> m_incarnationSeenAt;
     core::Instant m_nextCleanup = absl::InfinitePast();
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -111,11 +111,29 @@
     m_planner.updateWorker(worker);
 }
 
+void Leader::logIgnoredEnd(const std::string &incarnation, const EndedTask &ended) const
+{
+    const planning::JobRecord *record = m_planner.job(ended.run.task.job);
+    const planning::Task *task = record ? record->task(ended.run.task) : nullptr;
+    telemetry::Event("end_ignored")
+        .with("task", toString(ended.run.task))
+        .with("run", ended.run.run)
+        .with("worker", incarnation)
+        .with("how", toString(ended.how))
+        .with("number", ended.number)
+        .with("latest_run", task ? task->run : 0);
+}
+
 void Leader::applyRuns(const std::string &incarnation, const AgentState &state,
                        planning::Worker &worker, core::Instant now)
 {
     if (state.listed)
         m_planner.beginListing(incarnation);
+    auto &[reporter, lastNumber] = m_lastEnd[worker.agent];
+    if (reporter != incarnation) {
+        reporter = incarnation;
+        lastNumber = 0;
+    }
     for (const EndedTask &ended : state.runs.ended) {
         if (m_planner.hasActiveRun(incarnation, ended.run)) {
             m_metrics.add(absl::StrCat("runs_ended{how=\"", toString(ended.how), "\"}"));
@@ -124,7 +142,13 @@
                 .with("run", ended.run.run)
                 .with("worker", incarnation)
                 .with("how", toString(ended.how));
+        } else if (ended.number > lastNumber
+                   && (ended.how != planning::RunEnd::Completed
+                       || !m_planner.completed(ended.run))) {
+            // A gang completes as a whole with the first end of a member.
+            logIgnoredEnd(incarnation, ended);
         }
+        lastNumber = std::max(lastNumber, ended.number);
         m_planner.runEnded(incarnation, ended.run, ended.how, ended.checkpoint, now);
         std::int64_t &number = m_toAcknowledge[incarnation];
         number = std::max(number, ended.number);
