Log calls with orders that get no answer

An order is logged when it is planned (`start_ordered`), up to 1.5 s before the call that carries it leaves, and `agent_silent` names only the first failed call of an outage. Nothing showed how many calls with orders were on their way to an agent when the leader gave its worker up.

New line `orders_unanswered` for each of them, with the time that the leader waited and the permit that the call carries, by which it can be matched with `orders_received` of the agent. Behaviour is unchanged.

--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -165,10 +165,18 @@
             call.epoch = m_epoch;
             call.renewUntilMs = m_permitUntilMs;
         }
+        const core::Instant sentAt = m_clock.now();
         const auto answer = m_client.call(m_address, "orders", toJson(call), OrderTimeout);
         std::vector<OrderResult> results(call.orders.size(), OrderResult::Unanswered);
         if (!answer)
             recordFailure("orders");
+        if (!answer && !call.orders.empty()) {
+            telemetry::Event("orders_unanswered")
+                .with("life", call.workerIncarnation)
+                .with("orders", static_cast<std::int64_t>(call.orders.size()))
+                .with("permit_until", call.renewUntilMs)
+                .with("waited_ms", absl::ToInt64Milliseconds(m_clock.now() - sentAt));
+        }
         for (std::size_t i = 0; answer && i < results.size(); ++i) {
             const Json::Value &rows = core::member(*answer, "results");
             if (i < rows.size() && rows[static_cast<Json::ArrayIndex>(i)].isInt())
