Reproduce a start on a worker that was given up

Callers saw one task run on two workers at the same time. Cause: a call with orders that waited in the buffers of a frozen agent is carried out once a newer call has renewed the agent's permit, although the leader has given the worker up in the meantime. One agent's calls wait until its worker has been given up and its tasks run elsewhere.

--- a/test/control/simulatedworker.h
+++ b/test/control/simulatedworker.h
@@ -55,6 +55,7 @@
         absl::MutexLock lock(&m_mutex);
         if (!raiseFence(order.fence))
             return OrderOutcome::Refused;
+        m_leaseExtensions += order.leaseUntilMs ? 1 : 0;
         std::erase_if(m_ended, [&](const EndedTask &e) { return e.number <= order.acknowledged; });
         m_acknowledged = std::max(m_acknowledged, order.acknowledged);
         const auto ended = [this] { return !m_ended.empty(); };
@@ -88,6 +89,13 @@
         return m_starts;
     }
 
+    // Returns how many renewals have extended the lease.
+    int leaseExtensions() const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_leaseExtensions;
+    }
+
     std::int64_t acknowledged() const
     {
         absl::MutexLock lock(&m_mutex);
@@ -108,6 +116,7 @@
     std::set<workload::RunKey> m_barred ABSL_GUARDED_BY(m_mutex);
     std::vector<EndedTask> m_ended ABSL_GUARDED_BY(m_mutex);
     std::map<workload::TaskKey, int> m_starts ABSL_GUARDED_BY(m_mutex);
+    int m_leaseExtensions ABSL_GUARDED_BY(m_mutex) = 0;
     std::int64_t m_number ABSL_GUARDED_BY(m_mutex) = 0;
     std::int64_t m_acknowledged ABSL_GUARDED_BY(m_mutex) = 0;
     std::int64_t m_fence ABSL_GUARDED_BY(m_mutex) = 0;
--- a/test/control/tst_system.cpp
+++ b/test/control/tst_system.cpp
@@ -8,6 +8,8 @@
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
+#include <atomic>
+#include <functional>
 #include <memory>
 
 using namespace oleandercross;
@@ -20,6 +22,17 @@
 constexpr char Key[] = "test";
 // Much longer than any step takes, so that the test does not fail on a slow machine.
 constexpr absl::Duration StateTimeout = absl::Seconds(60);
+constexpr absl::Duration PollPeriod = absl::Milliseconds(5);
+
+// Returns false if the condition is still not met after StateTimeout.
+bool waitUntil(const std::function<bool()> &condition)
+{
+    const core::BootClock clock;
+    const core::Instant until = clock.now() + StateTimeout;
+    while (!condition() && clock.now() < until)
+        absl::SleepFor(PollPeriod);
+    return condition();
+}
 
 void announce(RowStore &store, const Member &member)
 {
@@ -37,11 +50,17 @@
         , agent({name, absl::Milliseconds(500)}, worker)
     {
         server.add("watch", [this](const Json::Value &params) -> std::optional<Json::Value> {
+            while (watchesPaused)
+                absl::SleepFor(PollPeriod);
             const auto state = agent.watch(watchCallFromJson(params));
             return state ? std::optional(toJson(*state)) : std::nullopt;
         });
         server.add("orders", [this](const Json::Value &params) -> std::optional<Json::Value> {
+            ++waitingOrders;
+            while (ordersPaused)
+                absl::SleepFor(PollPeriod);
             const auto results = agent.execute(*orderCallFromJson(params));
+            --waitingOrders;
             if (!results)
                 return std::nullopt;
             Json::Value answer(Json::objectValue);
@@ -56,11 +75,17 @@
 
     ~AgentProcess()
     {
+        watchesPaused = false;
+        ordersPaused = false;
         agent.stop();
         server.stop();
     }
 
     const int port;
+    // Calls wait while these are set, as they do in the buffers of a process that does not run.
+    std::atomic<bool> watchesPaused = false;
+    std::atomic<bool> ordersPaused = false;
+    std::atomic<int> waitingOrders = 0;
     rpc::Server server;
     Agent agent;
 };
@@ -212,3 +237,35 @@
     other.completeAll();
     CHECK(second.reaches("5c0e7a21d94b36f8", planning::JobState::Completed));
 }
+
+// Guards against running a task twice: an agent that was frozen or cut off carries out a start that
+// waited in its buffers, after the leader has given up its worker and started the task elsewhere.
+TEST_CASE("a start that reaches its agent after the worker was given up is not carried out",
+          "[!shouldfail]")
+{
+    testing::FakeRowStore store;
+    testing::SimulatedWorker worker;
+    testing::SimulatedWorker other;
+    AgentProcess agent(store, worker, "side-1");
+    agent.agent.heartbeat(worker.report("i-1", 1000));
+    EntryProcess entry(store, "front");
+    REQUIRE(entry.entry.submit(job("5c0e7a21d94b36f8", 1), nearDeadline())
+            == SubmitOutcome::Accepted);
+    REQUIRE(waitUntil([&] { return worker.starts().size() == 1; }));
+
+    agent.ordersPaused = true;
+    REQUIRE(entry.entry.submit(job("5c0e7a21d94b36f9", 1), nearDeadline())
+            == SubmitOutcome::Accepted);
+    REQUIRE(waitUntil([&] { return agent.waitingOrders > 0; }));
+    agent.watchesPaused = true;
+    AgentProcess otherAgent(store, other, "side-2");
+    otherAgent.agent.heartbeat(other.report("i-2", 2000));
+    REQUIRE(waitUntil([&] { return other.starts().size() == 2; }));
+
+    agent.watchesPaused = false;
+    const int extensions = worker.leaseExtensions();
+    REQUIRE(waitUntil([&] { return worker.leaseExtensions() > extensions; }));
+    agent.ordersPaused = false;
+    REQUIRE(waitUntil([&] { return agent.waitingOrders == 0; }));
+    CHECK(worker.starts().size() == 1);
+}
