Add faults of agents' links, restarts under the same id and odd reports to the soak

Cause: no test on real processes had workers that start again under their id, late reports of an earlier incarnation, reports of another writer, orders later than 3 s, freezes longer than a lease, or a cut between the leader and an agent.

--- a/support/platformstandin.py
+++ b/support/platformstandin.py
@@ -69,6 +69,8 @@
         self.version = 0
         self.history = collections.deque()
         self.truncated_version = 0
+        # Addresses that members announce, and the addresses that all read instead.
+        self.substitutes = {}
         # Faults: maximum delay of a call in seconds, fraction of calls that are refused, fraction
         # of writes whose answer is lost, and fraction of writes that take effect seconds later.
         self.delay = 0.0
@@ -117,8 +119,10 @@
                 return 412, {"rows": rows, "ver": self.version, "nowMs": 0}
             self.version += 1
             for row in body.get("setKeys", []):
-                base64.b64decode(row["value"], validate=True)
-                self.rows[self.name(row)] = (row["value"], self.version)
+                value = base64.b64decode(row["value"], validate=True)
+                if row["table"] == "members":
+                    value = self.substitute(value)
+                self.rows[self.name(row)] = (base64.b64encode(value).decode(), self.version)
                 self.history.append((self.version, self.row_json(self.name(row))))
             for row in body.get("remove", []):
                 if self.rows.pop(self.name(row), None):
@@ -130,6 +134,11 @@
             self.changed.notify_all()
             return 200, {"ver": self.version, "nowMs": 0}
 
+    def substitute(self, value):
+        for announced, shown in self.substitutes.items():
+            value = value.replace(f'"{announced}"'.encode(), f'"{shown}"'.encode())
+        return value
+
     def read(self, query):
         with self.changed:
             names = sorted(name for name in self.rows
@@ -177,6 +186,8 @@
     """Simulated worker. `step_of` returns the step of a task by its name. Events are reported by
     calling on_event(kind, worker, task, run, detail)."""
 
+    # The platform allows clocks of workers to be this slow.
+    MAX_CLOCK_DRIFT = 0.02
     STOP_SECONDS = 0.15
     GANG_START_SECONDS = 3.0
 
@@ -185,35 +196,47 @@
         self.capacity, self.step_of, self.on_event = capacity, step_of, on_event
         self.random = random.Random(seed)
         self.changed = threading.Condition()
-        self.late = 0.0
+        # Faults: fraction of the orders that are carried out late, whether the calls that extend
+        # the lease are among them, and by how many seconds.
+        self.late, self.late_holds, self.late_seconds = 0.0, False, (0.5, 3)
         self.frozen = False
-        self.generation = 0
-        self.begin_incarnation(f"i-{name}")
+        self.clock_rate = 1 - self.random.uniform(0, self.MAX_CLOCK_DRIFT)
+        self.generation = self.started_at_ms = 0
+        self.earlier_report = None
+        self.begin_incarnation(f"i-{name}-1")
         Server((host, port), self)
         threading.Thread(target=self.work, daemon=True).start()
 
-    def begin_incarnation(self, identity):
-        """Starts a new incarnation without any state of the previous one."""
+    def begin_incarnation(self, identity, up=True):
+        """Starts a new incarnation without any state of the previous one. It does not answer
+        while it is not up."""
         with self.changed:
+            if self.generation and self.up:
+                self.earlier_report = self.heartbeat()
             self.generation += 1
-            self.id = f"{identity}-{self.generation}"
-            self.started_at_ms = int(time.time() * 1000)
+            self.id, self.up = identity, up
+            self.started_at_ms = max(int(time.time() * 1000), self.started_at_ms + 1)
             self.started_at = time.monotonic()
             self.fence = self.sequence = self.ended_number = 0
             # The time at which the lease was last seen over, on the worker's clock.
             self.lease = self.lapsed_at = 0.0
             self.runs, self.last_runs, self.ended, self.ended_at = {}, {}, [], {}
             self.on_event("life", self, None, 0, None)
+            self.changed.notify_all()
 
-    def crash(self, generation):
-        """Ends this incarnation, if it is still the given one, and starts the next one."""
+    def crash(self, generation, pause=0.0, identity=None):
+        """Ends this incarnation, if it is still the given one, and starts the next one after a
+        pause, with a new identity unless one is given."""
         with self.changed:
-            if generation == self.generation:
-                self.begin_incarnation(self.id.rsplit("-", 1)[0])
-                self.changed.notify_all()
+            if generation != self.generation:
+                return
+            next_identity = identity or f"i-{self.name}-{generation + 1}"
+            self.begin_incarnation(next_identity, up=not pause)
+            if pause:
+                threading.Timer(pause, self.crash, (generation + 1, 0.0, next_identity)).start()
 
     def now(self):
-        return time.monotonic() - self.started_at
+        return (time.monotonic() - self.started_at) * self.clock_rate
 
     def heartbeat(self, draining=False):
         with self.changed:
@@ -226,18 +249,20 @@
 
     def handle(self, path, query, body, headers):
         kind = path.rsplit("/", 1)[1]
+        if not self.up:
+            raise NoAnswer
         if headers.get("Oleandercross-Expect-Instance", self.id) != self.id:
             return 421, {}
-        if kind != "hold" and self.random.random() < self.late:
-            threading.Timer(self.random.uniform(0.5, 3), self.execute,
-                            (kind, body, self.generation)).start()
+        if (kind != "hold" or self.late_holds) and self.random.random() < self.late:
+            threading.Timer(self.random.uniform(*self.late_seconds), self.execute,
+                            (kind, dict(body, late=True, waitMs=0), self.generation)).start()
             time.sleep(1)
             raise NoAnswer
         return self.execute(kind, body, self.generation)
 
     def execute(self, kind, body, generation):
         with self.changed:
-            if generation != self.generation:
+            if generation != self.generation or not self.up:
                 return 421, {}
             self.end_lapsed_runs()
             if body["fence"] < self.fence:
@@ -335,7 +360,7 @@
 
 class Proxy:
     """Forwards connections to another address. Can delay, reset, silence or cut them in one
-    direction."""
+    direction, or hold their data back until later."""
 
     def __init__(self, listen, target):
         self.target, self.delay, self.mode = target, 0.0, "pass"
@@ -366,6 +391,8 @@
             while data := source.recv(65536):
                 if self.delay:
                     time.sleep(self.delay)
+                while self.mode in ("held", f"held {direction}"):
+                    time.sleep(0.02)
                 # Data on a silent or one-way cut connection is discarded, not buffered.
                 if self.mode not in ("silent", direction):
                     sink.sendall(data)
