Keep idle connections of the soak's proxies open

Cause: the proxies' time limit of 2 s for connecting also applied to reading, so they closed each connection without an answer for 2 s. No link was ever silent for longer, and data that a cut held back was lost. Change: the limit applies to connecting only.

--- a/support/platformstandin.py
+++ b/support/platformstandin.py
@@ -362,8 +362,11 @@
     """Forwards connections to another address. Can delay, reset, silence or cut them in one
     direction, or hold their data back until later."""
 
+    MAX_RESEND_SECONDS = 3.0
+
     def __init__(self, listen, target):
         self.target, self.delay, self.mode = target, 0.0, "pass"
+        self.random = random.Random(listen[0])
         self.connections = []
         self.listener = socket.create_server(listen, backlog=64)
         threading.Thread(target=self.accept, daemon=True).start()
@@ -376,6 +379,8 @@
                 continue
             try:
                 upstream = socket.create_connection(self.target, 2)
+                # The time limit is for connecting only; a link may be silent for longer.
+                upstream.settimeout(None)
             except OSError:
                 client.close()
                 continue
@@ -391,8 +396,11 @@
             while data := source.recv(65536):
                 if self.delay:
                     time.sleep(self.delay)
+                held = self.mode in ("held", f"held {direction}")
                 while self.mode in ("held", f"held {direction}"):
                     time.sleep(0.02)
+                # After an outage, data is sent again at a time of the connection's own.
+                time.sleep(self.random.uniform(0, self.MAX_RESEND_SECONDS) if held else 0)
                 # Data on a silent or one-way cut connection is discarded, not buffered.
                 if self.mode not in ("silent", direction):
                     sink.sendall(data)
