Register a worker only after it has confirmed its incarnation

Callers saw tasks start again while they ran.

Cause: the agent took any readable heartbeat of a later birth for its worker, and a new agent process any heartbeat at all. A late heartbeat of an earlier incarnation made the leader declare the runs of the present one as ended; a report of another writer took the worker's place for good, and an incarnation that was born before its predecessor, because the clock had been set back, was ignored for good.

Change: a heartbeat of another incarnation names a candidate. The agent asks the worker at the reported address for its runs and registers the candidate only if the answer has the same id and time of start. A heartbeat of the registered incarnation with another address or service is ignored.

The test "heartbeats of an earlier incarnation and out-of-order heartbeats are ignored" is replaced by two tables that check the same and more; registration now needs the worker's answer.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -34,8 +34,10 @@
     void start();
     void stop();
 
-    // Records a heartbeat of the worker. Returns false and ignores the heartbeat if it is older
-    // than the latest one of the same incarnation, or belongs to an earlier incarnation.
+    // Records a heartbeat of the worker. A heartbeat of another incarnation than the registered one
+    // only names a candidate, since it may be late or from another writer; the candidate is
+    // registered once the worker at its address confirms the incarnation. Returns false and ignores
+    // the heartbeat if it contradicts the registered worker or is older than its latest one.
     bool heartbeat(const WorkerReport &report);
     // Marks the worker as lost after it has deregistered.
     void deregister(const std::string &workerId);
@@ -54,7 +56,10 @@
     void raiseTerm() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logReceived(const OrderCall &call, bool applicable);
     void renewLoop();
-    void registerWorker(const WorkerReport &report) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    std::optional<WorkerReport> takeCandidate() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void confirm(const WorkerReport &candidate);
+    void registerWorker(const WorkerReport &candidate, const WorkerRuns &runs)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void renewOnce(absl::Duration wait);
     void updateRuns(const WorkerReport &worker, const Term &term, WorkerRuns runs);
     void recordFailure(const WorkerReport &worker, OrderOutcome outcome);
@@ -80,6 +85,8 @@
     Term m_term ABSL_GUARDED_BY(m_mutex);
     // The end of the current term's permit to extend the lease, on this clock.
     std::int64_t m_renewUntilMs ABSL_GUARDED_BY(m_mutex) = 0;
+    // Reported incarnations that the worker has not confirmed yet.
+    std::vector<WorkerReport> m_candidates ABSL_GUARDED_BY(m_mutex);
     std::int64_t m_acknowledged ABSL_GUARDED_BY(m_mutex) = 0;
     core::Instant m_lastContact ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     // The worker's clock reading, and the local time at which it was received.
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -22,6 +22,8 @@
 constexpr absl::Duration AcknowledgementTimeout = absl::Milliseconds(150);
 // The number of consecutive refused connections after which the worker's process counts as exited.
 constexpr int RefusedConnectionCountUntilLost = 2;
+// Reports of other writers must not use up the memory.
+constexpr std::size_t MaxCandidates = 4;
 
 } // namespace
 
@@ -76,20 +78,26 @@
 bool Agent::heartbeat(const WorkerReport &report)
 {
     absl::MutexLock lock(&m_mutex);
-    if (m_state.worker && !sameIncarnation(report)
-        && report.startedAtMs < m_state.worker->startedAtMs) {
-        telemetry::Event("heartbeat_ignored")
-            .with("worker", report.id)
-            .with("born", report.startedAtMs)
-            .with("reason", "the heartbeat is from an earlier incarnation of the worker");
-        return false;
-    }
     if (!sameIncarnation(report) || m_state.workerLost) {
-        registerWorker(report);
+        std::erase_if(m_candidates, [&report](const WorkerReport &candidate) {
+            return candidate.id == report.id && candidate.startedAtMs == report.startedAtMs;
+        });
+        if (m_candidates.size() == MaxCandidates)
+            m_candidates.erase(m_candidates.begin());
+        m_candidates.push_back(report);
+        m_stateChanged.signalAll();
         return true;
     }
     if (report.sequence < m_state.worker->sequence)
         return false;
+    if (report.service != m_state.worker->service || report.address != m_state.worker->address) {
+        telemetry::Event("heartbeat_ignored")
+            .with("worker", report.id)
+            .with("service", report.service)
+            .with("address", toString(report.address))
+            .with("reason", "the heartbeat contradicts the registered worker");
+        return false;
+    }
     if (report.draining && !m_state.worker->draining)
         telemetry::Event("worker_draining")
             .with("worker", report.id)
@@ -112,24 +120,61 @@
     raiseTerm();
 }
 
-void Agent::registerWorker(const WorkerReport &report)
+std::optional<WorkerReport> Agent::takeCandidate()
+{
+    // Workers ignore calls without a leader's fencing token.
+    if (m_term.epoch == 0 || m_candidates.empty())
+        return std::nullopt;
+    WorkerReport candidate = std::move(m_candidates.front());
+    m_candidates.erase(m_candidates.begin());
+    return candidate;
+}
+
+void Agent::confirm(const WorkerReport &candidate)
+{
+    RenewOrder query;
+    {
+        absl::MutexLock lock(&m_mutex);
+        query.fence = fencingToken(m_term);
+    }
+    WorkerRuns runs;
+    const OrderOutcome outcome = m_port.renew(candidate, query, runs, WorkerCallTimeout);
+    absl::MutexLock lock(&m_mutex);
+    if (outcome == OrderOutcome::Done && runs.startedAtMs == candidate.startedAtMs) {
+        registerWorker(candidate, runs);
+        return;
+    }
+    telemetry::Event("worker_not_confirmed")
+        .with("worker", candidate.id)
+        .with("born", candidate.startedAtMs)
+        .with("address", toString(candidate.address))
+        .with("outcome", toString(outcome))
+        .with("listed_born", runs.startedAtMs);
+    // An earlier process of this agent may have been in a later term.
+    if (outcome == OrderOutcome::Fenced) {
+        raiseTerm();
+        m_candidates.push_back(candidate);
+    }
+}
+
+void Agent::registerWorker(const WorkerReport &candidate, const WorkerRuns &runs)
 {
     raiseTerm();
     telemetry::Event("worker_registered")
-        .with("worker", report.id)
-        .with("born", report.startedAtMs)
-        .with("address", toString(report.address))
-        .with("service", report.service)
-        .with("rack", report.rack)
+        .with("worker", candidate.id)
+        .with("born", candidate.startedAtMs)
+        .with("address", toString(candidate.address))
+        .with("service", candidate.service)
+        .with("rack", candidate.rack)
         .with("term", m_term.number);
-    m_state.worker = report;
+    m_state.worker = candidate;
     m_state.workerLost = false;
     m_state.workerCrashed = false;
     m_state.runs = {};
     m_acknowledged = 0;
     m_refusedConnections = 0;
     m_failingSince = absl::InfiniteFuture();
-    m_workerClockMs = report.clockMs;
+    m_workerClockMs = runs.clockMs;
     m_workerClockAt = m_clock.now();
     // An earlier process of this agent may have extended the lease until now.
     m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
@@ -216,16 +261,20 @@
 void Agent::renewLoop()
 {
     while (!m_stopping) {
+        std::optional<WorkerReport> candidate;
         bool registered = false;
         absl::Duration wait = RenewalWait;
         {
             absl::MutexLock lock(&m_mutex);
+            candidate = takeCandidate();
             registered = m_state.worker && !m_state.workerLost && m_term.epoch != 0;
-            if (!registered)
+            if (!candidate && !registered)
                 m_stateChanged.waitFor(m_mutex, RenewalWait);
-            else if (!m_state.listed)
+            else if (!m_state.listed || candidate)
                 wait = absl::ZeroDuration();
         }
+        if (candidate)
+            confirm(*candidate);
         if (registered)
             renewOnce(wait);
     }
--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -281,18 +281,87 @@
     CHECK(results->at(0) == c.result);
 }
 
-// Guards against replacing the current incarnation on a delayed heartbeat of an earlier one.
-TEST_CASE("heartbeats of an earlier incarnation and out-of-order heartbeats are ignored")
+// Guards against replacing the current incarnation on a heartbeat that is late or from another
+// writer, and against ignoring a later incarnation that was started while the clock was behind.
+TEST_CASE("a reported incarnation is registered only if the worker confirms it")
 {
+    struct Case
+    {
+        const char *what;
+        std::int64_t reported;
+        OrderOutcome outcome;
+        std::int64_t listed;
+        bool registered;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"the next incarnation", 3000, OrderOutcome::Done, 3000, true},
+        {"the next incarnation after the clock was set back", 900, OrderOutcome::Done, 900, true},
+        {"a late report of an earlier incarnation with the same id", 900, OrderOutcome::Done, 2000,
+         false},
+        {"a late report of an earlier incarnation with another id", 900,
+         OrderOutcome::OtherIncarnation, 0, false},
+        {"a report of another writer", 3000, OrderOutcome::Done, 2000, false},
+        {"an address at which nothing listens", 3000, OrderOutcome::NotListening, 0, false},
+        {"an address that does not answer", 3000, OrderOutcome::Unanswered, 0, false},
+        {"a refusal", 3000, OrderOutcome::Refused, 0, false},
+    }));
+    CAPTURE(c.what);
+    FakeWorkerPort port;
+    port.runs.startedAtMs = 2000;
+    Agent agent({"side", absl::Hours(1)}, port);
+    registerWorker(agent, report(2000, 5));
+    std::size_t begin = 0;
+    {
+        absl::MutexLock lock(&port.mutex);
+        port.runs.startedAtMs = c.listed;
+        port.renewOutcome = c.outcome;
+        begin = port.renewals.size();
+    }
+    agent.heartbeat(report(c.reported, 1));
+    const auto confirmed = [&c](const AgentState &state) {
+        return state.worker->startedAtMs == c.reported;
+    };
+    if (c.registered) {
+        CHECK(waitForState(agent, 1, confirmed).worker->startedAtMs == c.reported);
+        return;
+    }
+    const auto renewedSince = [&port, begin] {
+        absl::MutexLock lock(&port.mutex);
+        return port.renewals.size() - begin;
+    };
+    // A lost worker is not called any more, except to confirm the report.
+    const auto watch = [&agent] { return *agent.watch({{1, 0}, 0, 0, {}, {}}); };
+    while (renewedSince() < 3 && !watch().workerLost)
+        absl::SleepFor(absl::Milliseconds(1));
+    CHECK(watch().worker->startedAtMs == 2000);
+}
+
+// Guards against acting on what another writer or a late call says about the registered worker.
+TEST_CASE("heartbeats that are out of order or contradict the registered worker are ignored")
+{
+    struct Case
+    {
+        const char *what;
+        std::function<void(WorkerReport &)> change;
+        bool accepted;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"a later one", [](WorkerReport &r) { r.sequence = 6; }, true},
+        {"an earlier one", [](WorkerReport &r) { r.sequence = 4; }, false},
+        {"another service", [](WorkerReport &r) { r.service = "other"; }, false},
+        {"another address", [](WorkerReport &r) { r.address.port = 1; }, false},
+    }));
+    CAPTURE(c.what);
     FakeWorkerPort port;
     Agent agent({"side", absl::Seconds(6)}, port);
-    CHECK(agent.heartbeat(report(2000, 5)));
-    CHECK_FALSE(agent.heartbeat(report(1000, 9)));
-    CHECK_FALSE(agent.heartbeat(report(2000, 4)));
-    CHECK(agent.heartbeat(report(3000, 1)));
-    WatchCall watch;
-    watch.term.epoch = 1;
-    CHECK(agent.watch(watch)->worker->startedAtMs == 3000);
+    registerWorker(agent, report(1000, 5));
+    WorkerReport next = report(1000, 6);
+    next.draining = true;
+    c.change(next);
+    CHECK(agent.heartbeat(next) == c.accepted);
+    const auto state = agent.watch({{1, 0}, 0, 0, {}, {}});
+    CHECK(state->worker->draining == c.accepted);
+    CHECK(state->worker->service == "booking");
 }
 
 // Guards against an agent that is refused for ever because its previous process was in a later
