Find starts that reached the next incarnation of a restarted worker

Callers saw tasks start again while they ran.

Cause: a worker that restarts under its id accepts starts that were meant for its earlier incarnation until its next heartbeat. The heartbeat then made the leader declare these runs as ended with the earlier incarnation.

Change: an agent whose worker lists its runs with another time of start passes on no starts and waits for the heartbeat. The leader ends the earlier incarnation only when the later one has listed its runs in a new term, so that no earlier start can follow, and moves runs that it finds there. A refused connection counts as proof of an exit only if no start was under way meanwhile.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -62,7 +62,8 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void renewOnce(absl::Duration wait);
     void updateRuns(const WorkerReport &worker, const Term &term, WorkerRuns runs);
-    void recordFailure(const WorkerReport &worker, OrderOutcome outcome);
+    // `startsExcluded` is true if no start could take effect during the failed call.
+    void recordFailure(const WorkerReport &worker, OrderOutcome outcome, bool startsExcluded);
     OrderResult execute(const WorkerReport &worker, const planning::Order &order, const Term &term,
                         core::Instant receivedAt);
     OrderResult start(const WorkerReport &worker, const planning::Order &order, const Term &term);
@@ -95,6 +96,9 @@
     // An upper bound, on this clock, for the end of every lease that the worker may hold.
     core::Instant m_leaseEnd ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     int m_refusedConnections ABSL_GUARDED_BY(m_mutex) = 0;
+    int m_startsUnderWay ABSL_GUARDED_BY(m_mutex) = 0;
+    // The worker has restarted under the same id and has not reported its new incarnation yet.
+    bool m_restarted ABSL_GUARDED_BY(m_mutex) = false;
     core::Instant m_failingSince ABSL_GUARDED_BY(m_mutex) = absl::InfiniteFuture();
     std::atomic<bool> m_stopping = false;
     std::thread m_renewalThread;
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -103,10 +103,13 @@
     void applyResults(const OrderResults &results);
     // Removes an incarnation of a worker and logs the runs that are lost with it.
     void removeWorker(const std::string &incarnation, planning::WorkerEnd end, core::Instant now);
-    void dropOtherIncarnations(const std::string &agent, const std::string &incarnation,
-                               core::Instant now);
+    // Ends all other incarnations of the agent's worker and moves runs of them that the given one
+    // lists to it. Returns false if that must wait until the given one has listed its runs.
+    bool replaceOtherIncarnations(const std::string &agent, const std::string &incarnation,
+                                  const AgentState &state, bool listed, core::Instant now);
     // Excludes the incarnation from new work until its agent reports it again.
     void closeWorker(const std::string &incarnation);
+    void moveRuns(const std::string &from, const std::string &to, const WorkerRuns &runs);
     void handleUnresponsiveWorkers(core::Instant now);
     bool store(const std::set<std::string> &changed);
     void publish(const std::set<std::string> &changed);
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -77,6 +77,10 @@
     std::vector<workload::RunKey> removeWorker(const std::string &key, WorkerEnd end,
                                                core::Instant now);
 
+    // Moves an active run to another incarnation of its worker, which turned out to execute it.
+    // Returns false if the run is not active on `from`.
+    bool moveRun(const std::string &from, const std::string &to, const workload::RunKey &run);
+
     // Starts a complete listing of the worker's runs, which is passed by calls of runSeen() and
     // runEnded().
     void beginListing(const std::string &worker);
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -173,6 +173,7 @@
     m_state.runs = {};
     m_acknowledged = 0;
     m_refusedConnections = 0;
+    m_restarted = false;
     m_failingSince = absl::InfiniteFuture();
     m_workerClockMs = runs.clockMs;
     m_workerClockAt = m_clock.now();
@@ -253,7 +254,7 @@
 std::optional<std::int64_t> Agent::leaseUntil() const
 {
     const core::Instant now = m_clock.now();
-    if (absl::ToUnixMillis(now) >= m_renewUntilMs)
+    if (absl::ToUnixMillis(now) >= m_renewUntilMs || m_restarted)
         return std::nullopt;
     return m_workerClockMs + absl::ToInt64Milliseconds(now - m_workerClockAt + m_options.lease);
 }
@@ -285,12 +286,14 @@
     WorkerReport worker;
     RenewOrder order;
     Term term;
+    bool startsExcluded = false;
     {
         absl::MutexLock lock(&m_mutex);
         if (!m_state.worker || m_state.workerLost)
             return;
         worker = *m_state.worker;
         term = m_term;
+        startsExcluded = m_refusedConnections > 0 && m_startsUnderWay == 0;
         order.acknowledged = m_acknowledged;
         order.leaseUntilMs = leaseUntil();
         order.fence = fencingToken(m_term);
@@ -300,7 +303,7 @@
     order.wait = wait;
     WorkerRuns runs;
     const OrderOutcome outcome = m_port.renew(worker, order, runs, wait + WorkerCallTimeout);
-    if (outcome == OrderOutcome::Done) {
+    if (outcome == OrderOutcome::Done && runs.startedAtMs == worker.startedAtMs) {
         updateRuns(worker, term, std::move(runs));
         absl::MutexLock lock(&m_mutex);
         const std::int64_t acknowledged = m_acknowledged;
@@ -308,7 +311,7 @@
             m_stateChanged.waitFor(m_mutex, AcknowledgementTimeout);
         return;
     }
-    recordFailure(worker, outcome);
+    recordFailure(worker, outcome, startsExcluded);
     absl::MutexLock lock(&m_mutex);
     m_stateChanged.waitFor(m_mutex, RetryDelay);
 }
@@ -338,7 +341,7 @@
         markChanged();
 }
 
-void Agent::recordFailure(const WorkerReport &worker, OrderOutcome outcome)
+void Agent::recordFailure(const WorkerReport &worker, OrderOutcome outcome, bool startsExcluded)
 {
     absl::MutexLock lock(&m_mutex);
     if (!sameIncarnation(worker) || m_state.workerLost)
@@ -353,8 +356,14 @@
     }
     if (outcome == OrderOutcome::Fenced)
         raiseTerm();
+    // The worker answered as another incarnation. Its next heartbeat names that, so that starts
+    // which reached it instead of the registered one are found in its list.
+    if (outcome == OrderOutcome::Done && !std::exchange(m_restarted, true)) {
+        m_state.listed = false;
+        markChanged();
+    }
     m_refusedConnections = outcome == OrderOutcome::NotListening ? m_refusedConnections + 1 : 0;
-    const bool ended = m_refusedConnections >= RefusedConnectionCountUntilLost
+    const bool ended = (m_refusedConnections >= RefusedConnectionCountUntilLost && startsExcluded)
         || outcome == OrderOutcome::OtherIncarnation;
     if (!ended && now < m_leaseEnd)
         return;
@@ -444,6 +453,10 @@
                 ? OrderResult::Refused
                 : OrderResult::NotApplicable;
         const OrderOutcome outcome = m_port.start(worker, *start, timeout);
+        {
+            absl::MutexLock lock(&m_mutex);
+            --m_startsUnderWay;
+        }
         if (outcome == OrderOutcome::Done) {
             recordStart(worker, order.run);
             return OrderResult::Done;
@@ -463,8 +476,11 @@
     const std::optional<std::int64_t> until = leaseUntil();
     if (!until || term != m_term || !sameIncarnation(worker) || m_state.workerLost)
         return core::fail(core::ResultCode::StaleEpoch, "the leader's permit has expired");
+    if (m_refusedConnections > 0)
+        return core::fail(core::ResultCode::ConnectionFailed, "the worker may have exited");
     if (m_state.worker->draining)
         return core::fail(core::ResultCode::Draining, "the worker is draining");
+    ++m_startsUnderWay;
     m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
     return StartOrder{order.run, order.payload, order.checkpoint, *until, fencingToken(term)};
 }
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -59,18 +59,28 @@
     }
 }
 
-void Leader::dropOtherIncarnations(const std::string &agent, const std::string &incarnation,
-                                   core::Instant now)
+bool Leader::replaceOtherIncarnations(const std::string &agent, const std::string &incarnation,
+                                      const AgentState &state, bool listed, core::Instant now)
 {
+    bool replaced = true;
     for (const std::string &other : m_planner.workerKeys(agent + "/")) {
         if (other == incarnation)
             continue;
-        telemetry::Event("worker_life_ended").with("life", other).with("by", incarnation);
         const auto worker = m_planner.workers().find(other);
-        const bool draining = worker != m_planner.workers().end() && worker->second.draining;
+        const bool known = worker != m_planner.workers().end();
+        if (!listed && !state.workerLost) {
+            // Starts for the other incarnation may still reach this one.
+            replaced = false;
+            closeWorker(other);
+            continue;
+        }
+        moveRuns(other, incarnation, state.runs);
+        telemetry::Event("worker_life_ended").with("life", other).with("by", incarnation);
+        const bool draining = known && worker->second.draining;
         removeWorker(other, draining ? planning::WorkerEnd::Left : planning::WorkerEnd::Crashed,
                      now);
     }
+    return replaced;
 }
 
 void Leader::closeWorker(const std::string &incarnation)
@@ -83,6 +93,23 @@
     m_planner.updateWorker(closed);
 }
 
+void Leader::moveRuns(const std::string &from, const std::string &to, const WorkerRuns &runs)
+{
+    const auto move = [&](const workload::RunKey &run) {
+        if (!m_planner.moveRun(from, to, run))
+            return;
+        telemetry::Event("run_moved")
+            .with("task", toString(run.task))
+            .with("run", run.run)
+            .with("worker", from)
+            .with("to", to);
+    };
+    for (const RunningTask &running : runs.running)
+        move(running.run);
+    for (const EndedTask &ended : runs.ended)
+        move(ended.run);
+}
+
 void Leader::removeWorker(const std::string &incarnation, planning::WorkerEnd end,
                           core::Instant now)
 {
@@ -111,8 +138,9 @@
     }
     const std::string incarnation = incarnationKey(agent, *state.worker);
     const bool listed = state.listed && state.term >= link->second->term();
-    dropOtherIncarnations(agent, incarnation, now);
     m_incarnationSeenAt[incarnation] = state.receivedAt;
+    if (!replaceOtherIncarnations(agent, incarnation, state, listed, now))
+        return;
     planning::Worker worker;
     worker.key = incarnation;
     worker.agent = agent;
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -119,6 +119,16 @@
     return lost;
 }
 
+bool Planner::moveRun(const std::string &from, const std::string &to, const workload::RunKey &run)
+{
+    if (!hasActiveRun(from, run))
+        return false;
+    find(run.task.job)->task(run.task)->worker = to;
+    m_tasksByWorker[to].insert(run.task);
+    m_changed.insert(run.task.job);
+    return true;
+}
+
 void Planner::forEachActiveTask(const std::string &worker,
                                 const std::function<void(const workload::TaskKey &, Task &)> &visit)
 {
--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -374,6 +374,34 @@
     CHECK(registerWorker(agent, report()).term > Term{1, 4});
 }
 
+// Guards against running tasks twice when a worker restarts under its id: a start for the earlier
+// incarnation may have reached the later one, which alone can list it.
+TEST_CASE("a worker that restarted under its id gets no starts and is not lost until it reports")
+{
+    FakeWorkerPort port;
+    Agent agent({"side", absl::Hours(1)}, port);
+    const Term term = registerWorker(agent, report()).term;
+    std::size_t begin = 0;
+    {
+        absl::MutexLock lock(&port.mutex);
+        port.runs.startedAtMs = 2000;
+        begin = port.renewals.size();
+    }
+    const auto renewedSince = [&port, begin] {
+        absl::MutexLock lock(&port.mutex);
+        return port.renewals.size() - begin;
+    };
+    while (renewedSince() < 3)
+        absl::SleepFor(absl::Milliseconds(1));
+    CHECK(agent.execute(startCall(term, report())) == std::vector{OrderResult::NotApplicable});
+    CHECK(port.starts.empty());
+    CHECK_FALSE(agent.watch({{1, 0}, 0, 0, {}, {}})->workerLost);
+    agent.heartbeat(report(2000));
+    const AgentState state = waitForState(agent, 1, isListed);
+    CHECK(state.worker->startedAtMs == 2000);
+    CHECK(state.term > term);
+}
+
 // Guards against ended runs that are lost before they are acknowledged, or reported again
 // afterwards.
 TEST_CASE("ended runs are reported until they are acknowledged")
