Use a worker that deregistered no more, but count it as lost only when it has ended

Cause: a DELETE of a worker declared its runs as ended at once. The worker may still be running them, and a late DELETE of an earlier incarnation with the same id ended the present one.

Change: after a DELETE the agent passes on no starts and extends no lease, and reports the worker as lost when it no longer listens or its lease has ended. A later heartbeat shows that the DELETE was not the worker's.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -39,7 +39,8 @@
     // registered once the worker at its address confirms the incarnation. Returns false and ignores
     // the heartbeat if it contradicts the registered worker or is older than its latest one.
     bool heartbeat(const WorkerReport &report);
-    // Marks the worker as lost after it has deregistered.
+    // Stops using the worker after it has deregistered. It counts as lost when it no longer
+    // listens, or when its lease has ended.
     void deregister(const std::string &workerId);
 
     // Returns the state, after waiting up to `call.wait` for a version newer than `call.since`.
@@ -97,6 +98,8 @@
     core::Instant m_leaseEnd ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     int m_refusedConnections ABSL_GUARDED_BY(m_mutex) = 0;
     int m_startsUnderWay ABSL_GUARDED_BY(m_mutex) = 0;
+    // The worker has deregistered.
+    bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
     // The worker has restarted under the same id and has not reported its new incarnation yet.
     bool m_restarted ABSL_GUARDED_BY(m_mutex) = false;
     core::Instant m_failingSince ABSL_GUARDED_BY(m_mutex) = absl::InfiniteFuture();
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -98,6 +98,9 @@
             .with("reason", "the heartbeat contradicts the registered worker");
         return false;
     }
+    // A worker that still reports has not deregistered: the message was from an earlier
+    // incarnation.
+    m_leaving = m_leaving && report.sequence == m_state.worker->sequence;
     if (report.draining && !m_state.worker->draining)
         telemetry::Event("worker_draining")
             .with("worker", report.id)
@@ -116,8 +119,9 @@
     if (!m_state.worker || m_state.worker->id != workerId)
         return;
     telemetry::Event("worker_left").with("worker", workerId);
-    m_state.workerLost = true;
-    raiseTerm();
+    m_leaving = true;
+    m_state.worker->draining = true;
+    markChanged();
 }
 
 std::optional<WorkerReport> Agent::takeCandidate()
@@ -173,6 +177,7 @@
     m_state.runs = {};
     m_acknowledged = 0;
     m_refusedConnections = 0;
+    m_leaving = false;
     m_restarted = false;
     m_failingSince = absl::InfiniteFuture();
     m_workerClockMs = runs.clockMs;
@@ -254,7 +259,7 @@
 std::optional<std::int64_t> Agent::leaseUntil() const
 {
     const core::Instant now = m_clock.now();
-    if (absl::ToUnixMillis(now) >= m_renewUntilMs || m_restarted)
+    if (absl::ToUnixMillis(now) >= m_renewUntilMs || m_leaving || m_restarted)
         return std::nullopt;
     return m_workerClockMs + absl::ToInt64Milliseconds(now - m_workerClockAt + m_options.lease);
 }
--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -402,6 +402,33 @@
     CHECK(state.term > term);
 }
 
+// Guards against starting the tasks of a running worker elsewhere because a late message says that
+// an earlier incarnation with the same id has deregistered.
+TEST_CASE("a deregistered worker is lost only when it no longer listens")
+{
+    FakeWorkerPort port;
+    Agent agent({"side", absl::Hours(1)}, port);
+    const Term term = registerWorker(agent, report()).term;
+    agent.deregister("i-1");
+    const auto watch = [&agent] { return *agent.watch({{1, 0}, 0, 0, {}, {}}); };
+    CHECK_FALSE(watch().workerLost);
+    SECTION("it reports again")
+    {
+        agent.heartbeat(report(1000, 2));
+        CHECK(agent.execute(startCall(term, report())) == std::vector{OrderResult::Done});
+    }
+    SECTION("it no longer listens")
+    {
+        {
+            absl::MutexLock lock(&port.mutex);
+            port.renewOutcome = OrderOutcome::NotListening;
+        }
+        const AgentState state =
+            waitForState(agent, 1, [](const AgentState &s) { return s.workerLost; });
+        CHECK_FALSE(state.workerCrashed);
+    }
+}
+
 // Guards against ended runs that are lost before they are acknowledged, or reported again
 // afterwards.
 TEST_CASE("ended runs are reported until they are acknowledged")
