Reject workers of services that nothing names

Another writer may report the true worker's address, id and time of start under a service that no configuration names. Such a report, if it came first, kept the true one out, and tasks of the worker's service never started there.

Change: the leader tells the agent which of the services that it has reported no configuration and no job names. The agent drops such a worker, unless it has runs, and registers the next report of another service.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -61,6 +61,7 @@
     void confirm(const WorkerReport &candidate);
     void registerWorker(const WorkerReport &candidate, const WorkerRuns &runs)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void dropUnknownServices(const std::vector<std::string> &services);
     void renewOnce(absl::Duration wait);
     void updateRuns(const WorkerReport &worker, const Term &term, WorkerRuns runs);
     // `startsExcluded` is true if no start could take effect during the failed call.
@@ -89,6 +90,7 @@
     std::int64_t m_renewUntilMs ABSL_GUARDED_BY(m_mutex) = 0;
     // Reported incarnations that the worker has not confirmed yet.
     std::vector<WorkerReport> m_candidates ABSL_GUARDED_BY(m_mutex);
+    std::vector<std::string> m_unknownServices ABSL_GUARDED_BY(m_mutex);
     std::int64_t m_acknowledged ABSL_GUARDED_BY(m_mutex) = 0;
     core::Instant m_lastContact ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     // The worker's clock reading, and the local time at which it was received.
--- a/include/oleandercross/control/agentlink.h
+++ b/include/oleandercross/control/agentlink.h
@@ -52,6 +52,11 @@
     // discards all pending orders. Returns false and does nothing if the agent has reported the
     // incarnation since `lastReport`, since it may have got a new permit then.
     bool revoke(const std::string &workerIncarnation, core::Instant lastReport);
+    // Tells the agent that no configuration names the service.
+    void rejectService(const std::string &service);
+    // Forgets the rejected services after the configuration has changed.
+    void clearRejectedServices();
+
     Term term() const;
     // Returns the time of the agent's latest response, or the infinite past if there is none.
     core::Instant lastResponseTime() const;
@@ -80,6 +85,7 @@
     std::atomic<bool> m_stopping = false;
     mutable absl::Mutex m_mutex;
     Term m_term ABSL_GUARDED_BY(m_mutex);
+    std::vector<std::string> m_rejectedServices ABSL_GUARDED_BY(m_mutex);
     OrderCall m_pending ABSL_GUARDED_BY(m_mutex);
     bool m_acknowledge ABSL_GUARDED_BY(m_mutex) = false;
     core::Instant m_lastResponseTime ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -48,6 +48,8 @@
     // The incarnation of the agent that `since` belongs to.
     std::string agentIncarnation;
     absl::Duration wait;
+    // Services that no configuration names; reports that name them are from another writer.
+    std::vector<std::string> unknownServices;
 };
 
 // The state of a worker as its agent reports it.
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -94,6 +94,7 @@
     void notifyPendingWork() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void round(core::Instant &nextRoundAt);
     static void pauseAfter(absl::Duration roundDuration);
+    void applyServices(const workload::Catalog &catalog);
     void applyJobRow(const StoredRow &row, core::Instant now);
     void applyAgents(std::map<std::string, http::Endpoint> agents);
     void applyState(const std::string &agent, const AgentState &state, core::Instant now);
@@ -110,6 +111,8 @@
     // Excludes the incarnation from new work until its agent reports it again.
     void closeWorker(const std::string &incarnation);
     void moveRuns(const std::string &from, const std::string &to, const WorkerRuns &runs);
+    // Returns true if a configuration or a job names the service, or if none has been read yet.
+    bool isKnownService(const std::string &service) const;
     void handleUnresponsiveWorkers(core::Instant now);
     bool store(const std::set<std::string> &changed);
     void publish(const std::set<std::string> &changed);
@@ -134,6 +137,8 @@
     std::vector<std::unique_ptr<AgentLink>> m_stoppedLinks;
     // The numbers of the first terms of links to agents that had one before.
     std::map<std::string, std::int64_t> m_nextTerms;
+    // The services that a configuration or a job has named. Jobs outlast their configuration.
+    std::set<std::string> m_services;
     std::map<std::string, std::int64_t> m_toAcknowledge;
     // The incarnation that each agent last reported ends of, and the highest number of them.
     std::map<std::string, std::pair<std::string, std::int64_t>> m_lastEnd;
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -108,6 +108,8 @@
     std::set<std::string> workerKeys(const std::string &prefix = {});
     // Returns true if a start of the run was decided and its end is not confirmed.
     bool hasActiveRun(const std::string &worker, const workload::RunKey &run) const;
+    // Returns the number of active runs of an incarnation of a worker.
+    int activeRunCount(const std::string &worker);
     // Returns true if the run completed. Members of a gang complete together, so the worker may
     // still list the run as running.
     bool completed(const workload::RunKey &run) const;
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -131,6 +131,9 @@
         return std::nullopt;
     WorkerReport candidate = std::move(m_candidates.front());
     m_candidates.erase(m_candidates.begin());
+    if (std::find(m_unknownServices.begin(), m_unknownServices.end(), candidate.service)
+        != m_unknownServices.end())
+        return std::nullopt;
     return candidate;
 }
 
@@ -195,6 +198,21 @@
     markChanged();
 }
 
+void Agent::dropUnknownServices(const std::vector<std::string> &services)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_unknownServices = services;
+    if (!m_state.worker
+        || std::find(services.begin(), services.end(), m_state.worker->service) == services.end())
+        return;
+    telemetry::Event("worker_dropped")
+        .with("worker", m_state.worker->id)
+        .with("service", m_state.worker->service)
+        .with("reason", "no configuration names the service");
+    m_state.worker.reset();
+    raiseTerm();
+}
+
 bool Agent::accept(const char *call, const Term &term, std::int64_t renewUntilMs)
 {
     absl::MutexLock lock(&m_mutex);
@@ -241,6 +259,7 @@
 {
     if (!accept("watch", call.term, call.renewUntilMs))
         return std::nullopt;
+    dropUnknownServices(call.unknownServices);
     const core::Instant until = m_clock.now() + call.wait;
     absl::MutexLock lock(&m_mutex);
     while (call.agentIncarnation == m_incarnation && m_state.version <= call.since
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -58,6 +58,20 @@
     return true;
 }
 
+void AgentLink::rejectService(const std::string &service)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (std::find(m_rejectedServices.begin(), m_rejectedServices.end(), service)
+        == m_rejectedServices.end())
+        m_rejectedServices.push_back(service);
+}
+
+void AgentLink::clearRejectedServices()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_rejectedServices.clear();
+}
+
 Term AgentLink::term() const
 {
     absl::MutexLock lock(&m_mutex);
@@ -173,6 +187,7 @@
         call.wait = m_agentClockMs == 0 || m_callFailed ? absl::ZeroDuration() : WatchWait;
         call.term = m_term;
         call.renewUntilMs = permitUntilMs();
+        call.unknownServices = m_rejectedServices;
     }
     const auto answer = m_client.call(m_address, "watch", toJson(call), call.wait + ResponseMargin);
     std::optional<AgentState> state;
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -128,6 +128,8 @@
     value["since"] = static_cast<Json::Int64>(call.since);
     value["incarnation"] = call.agentIncarnation;
     value["wait"] = toMilliseconds(call.wait);
+    for (const std::string &service : call.unknownServices)
+        value["unknownServices"].append(service);
     return value;
 }
 
@@ -139,6 +141,10 @@
     call.since = core::intMember(value, "since");
     call.agentIncarnation = core::stringMember(value, "incarnation");
     call.wait = absl::Milliseconds(core::intMember(value, "wait"));
+    for (const Json::Value &service : core::member(value, "unknownServices")) {
+        if (service.isString())
+            call.unknownServices.push_back(service.asString());
+    }
     return call;
 }
 
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -194,6 +194,7 @@
         for (const workload::Account &account : inbox.catalog->accounts)
             guarantees[account.name] = account.guaranteedAccelerators;
         m_planner.setGuarantees(std::move(guarantees));
+        applyServices(*inbox.catalog);
     }
     for (const StoredRow &row : inbox.jobRows)
         applyJobRow(row, now);
@@ -248,6 +249,7 @@
         return;
     }
     const std::string queue = job->queue;
+    m_services.insert(job->terms.service);
     const absl::Duration age = jobAge(*job, now);
     const auto progress = m_progress.find(row.key);
     if (progress == m_progress.end()) {
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -59,6 +59,21 @@
     }
 }
 
+void Leader::applyServices(const workload::Catalog &catalog)
+{
+    for (const auto &[service, enforcesCapacity] : catalog.serviceEnforcesCapacity)
+        m_services.insert(service);
+    for (const workload::Queue &queue : catalog.queues)
+        m_services.insert(queue.terms.service);
+    for (auto &[agent, link] : m_links)
+        link->clearRejectedServices();
+}
+
+bool Leader::isKnownService(const std::string &service) const
+{
+    return m_services.empty() || m_services.contains(service);
+}
+
 bool Leader::replaceOtherIncarnations(const std::string &agent, const std::string &incarnation,
                                       const AgentState &state, bool listed, core::Instant now)
 {
@@ -138,6 +153,10 @@
     }
     const std::string incarnation = incarnationKey(agent, *state.worker);
     const bool listed = state.listed && state.term >= link->second->term();
+    if (!isKnownService(state.worker->service) && m_planner.activeRunCount(incarnation) == 0) {
+        link->second->rejectService(state.worker->service);
+        return;
+    }
     m_incarnationSeenAt[incarnation] = state.receivedAt;
     if (!replaceOtherIncarnations(agent, incarnation, state, listed, now))
         return;
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -339,6 +339,13 @@
         && task->worker == worker;
 }
 
+int Planner::activeRunCount(const std::string &worker)
+{
+    int count = 0;
+    forEachActiveTask(worker, [&count](const workload::TaskKey &, Task &) { ++count; });
+    return count;
+}
+
 bool Planner::completed(const workload::RunKey &run) const
 {
     const JobRecord *record = job(run.task.job);
--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -330,7 +330,7 @@
         return port.renewals.size() - begin;
     };
     // A lost worker is not called any more, except to confirm the report.
-    const auto watch = [&agent] { return *agent.watch({{1, 0}, 0, 0, {}, {}}); };
+    const auto watch = [&agent] { return *agent.watch({{1, 0}, 0, 0, {}, {}, {}}); };
     while (renewedSince() < 3 && !watch().workerLost)
         absl::SleepFor(absl::Milliseconds(1));
     CHECK(watch().worker->startedAtMs == 2000);
@@ -359,11 +359,33 @@
     next.draining = true;
     c.change(next);
     CHECK(agent.heartbeat(next) == c.accepted);
-    const auto state = agent.watch({{1, 0}, 0, 0, {}, {}});
+    const auto state = agent.watch({{1, 0}, 0, 0, {}, {}, {}});
     CHECK(state->worker->draining == c.accepted);
     CHECK(state->worker->service == "booking");
 }
 
+// Guards against a report of a service that no configuration names, which takes the worker's place.
+TEST_CASE("a worker of an unknown service is dropped and the next report is registered")
+{
+    FakeWorkerPort port;
+    Agent agent({"side", absl::Seconds(6)}, port);
+    WorkerReport odd = report();
+    odd.service = "unknown";
+    registerWorker(agent, odd);
+    WatchCall reject;
+    reject.term.epoch = 1;
+    reject.unknownServices = {"unknown"};
+    CHECK_FALSE(agent.watch(reject)->worker);
+    agent.heartbeat(odd);
+    agent.heartbeat(report());
+    std::optional<AgentState> state = agent.watch(reject);
+    while (!state->worker) {
+        absl::SleepFor(absl::Milliseconds(1));
+        state = agent.watch(reject);
+    }
+    CHECK(state->worker->service == "booking");
+}
+
 // Guards against an agent that is refused for ever because its previous process was in a later
 // term and was killed before the leader learned of it.
 TEST_CASE("a restarted agent raises its term until the worker accepts its calls")
@@ -395,7 +417,7 @@
         absl::SleepFor(absl::Milliseconds(1));
     CHECK(agent.execute(startCall(term, report())) == std::vector{OrderResult::NotApplicable});
     CHECK(port.starts.empty());
-    CHECK_FALSE(agent.watch({{1, 0}, 0, 0, {}, {}})->workerLost);
+    CHECK_FALSE(agent.watch({{1, 0}, 0, 0, {}, {}, {}})->workerLost);
     agent.heartbeat(report(2000));
     const AgentState state = waitForState(agent, 1, isListed);
     CHECK(state.worker->startedAtMs == 2000);
@@ -410,7 +432,7 @@
     Agent agent({"side", absl::Hours(1)}, port);
     const Term term = registerWorker(agent, report()).term;
     agent.deregister("i-1");
-    const auto watch = [&agent] { return *agent.watch({{1, 0}, 0, 0, {}, {}}); };
+    const auto watch = [&agent] { return *agent.watch({{1, 0}, 0, 0, {}, {}, {}}); };
     CHECK_FALSE(watch().workerLost);
     SECTION("it reports again")
     {
@@ -443,7 +465,7 @@
     call.orders.clear();
     call.acknowledged = 7;
     REQUIRE(agent.execute(call));
-    CHECK(agent.watch({state.term, 0, 0, {}, {}})->runs.ended.empty());
+    CHECK(agent.watch({state.term, 0, 0, {}, {}, {}})->runs.ended.empty());
     agent.stop();
 }
 
