Count the age of a commit from when it was sent

Cause: a leader stops renewing permits 4 s after its last commit, and the next leader counts these 4 s from its own takeover. The last commit was dated when its confirmation arrived, which may be long after another process has taken over. An agent that only the earlier leader reaches could then extend leases after the next leader had given its worker up.

Change: a commit is dated when it was sent, one with a lost answer when it was sent first.

--- a/include/oleandercross/control/leaderlog.h
+++ b/include/oleandercross/control/leaderlog.h
@@ -65,7 +65,8 @@
 
     std::int64_t epoch() const;
     const Leadership &leadership() const { return m_leadership; }
-    // Returns when the latest transaction was confirmed.
+    // Returns when the latest confirmed transaction was sent first. Another process can have become
+    // the leader at any time after that, however late the confirmation arrived.
     core::Instant lastCommit() const;
 
     // Two of the MaxChanges are the condition on the leader row and its new value.
@@ -74,8 +75,10 @@
 private:
     enum class Attempt { Done, Deposed, Retry };
 
-    Attempt attempt(const RowChanges &changes, const Leadership &next);
-    Attempt afterConflict(const CommitResult &result, const Leadership &next);
+    // `firstBegin` is the time of the first attempt of the same transaction.
+    Attempt attempt(const RowChanges &changes, const Leadership &next, core::Instant firstBegin);
+    Attempt afterConflict(const CommitResult &result, const Leadership &next,
+                          core::Instant firstBegin);
 
     RowStore &m_store;
     const core::BootClock m_clock;
--- a/src/control/leaderlog.cpp
+++ b/src/control/leaderlog.cpp
@@ -82,11 +82,12 @@
     RowChanges changes;
     changes.conditions.push_back({LeaderTable, LeaderKey, m_version});
     changes.puts.push_back({LeaderTable, LeaderKey, encodeLeadership(next)});
+    const core::Instant begin = m_clock.now();
     // An attempt with an unknown outcome may still take effect, so it is retried until the outcome
     // is known.
     for (absl::Duration pause = MinRetryDelay; !m_stopping && !(shouldAbort && shouldAbort());
          pause = std::min(pause * 2, MaxRetryDelay)) {
-        const Attempt result = attempt(changes, next);
+        const Attempt result = attempt(changes, next, begin);
         if (result == Attempt::Deposed)
             return false;
         if (result == Attempt::Done)
@@ -107,9 +108,10 @@
     changes.puts = puts;
     changes.puts.push_back({LeaderTable, LeaderKey, encodeLeadership(next)});
     changes.removals = removals;
+    const core::Instant begin = m_clock.now();
     for (absl::Duration pause = MinRetryDelay; !m_stopping;
          pause = std::min(pause * 2, MaxRetryDelay)) {
-        const Attempt result = attempt(changes, next);
+        const Attempt result = attempt(changes, next, begin);
         if (result != Attempt::Retry)
             return result == Attempt::Done ? Outcome::Committed : Outcome::Deposed;
         absl::SleepFor(pause);
@@ -117,11 +119,13 @@
     return Outcome::Stopped;
 }
 
-LeaderLog::Attempt LeaderLog::attempt(const RowChanges &changes, const Leadership &next)
+LeaderLog::Attempt LeaderLog::attempt(const RowChanges &changes, const Leadership &next,
+                                      core::Instant firstBegin)
 {
+    const core::Instant begin = m_clock.now();
     const CommitResult result = m_store.commit(changes, StoreTimeout);
     if (result.outcome == CommitOutcome::Conflict)
-        return afterConflict(result, next);
+        return afterConflict(result, next, firstBegin);
     if (result.outcome != CommitOutcome::Applied) {
         telemetry::Event("leader_commit_retried")
             .with("epoch", next.epoch)
@@ -133,11 +137,12 @@
     absl::MutexLock lock(&m_mutex);
     m_leadership = next;
     m_version = result.version;
-    m_lastCommit = m_clock.now();
+    m_lastCommit = begin;
     return Attempt::Done;
 }
 
-LeaderLog::Attempt LeaderLog::afterConflict(const CommitResult &result, const Leadership &next)
+LeaderLog::Attempt LeaderLog::afterConflict(const CommitResult &result, const Leadership &next,
+                                            core::Instant firstBegin)
 {
     for (const StoredRow &row : result.current) {
         if (row.table != LeaderTable || row.key != LeaderKey)
@@ -149,7 +154,7 @@
         absl::MutexLock lock(&m_mutex);
         m_leadership = next;
         m_version = row.version;
-        m_lastCommit = m_clock.now();
+        m_lastCommit = firstBegin;
         return Attempt::Done;
     }
     return Attempt::Deposed;
--- a/test/control/tst_leaderlog.cpp
+++ b/test/control/tst_leaderlog.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandercross/control/leaderlog.h>
 
+#include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
 using namespace oleandercross;
@@ -19,6 +20,24 @@
     return leadership;
 }
 
+// A store whose responses arrive long after the transaction was executed.
+class SlowStore : public testing::FakeRowStore
+{
+public:
+    CommitResult commit(const RowChanges &changes, absl::Duration timeout) override
+    {
+        const CommitResult result = FakeRowStore::commit(changes, timeout);
+        const core::Instant executedAt = clock.now();
+        if (result.outcome != CommitOutcome::Conflict)
+            latestAt = executedAt;
+        absl::SleepFor(absl::Milliseconds(20));
+        return result;
+    }
+
+    const core::BootClock clock;
+    core::Instant latestAt = absl::InfinitePast();
+};
+
 std::optional<StoredRow> leaderRow(RowStore &store)
 {
     return *store.row(LeaderTable, LeaderKey, StoreTimeout);
@@ -64,6 +83,22 @@
     CHECK(store.value(ProgressTable, "j") == "2");
 }
 
+// Guards against permits of a leader that was replaced while the confirmation of its transaction
+// was under way: other processes count from when the store executed it.
+TEST_CASE("the time of a commit is not later than its execution by the store")
+{
+    SlowStore store;
+    LeaderLog log(store, leadership("a"));
+    const bool answerLost = GENERATE(false, true);
+    CAPTURE(answerLost);
+    REQUIRE(log.acquire(std::nullopt));
+    CHECK(log.lastCommit() <= store.latestAt);
+    if (answerLost)
+        store.injectFaults({Fault::LoseAnswer});
+    REQUIRE(log.commit({{ProgressTable, "j", "1"}}, {}) == LeaderLog::Outcome::Committed);
+    CHECK(log.lastCommit() <= store.latestAt);
+}
+
 // Guards against a delayed transaction that overwrites newer rows.
 TEST_CASE("a delayed commit does not undo a later one")
 {
