--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -34,10 +34,13 @@
     void start();
     void stop();
 
-    // Records a heartbeat of the worker. Returns false and ignores the heartbeat if it is older
-    // than the latest one of the same incarnation, or belongs to an earlier incarnation.
+    // Records a heartbeat of the worker. A heartbeat of another incarnation than the registered one
+    // only names a candidate, since it may be late or from another writer; the candidate is
+    // registered once the worker at its address confirms the incarnation. Returns false and ignores
+    // the heartbeat if it contradicts the registered worker or is older than its latest one.
     bool heartbeat(const WorkerReport &report);
-    // Marks the worker as lost after it has deregistered.
+    // Stops using the worker after it has deregistered. It counts as lost when it no longer
+    // listens, or when its lease has ended.
     void deregister(const std::string &workerId);
 
     // Returns the state, after waiting up to `call.wait` for a version newer than `call.since`.
@@ -50,18 +53,26 @@
     core::Instant lastContact() const;
 
 private:
-    bool acceptEpoch(const char *call, std::int64_t epoch, std::int64_t renewUntilMs);
+    bool accept(const char *call, const Term &term, std::int64_t renewUntilMs);
+    void raiseTerm() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logReceived(const OrderCall &call, bool applicable);
     void renewLoop();
+    std::optional<WorkerReport> takeCandidate() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void confirm(const WorkerReport &candidate);
+    void registerWorker(const WorkerReport &candidate, const WorkerRuns &runs)
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void dropUnknownServices(const std::vector<std::string> &services);
     void renewOnce(absl::Duration wait);
-    void updateRuns(const WorkerReport &worker, WorkerRuns runs);
-    void recordFailure(const WorkerReport &worker, OrderOutcome outcome);
-    OrderResult execute(const WorkerReport &worker, const planning::Order &order,
-                        std::int64_t epoch, core::Instant receivedAt);
-    OrderResult start(const WorkerReport &worker, const planning::Order &order, std::int64_t epoch);
+    void updateRuns(const WorkerReport &worker, const Term &term, WorkerRuns runs);
+    // `startsExcluded` is true if no start could take effect during the failed call.
+    void recordFailure(const WorkerReport &worker, OrderOutcome outcome, bool startsExcluded);
+    OrderResult execute(const WorkerReport &worker, const planning::Order &order, const Term &term,
+                        core::Instant receivedAt);
+    OrderResult start(const WorkerReport &worker, const planning::Order &order, const Term &term);
+    std::optional<StartOrder> beginStart(const WorkerReport &worker, const planning::Order &order,
+                                         const Term &term);
     void recordStart(const WorkerReport &worker, const workload::RunKey &run);
-    OrderResult stopRun(const WorkerReport &worker, const workload::RunKey &run,
-                        std::int64_t epoch);
+    OrderResult stopRun(const WorkerReport &worker, const workload::RunKey &run, const Term &term);
     std::int64_t nowMs() const;
     std::optional<std::int64_t> leaseUntil() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void markChanged() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -74,8 +85,12 @@
     mutable absl::Mutex m_mutex;
     core::CondVar m_stateChanged;
     AgentState m_state ABSL_GUARDED_BY(m_mutex);
-    std::int64_t m_epoch ABSL_GUARDED_BY(m_mutex) = 0;
+    Term m_term ABSL_GUARDED_BY(m_mutex);
+    // The end of the current term's permit to extend the lease, on this clock.
     std::int64_t m_renewUntilMs ABSL_GUARDED_BY(m_mutex) = 0;
+    // Reported incarnations that the worker has not confirmed yet.
+    std::vector<WorkerReport> m_candidates ABSL_GUARDED_BY(m_mutex);
+    std::vector<std::string> m_unknownServices ABSL_GUARDED_BY(m_mutex);
     std::int64_t m_acknowledged ABSL_GUARDED_BY(m_mutex) = 0;
     core::Instant m_lastContact ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     // The worker's clock reading, and the local time at which it was received.
@@ -84,6 +99,11 @@
     // An upper bound, on this clock, for the end of every lease that the worker may hold.
     core::Instant m_leaseEnd ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     int m_refusedConnections ABSL_GUARDED_BY(m_mutex) = 0;
+    int m_startsUnderWay ABSL_GUARDED_BY(m_mutex) = 0;
+    // The worker has deregistered.
+    bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
+    // The worker has restarted under the same id and has not reported its new incarnation yet.
+    bool m_restarted ABSL_GUARDED_BY(m_mutex) = false;
     core::Instant m_failingSince ABSL_GUARDED_BY(m_mutex) = absl::InfiniteFuture();
     std::atomic<bool> m_stopping = false;
     std::thread m_renewalThread;
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -77,6 +77,10 @@
     std::vector<workload::RunKey> removeWorker(const std::string &key, WorkerEnd end,
                                                core::Instant now);
 
+    // Moves an active run to another incarnation of its worker, which turned out to execute it.
+    // Returns false if the run is not active on `from`.
+    bool moveRun(const std::string &from, const std::string &to, const workload::RunKey &run);
+
     // Starts a complete listing of the worker's runs, which is passed by calls of runSeen() and
     // runEnded().
     void beginListing(const std::string &worker);
@@ -104,6 +108,8 @@
     std::set<std::string> workerKeys(const std::string &prefix = {});
     // Returns true if a start of the run was decided and its end is not confirmed.
     bool hasActiveRun(const std::string &worker, const workload::RunKey &run) const;
+    // Returns the number of active runs of an incarnation of a worker.
+    int activeRunCount(const std::string &worker);
     // Returns true if the run completed. Members of a gang complete together, so the worker may
     // still list the run as running.
     bool completed(const workload::RunKey &run) const;
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -22,6 +22,8 @@
 constexpr absl::Duration AcknowledgementTimeout = absl::Milliseconds(150);
 // The number of consecutive refused connections after which the worker's process counts as exited.
 constexpr int RefusedConnectionCountUntilLost = 2;
+// Reports of other writers must not use up the memory.
+constexpr std::size_t MaxCandidates = 4;
 
 } // namespace
 
@@ -76,52 +78,35 @@
 bool Agent::heartbeat(const WorkerReport &report)
 {
     absl::MutexLock lock(&m_mutex);
-    if (m_state.worker && !sameIncarnation(report)
-        && report.startedAtMs < m_state.worker->startedAtMs) {
-        telemetry::Event("heartbeat_ignored")
-            .with("worker", report.id)
-            .with("born", report.startedAtMs)
-            .with("reason", "the heartbeat is from an earlier incarnation of the worker");
-        return false;
+    if (!sameIncarnation(report) || m_state.workerLost) {
+        std::erase_if(m_candidates, [&report](const WorkerReport &candidate) {
+            return candidate.id == report.id && candidate.startedAtMs == report.startedAtMs;
+        });
+        if (m_candidates.size() == MaxCandidates)
+            m_candidates.erase(m_candidates.begin());
+        m_candidates.push_back(report);
+        m_stateChanged.signalAll();
+        return true;
     }
-    if (sameIncarnation(report) && report.sequence < m_state.worker->sequence)
+    if (report.sequence < m_state.worker->sequence)
         return false;
-    if (!sameIncarnation(report)) {
-        telemetry::Event("worker_registered")
+    if (report.service != m_state.worker->service || report.address != m_state.worker->address) {
+        telemetry::Event("heartbeat_ignored")
             .with("worker", report.id)
-            .with("born", report.startedAtMs)
-            .with("address", toString(report.address))
             .with("service", report.service)
-            .with("rack", report.rack);
-        m_state.workerLost = false;
-        m_state.workerCrashed = false;
-        m_state.listed = false;
-        m_state.runs = {};
-        m_acknowledged = 0;
-        m_refusedConnections = 0;
-        m_failingSince = absl::InfiniteFuture();
-        m_workerClockMs = report.clockMs;
-        m_workerClockAt = m_clock.now();
-        // An earlier process of this agent may have extended the lease until now.
-        m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
-    } else if (report.draining && !m_state.worker->draining) {
+            .with("address", toString(report.address))
+            .with("reason", "the heartbeat contradicts the registered worker");
+        return false;
+    }
+    // A worker that still reports has not deregistered: the message was from an earlier
+    // incarnation.
+    m_leaving = m_leaving && report.sequence == m_state.worker->sequence;
+    if (report.draining && !m_state.worker->draining)
         telemetry::Event("worker_draining")
             .with("worker", report.id)
             .with("leaves_in_ms", absl::ToInt64Milliseconds(report.drainRemaining));
-    }
-    if (sameIncarnation(report) && m_state.workerLost) {
-        // A heartbeat proves that the worker is running, even if its connections failed.
-        telemetry::Event("worker_back").with("worker", report.id);
-        m_state.workerLost = false;
-        m_state.workerCrashed = false;
-        m_state.listed = false;
-        m_refusedConnections = 0;
-        m_failingSince = absl::InfiniteFuture();
-        markChanged();
-    }
-    const bool stateChanged = !sameIncarnation(report)
-        || report.draining != m_state.worker->draining
-        || report.capacity != m_state.worker->capacity;
+    const bool stateChanged =
+        report.draining != m_state.worker->draining || report.capacity != m_state.worker->capacity;
     m_state.worker = report;
     if (stateChanged)
         markChanged();
@@ -134,28 +119,129 @@
     if (!m_state.worker || m_state.worker->id != workerId)
         return;
     telemetry::Event("worker_left").with("worker", workerId);
-    m_state.workerLost = true;
+    m_leaving = true;
+    m_state.worker->draining = true;
     markChanged();
 }
 
-bool Agent::acceptEpoch(const char *call, std::int64_t epoch, std::int64_t renewUntilMs)
+std::optional<WorkerReport> Agent::takeCandidate()
+{
+    // Workers ignore calls without a leader's fencing token.
+    if (m_term.epoch == 0 || m_candidates.empty())
+        return std::nullopt;
+    WorkerReport candidate = std::move(m_candidates.front());
+    m_candidates.erase(m_candidates.begin());
+    if (std::find(m_unknownServices.begin(), m_unknownServices.end(), candidate.service)
+        != m_unknownServices.end())
+        return std::nullopt;
+    return candidate;
+}
+
+void Agent::confirm(const WorkerReport &candidate)
 {
+    RenewOrder query;
+    {
+        absl::MutexLock lock(&m_mutex);
+        query.fence = fencingToken(m_term);
+    }
+    WorkerRuns runs;
+    const OrderOutcome outcome = m_port.renew(candidate, query, runs, WorkerCallTimeout);
     absl::MutexLock lock(&m_mutex);
-    if (epoch < m_epoch) {
+    if (outcome == OrderOutcome::Done && runs.startedAtMs == candidate.startedAtMs) {
+        registerWorker(candidate, runs);
+        return;
+    }
+    telemetry::Event("worker_not_confirmed")
+        .with("worker", candidate.id)
+        .with("born", candidate.startedAtMs)
+        .with("address", toString(candidate.address))
+        .with("outcome", toString(outcome))
+        .with("listed_born", runs.startedAtMs);
+    // An earlier process of this agent may have been in a later term.
+    if (outcome == OrderOutcome::Fenced) {
+        raiseTerm();
+        m_candidates.push_back(candidate);
+    }
+}
+
+void Agent::registerWorker(const WorkerReport &candidate, const WorkerRuns &runs)
+{
+    raiseTerm();
+    telemetry::Event("worker_registered")
+        .with("worker", candidate.id)
+        .with("born", candidate.startedAtMs)
+        .with("address", toString(candidate.address))
+        .with("service", candidate.service)
+        .with("rack", candidate.rack)
+        .with("term", m_term.number);
+    m_state.worker = candidate;
+    m_state.workerLost = false;
+    m_state.workerCrashed = false;
+    m_state.runs = {};
+    m_acknowledged = 0;
+    m_refusedConnections = 0;
+    m_leaving = false;
+    m_restarted = false;
+    m_failingSince = absl::InfiniteFuture();
+    m_workerClockMs = runs.clockMs;
+    m_workerClockAt = m_clock.now();
+    // An earlier process of this agent may have extended the lease until now.
+    m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
+}
+
+void Agent::raiseTerm()
+{
+    ++m_term.number;
+    m_state.term = m_term;
+    m_state.listed = false;
+    m_renewUntilMs = 0;
+    markChanged();
+}
+
+void Agent::dropUnknownServices(const std::vector<std::string> &services)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_unknownServices = services;
+    if (!m_state.worker
+        || std::find(services.begin(), services.end(), m_state.worker->service) == services.end())
+        return;
+    telemetry::Event("worker_dropped")
+        .with("worker", m_state.worker->id)
+        .with("service", m_state.worker->service)
+        .with("reason", "no configuration names the service");
+    m_state.worker.reset();
+    raiseTerm();
+}
+
+bool Agent::accept(const char *call, const Term &term, std::int64_t renewUntilMs)
+{
+    absl::MutexLock lock(&m_mutex);
+    if (term.epoch < m_term.epoch) {
         core::fail(core::ResultCode::StaleEpoch, "the call is from the leader of an earlier epoch");
         return false;
     }
-    if (epoch > m_epoch) {
-        telemetry::Event("leader_adopted").with("epoch", epoch);
-        m_epoch = epoch;
-        m_stateChanged.signalAll();
-    }
     m_lastContact = m_clock.now();
     const std::int64_t now = absl::ToUnixMillis(m_lastContact);
+    if (term.epoch > m_term.epoch) {
+        telemetry::Event("leader_adopted").with("epoch", term.epoch).with("term", term.number);
+        m_term = term;
+        m_state.term = m_term;
+        m_stateChanged.signalAll();
+    } else if (term > m_term) {
+        telemetry::Event("term_adopted").with("epoch", term.epoch).with("term", term.number);
+        m_term = term;
+        m_state.term = m_term;
+        m_state.listed = false;
+        m_renewUntilMs = 0;
+        markChanged();
+    }
+    if (term != m_term)
+        return true;
     if (m_renewUntilMs <= now && now < renewUntilMs) {
         telemetry::Event("permit_renewed")
             .with("call", call)
-            .with("epoch", epoch)
+            .with("epoch", term.epoch)
+            .with("term", term.number)
             .with("permit_until", renewUntilMs)
             .with("expired_ms", m_renewUntilMs == 0 ? std::int64_t{-1} : now - m_renewUntilMs);
     }
@@ -171,12 +257,13 @@
 
 std::optional<AgentState> Agent::watch(const WatchCall &call)
 {
-    if (!acceptEpoch("watch", call.epoch, call.renewUntilMs))
+    if (!accept("watch", call.term, call.renewUntilMs))
         return std::nullopt;
+    dropUnknownServices(call.unknownServices);
     const core::Instant until = m_clock.now() + call.wait;
     absl::MutexLock lock(&m_mutex);
     while (call.agentIncarnation == m_incarnation && m_state.version <= call.since
-           && m_epoch == call.epoch && !m_stopping) {
+           && m_term.epoch == call.term.epoch && !m_stopping) {
         const absl::Duration left = until - m_clock.now();
         if (left <= absl::ZeroDuration())
             break;
@@ -191,7 +278,7 @@
 std::optional<std::int64_t> Agent::leaseUntil() const
 {
     const core::Instant now = m_clock.now();
-    if (absl::ToUnixMillis(now) >= m_renewUntilMs)
+    if (absl::ToUnixMillis(now) >= m_renewUntilMs || m_leaving || m_restarted)
         return std::nullopt;
     return m_workerClockMs + absl::ToInt64Milliseconds(now - m_workerClockAt + m_options.lease);
 }
@@ -199,17 +286,21 @@
 void Agent::renewLoop()
 {
     while (!m_stopping) {
-        bool idle = false;
+        std::optional<WorkerReport> candidate;
+        bool registered = false;
         absl::Duration wait = RenewalWait;
         {
             absl::MutexLock lock(&m_mutex);
-            idle = !m_state.worker || m_state.workerLost || m_epoch == 0;
-            if (idle)
+            candidate = takeCandidate();
+            registered = m_state.worker && !m_state.workerLost && m_term.epoch != 0;
+            if (!candidate && !registered)
                 m_stateChanged.waitFor(m_mutex, RenewalWait);
-            else if (!m_state.listed)
+            else if (!m_state.listed || candidate)
                 wait = absl::ZeroDuration();
         }
-        if (!idle)
+        if (candidate)
+            confirm(*candidate);
+        if (registered)
             renewOnce(wait);
     }
 }
@@ -218,36 +309,42 @@
 {
     WorkerReport worker;
     RenewOrder order;
+    Term term;
+    bool startsExcluded = false;
     {
         absl::MutexLock lock(&m_mutex);
+        if (!m_state.worker || m_state.workerLost)
+            return;
         worker = *m_state.worker;
+        term = m_term;
+        startsExcluded = m_refusedConnections > 0 && m_startsUnderWay == 0;
         order.acknowledged = m_acknowledged;
         order.leaseUntilMs = leaseUntil();
-        order.fence = m_epoch;
+        order.fence = fencingToken(m_term);
         if (order.leaseUntilMs)
             m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
     }
     order.wait = wait;
     WorkerRuns runs;
     const OrderOutcome outcome = m_port.renew(worker, order, runs, wait + WorkerCallTimeout);
-    if (outcome == OrderOutcome::Done) {
-        updateRuns(worker, std::move(runs));
+    if (outcome == OrderOutcome::Done && runs.startedAtMs == worker.startedAtMs) {
+        updateRuns(worker, term, std::move(runs));
         absl::MutexLock lock(&m_mutex);
         const std::int64_t acknowledged = m_acknowledged;
         if (!m_state.runs.ended.empty() && acknowledged == order.acknowledged)
             m_stateChanged.waitFor(m_mutex, AcknowledgementTimeout);
         return;
     }
-    recordFailure(worker, outcome);
+    recordFailure(worker, outcome, startsExcluded);
     absl::MutexLock lock(&m_mutex);
     m_stateChanged.waitFor(m_mutex, RetryDelay);
 }
 
-void Agent::updateRuns(const WorkerReport &worker, WorkerRuns runs)
+void Agent::updateRuns(const WorkerReport &worker, const Term &term, WorkerRuns runs)
 {
     absl::MutexLock lock(&m_mutex);
-    if (!sameIncarnation(worker)
-        || (runs.startedAtMs != 0 && runs.startedAtMs != worker.startedAtMs))
+    // A start of an earlier term may still be added to a list of that term.
+    if (!sameIncarnation(worker) || runs.startedAtMs != worker.startedAtMs || term != m_term)
         return;
     m_refusedConnections = 0;
     m_failingSince = absl::InfiniteFuture();
@@ -268,7 +365,7 @@
         markChanged();
 }
 
-void Agent::recordFailure(const WorkerReport &worker, OrderOutcome outcome)
+void Agent::recordFailure(const WorkerReport &worker, OrderOutcome outcome, bool startsExcluded)
 {
     absl::MutexLock lock(&m_mutex);
     if (!sameIncarnation(worker) || m_state.workerLost)
@@ -281,18 +378,27 @@
             .with("outcome", toString(outcome))
             .with("reason", core::lastReason().message);
     }
+    if (outcome == OrderOutcome::Fenced)
+        raiseTerm();
+    // The worker answered as another incarnation. Its next heartbeat names that, so that starts
+    // which reached it instead of the registered one are found in its list.
+    if (outcome == OrderOutcome::Done && !std::exchange(m_restarted, true)) {
+        m_state.listed = false;
+        markChanged();
+    }
     m_refusedConnections = outcome == OrderOutcome::NotListening ? m_refusedConnections + 1 : 0;
-    const bool ended = m_refusedConnections >= RefusedConnectionCountUntilLost
+    const bool ended = (m_refusedConnections >= RefusedConnectionCountUntilLost && startsExcluded)
         || outcome == OrderOutcome::OtherIncarnation;
     if (!ended && now < m_leaseEnd)
         return;
     m_state.workerLost = true;
     m_state.workerCrashed = ended && !m_state.worker->draining;
+    raiseTerm();
     telemetry::Event("worker_gone")
         .with("worker", worker.id)
         .with("outcome", toString(outcome))
-        .with("lease_over", now >= m_leaseEnd);
-    markChanged();
+        .with("lease_over", now >= m_leaseEnd)
+        .with("term", m_term.number);
 }
 
 void Agent::logReceived(const OrderCall &call, bool applicable)
@@ -307,6 +413,7 @@
         .with("applicable", applicable)
         .with("starts", static_cast<std::int64_t>(starts))
         .with("stops", static_cast<std::int64_t>(call.orders.size()) - starts)
+        .with("term", call.term.number)
         .with("permit_until", call.renewUntilMs)
         .with("permit_left_ms", call.renewUntilMs - nowMs())
         .with("held_permit_left_ms", m_renewUntilMs - nowMs());
@@ -315,13 +422,13 @@
 std::optional<std::vector<OrderResult>> Agent::execute(const OrderCall &call)
 {
     const core::Instant receivedAt = m_clock.now();
-    if (!acceptEpoch("orders", call.epoch, call.renewUntilMs))
+    if (!accept("orders", call.term, call.renewUntilMs))
         return std::nullopt;
     WorkerReport worker;
     bool applicable = false;
     {
         absl::MutexLock lock(&m_mutex);
-        applicable = m_state.worker && !m_state.workerLost
+        applicable = m_state.worker && !m_state.workerLost && call.term == m_term
             && incarnationKey(m_options.name, *m_state.worker) == call.workerIncarnation;
         if (applicable) {
             worker = *m_state.worker;
@@ -338,48 +445,42 @@
         logReceived(call, applicable);
     std::vector<OrderResult> results;
     for (const planning::Order &order : call.orders)
-        results.push_back(applicable ? execute(worker, order, call.epoch, receivedAt)
+        results.push_back(applicable ? execute(worker, order, call.term, receivedAt)
                                      : OrderResult::NotApplicable);
     return results;
 }
 
 OrderResult Agent::execute(const WorkerReport &worker, const planning::Order &order,
-                           std::int64_t epoch, core::Instant receivedAt)
+                           const Term &term, core::Instant receivedAt)
 {
     const bool starts = order.kind == planning::Order::Kind::Start;
     const OrderResult result =
-        starts ? start(worker, order, epoch) : stopRun(worker, order.run, epoch);
+        starts ? start(worker, order, term) : stopRun(worker, order.run, term);
     telemetry::Event(starts ? "start_carried_out" : "stop_carried_out")
         .with("task", toString(order.run.task))
         .with("run", order.run.run)
         .with("worker", worker.id)
-        .with("epoch", epoch)
+        .with("epoch", term.epoch)
+        .with("term", term.number)
         .with("since_call_ms", absl::ToInt64Milliseconds(m_clock.now() - receivedAt))
         .with("result", toString(result))
         .with("reason", result == OrderResult::Done ? "" : core::lastReason().message);
     return result;
 }
 
-OrderResult Agent::start(const WorkerReport &worker, const planning::Order &order,
-                         std::int64_t epoch)
+OrderResult Agent::start(const WorkerReport &worker, const planning::Order &order, const Term &term)
 {
     for (const absl::Duration timeout : StartAttemptTimeouts) {
-        StartOrder start{order.run, order.payload, order.checkpoint, 0, epoch};
+        const std::optional<StartOrder> start = beginStart(worker, order, term);
+        if (!start)
+            return core::lastReason().code == core::ResultCode::Draining
+                ? OrderResult::Refused
+                : OrderResult::NotApplicable;
+        const OrderOutcome outcome = m_port.start(worker, *start, timeout);
         {
             absl::MutexLock lock(&m_mutex);
-            const std::optional<std::int64_t> until = leaseUntil();
-            if (!until || epoch < m_epoch || !sameIncarnation(worker)) {
-                core::fail(core::ResultCode::StaleEpoch, "the leader's permit has expired");
-                return OrderResult::NotApplicable;
-            }
-            if (m_state.worker->draining) {
-                core::fail(core::ResultCode::Draining, "the worker is draining");
-                return OrderResult::Refused;
-            }
-            start.leaseUntilMs = *until;
-            m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
+            --m_startsUnderWay;
         }
-        const OrderOutcome outcome = m_port.start(worker, start, timeout);
         if (outcome == OrderOutcome::Done) {
             recordStart(worker, order.run);
             return OrderResult::Done;
@@ -392,6 +493,22 @@
     return OrderResult::Unanswered;
 }
 
+std::optional<StartOrder> Agent::beginStart(const WorkerReport &worker,
+                                            const planning::Order &order, const Term &term)
+{
+    absl::MutexLock lock(&m_mutex);
+    const std::optional<std::int64_t> until = leaseUntil();
+    if (!until || term != m_term || !sameIncarnation(worker) || m_state.workerLost)
+        return core::fail(core::ResultCode::StaleEpoch, "the leader's permit has expired");
+    if (m_refusedConnections > 0)
+        return core::fail(core::ResultCode::ConnectionFailed, "the worker may have exited");
+    if (m_state.worker->draining)
+        return core::fail(core::ResultCode::Draining, "the worker is draining");
+    ++m_startsUnderWay;
+    m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
+    return StartOrder{order.run, order.payload, order.checkpoint, *until, fencingToken(term)};
+}
+
 void Agent::recordStart(const WorkerReport &worker, const workload::RunKey &run)
 {
     absl::MutexLock lock(&m_mutex);
@@ -405,9 +522,9 @@
 }
 
 OrderResult Agent::stopRun(const WorkerReport &worker, const workload::RunKey &run,
-                           std::int64_t epoch)
+                           const Term &term)
 {
-    const OrderOutcome outcome = m_port.stop(worker, run, epoch, WorkerCallTimeout);
+    const OrderOutcome outcome = m_port.stop(worker, run, fencingToken(term), WorkerCallTimeout);
     if (outcome != OrderOutcome::Done)
         return outcome == OrderOutcome::Refused ? OrderResult::Refused : OrderResult::Unanswered;
     // If the run has not started yet, the worker blocks its start and does not list it as ended.
@@ -417,14 +534,14 @@
         absl::MutexLock lock(&m_mutex);
         query.acknowledged = m_acknowledged;
     }
-    query.fence = epoch;
+    query.fence = fencingToken(term);
     if (m_port.renew(worker, query, runs, WorkerCallTimeout) != OrderOutcome::Done)
         return OrderResult::Unanswered;
     const bool listed = std::any_of(runs.running.begin(), runs.running.end(),
                                     [&run](const RunningTask &task) { return task.run == run; })
         || std::any_of(runs.ended.begin(), runs.ended.end(),
                        [&run](const EndedTask &task) { return task.run == run; });
-    updateRuns(worker, std::move(runs));
+    updateRuns(worker, term, std::move(runs));
     return listed ? OrderResult::Done : OrderResult::Absent;
 }
 
