--- a/test/control/testprocesses.h
+++ b/test/control/testprocesses.h
@@ -19,11 +19,11 @@
 inline constexpr absl::Duration StateTimeout = absl::Seconds(60);
 inline constexpr absl::Duration PollPeriod = absl::Milliseconds(5);
 
-// Returns false if the condition is still not met after StateTimeout.
-inline bool waitUntil(const std::function<bool()> &condition)
+// Returns false if the condition is still not met after the timeout.
+inline bool waitUntil(const std::function<bool()> &condition, absl::Duration timeout = StateTimeout)
 {
     const core::BootClock clock;
-    const core::Instant until = clock.now() + StateTimeout;
+    const core::Instant until = clock.now() + timeout;
     while (!condition() && clock.now() < until)
         absl::SleepFor(PollPeriod);
     return condition();
@@ -39,10 +39,11 @@
 // An agent with an RPC server on the loopback interface.
 struct AgentProcess
 {
-    AgentProcess(RowStore &store, WorkerPort &worker, const std::string &name)
+    AgentProcess(RowStore &store, WorkerPort &worker, const std::string &name,
+                 absl::Duration lease = absl::Milliseconds(500))
         : port(freePort())
         , server(onLoopback(port), Key)
-        , agent({name, absl::Milliseconds(500)}, worker)
+        , agent({name, lease}, worker)
     {
         server.add("watch", [this](const Json::Value &params) -> std::optional<Json::Value> {
             while (watchesPaused)
@@ -88,11 +89,12 @@
 // An entry with an RPC server on the loopback interface and an empty configuration.
 struct EntryProcess
 {
-    EntryProcess(RowStore &store, const std::string &name)
+    EntryProcess(RowStore &store, const std::string &name,
+                 absl::Duration lease = absl::Milliseconds(500))
         : port(freePort())
         , client({}, Key)
         , server(onLoopback(port), Key)
-        , entry(options(name), store, client, server, metrics,
+        , entry(options(name, lease), store, client, server, metrics,
                 [](const std::string &) { return std::optional(workload::Catalog{}); })
     {
         REQUIRE(server.start());
@@ -105,11 +107,11 @@
         server.stop();
     }
 
-    EntryOptions options(const std::string &name) const
+    EntryOptions options(const std::string &name, absl::Duration lease) const
     {
         EntryOptions options;
         options.self = {name, MemberRole::Entry, {"127.0.0.1", port}, "life"};
-        options.leader.lease = absl::Milliseconds(500);
+        options.leader.lease = lease;
         options.configTable = "op";
         options.configKey = "config";
         return options;
@@ -137,7 +139,8 @@
     Entry entry;
 };
 
-inline workload::Job job(const std::string &id, int tasks)
+inline workload::Job job(const std::string &id, int tasks,
+                         const workload::Demand &perTask = {1000, 1000, 1})
 {
     workload::Job job;
     job.id = id;
@@ -145,7 +148,7 @@
     job.terms.service = "booking";
     workload::Step step;
     step.tasks = tasks;
-    step.perTask = {1000, 1000, 1};
+    step.perTask = perTask;
     step.gang = true;
     job.steps.push_back(step);
     return job;
