--- a/test/control/testprocesses.h
+++ b/test/control/testprocesses.h
@@ -52,11 +52,13 @@
             return state ? std::optional(toJson(*state)) : std::nullopt;
         });
         server.add("orders", [this](const Json::Value &params) -> std::optional<Json::Value> {
+            const int position = m_receivedOrders++;
             ++waitingOrders;
-            while (ordersPaused)
+            while (ordersPaused || m_completedOrders < position)
                 absl::SleepFor(PollPeriod);
             const auto results = agent.execute(*orderCallFromJson(params));
             --waitingOrders;
+            ++m_completedOrders;
             if (!results)
                 return std::nullopt;
             Json::Value answer(Json::objectValue);
@@ -84,6 +86,12 @@
     std::atomic<int> waitingOrders = 0;
     rpc::Server server;
     Agent agent;
+
+private:
+    // Held calls are executed in the order of their arrival, so that a stop does not overtake the
+    // start that it revokes.
+    std::atomic<int> m_receivedOrders = 0;
+    std::atomic<int> m_completedOrders = 0;
 };
 
 // An entry with an RPC server on the loopback interface and an empty configuration.
