Test runs across the boots of a worker

Runs of a worker are declared over without proof, when its agent reports another boot or a deregistration.

--- /dev/null
+++ b/test/control/tst_incarnations.cpp
@@ -0,0 +1,198 @@
+#include "runlog.h"
+#include "simulatedworker.h"
+#include "testprocesses.h"
+
+#include <list>
+#include <memory>
+
+using namespace oleandercross;
+using namespace oleandercross::control;
+using namespace oleandercross::control::testing;
+
+namespace {
+
+constexpr absl::Duration Lease = absl::Seconds(6);
+// Workers report about this often, so the leader may rely on a wrong report for this long.
+constexpr absl::Duration HeartbeatPeriod = absl::Milliseconds(1500);
+// A fault may keep tasks from being started or completed.
+constexpr absl::Duration RecoveryTimeout = absl::Seconds(20);
+
+// A worker that restarts, an entry, and other workers on which the leader may start tasks again.
+class Cluster
+{
+public:
+    Cluster()
+        : m_entry(m_store, "front", Lease)
+    { }
+
+    void startAgent()
+    {
+        m_agent = std::make_unique<AgentProcess>(m_store, worker, "side-1", Lease);
+    }
+
+    void restartAgent()
+    {
+        m_agent.reset();
+        startAgent();
+    }
+
+    Agent &agent() { return m_agent->agent; }
+
+    // Makes the other workers available to the leader.
+    void addOtherWorkers()
+    {
+        for (const char *number : {"8", "9"}) {
+            OtherWorker &other = m_others.emplace_back(log);
+            other.worker.boot(absl::StrCat("i-", number), 9000);
+            other.agent = std::make_unique<AgentProcess>(m_store, other.worker,
+                                                         absl::StrCat("side-", number), Lease);
+            WorkerReport report = other.worker.heartbeat();
+            report.capacity = {320000, 640000, 32};
+            other.agent->agent.heartbeat(report);
+            // This job fits onto this worker only.
+            const std::string probe = absl::StrCat("000000000000000", number);
+            submit(probe, {1000, 1000, 20});
+            REQUIRE(waitUntil([&] { return log.starts(probe) == 1; }));
+        }
+    }
+
+    void submit(const std::string &id, const workload::Demand &demand = {1000, 1000, 1})
+    {
+        REQUIRE(m_entry.entry.submit(job(id, 1, demand), nearDeadline())
+                == SubmitOutcome::Accepted);
+    }
+
+    // Completes all tasks until the job is shown as completed; returns false if it is not.
+    bool complete(const std::string &id)
+    {
+        const auto completed = [&] {
+            agent().heartbeat(worker.heartbeat());
+            worker.completeAll();
+            for (OtherWorker &other : m_others)
+                other.worker.completeAll();
+            const JobStatus status = m_entry.entry.state(id, nearDeadline());
+            return status.kind == JobStatus::Kind::Known
+                && status.state == planning::JobState::Completed;
+        };
+        return waitUntil(completed, RecoveryTimeout);
+    }
+
+    RunLog log;
+    SimulatedWorker worker{log};
+
+private:
+    struct OtherWorker
+    {
+        explicit OtherWorker(RunLog &log)
+            : worker(log)
+        { }
+
+        SimulatedWorker worker;
+        std::unique_ptr<AgentProcess> agent;
+    };
+
+    FakeRowStore m_store;
+    EntryProcess m_entry;
+    std::unique_ptr<AgentProcess> m_agent;
+    std::list<OtherWorker> m_others;
+};
+
+constexpr char JobBefore[] = "5c0e7a21d94b36f8";
+constexpr char JobAfter[] = "5c0e7a21d94b36f9";
+
+} // namespace
+
+// Guards against starting tasks elsewhere while the present boot of their worker executes them: a
+// new agent process knows of no later boot than that of the first heartbeat that it receives.
+TEST_CASE("a late heartbeat of an earlier boot does not end the runs of the present one")
+{
+    const std::string earlierId = GENERATE(as<std::string>(), "i-0", "i-1");
+    CAPTURE(earlierId);
+    Cluster cluster;
+    cluster.worker.boot(earlierId, 1000);
+    const WorkerReport late = cluster.worker.heartbeat();
+    cluster.worker.boot("i-1", 2000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.submit(JobBefore);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+    cluster.addOtherWorkers();
+
+    cluster.restartAgent();
+    cluster.agent().heartbeat(late);
+    waitUntil([&] { return cluster.log.starts(JobBefore) > 1; }, HeartbeatPeriod);
+    CHECK(cluster.complete(JobBefore));
+    CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
+    CHECK(cluster.log.starts(JobBefore) == 1);
+}
+
+// Guards against starting tasks elsewhere that were started on a new boot of their worker before
+// the leader knew of it, and against tasks that wait indefinitely for the boot before.
+TEST_CASE("a worker that restarts under its id executes each task once")
+{
+    struct Case
+    {
+        const char *what;
+        std::int64_t startMs;
+        bool listing;
+        bool restartAgent;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"the new boot lists its runs before the next start", 2000, true, false},
+        {"the next start comes before a list of the new boot", 2000, false, false},
+        {"the worker's time of day was set back", 500, true, false},
+        {"the worker's time of day was set back, and its agent restarts", 500, true, true},
+    }));
+    CAPTURE(c.what);
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.submit(JobBefore);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+
+    cluster.worker.setListing(c.listing);
+    cluster.worker.boot("i-1", c.startMs);
+    if (c.listing)
+        REQUIRE(waitUntil([&] { return cluster.worker.listings() > 0; }));
+    cluster.submit(JobAfter);
+    waitUntil([&] { return cluster.log.starts(JobAfter) == 1; }, HeartbeatPeriod);
+    cluster.worker.setListing(true);
+    cluster.addOtherWorkers();
+    // Tasks that were lost with their worker do not start beside tasks that were started recently.
+    absl::SleepFor(HeartbeatPeriod);
+    if (c.restartAgent)
+        cluster.restartAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    const auto allStarted = [&] {
+        return cluster.log.starts(JobBefore) == 2 && cluster.log.starts(JobAfter) >= 1;
+    };
+    REQUIRE(waitUntil(allStarted, RecoveryTimeout));
+    waitUntil([&] { return cluster.log.starts(JobAfter) > 1; }, HeartbeatPeriod);
+    CHECK(cluster.complete(JobBefore));
+    CHECK(cluster.complete(JobAfter));
+    CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
+    CHECK(cluster.log.starts(JobBefore) == 2);
+    CHECK(cluster.log.starts(JobAfter) == 1);
+}
+
+// Guards against starting tasks elsewhere when the farewell of an earlier boot under the same id
+// waits in a frozen agent until the present boot has registered.
+TEST_CASE("a late deregistration of an earlier boot does not end the runs of the present one")
+{
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.worker.boot("i-1", 2000);
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.submit(JobBefore);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+    cluster.addOtherWorkers();
+
+    cluster.agent().deregister("i-1");
+    waitUntil([&] { return cluster.log.starts(JobBefore) > 1; }, HeartbeatPeriod);
+    CHECK(cluster.complete(JobBefore));
+    CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
+    CHECK(cluster.log.starts(JobBefore) == 1);
+}
