Test that local failures do not count as refused connections

An agent declares its worker ended after two refused connections, without waiting for the lease, and the election takes one from the leader's address for its end. wasConnectionRefused() takes each connection that fails quickly for refused, also if this process had no file descriptor for it. Whether an agent gets that far in a deployment was not tried.

--- a/test/http/tst_clientpool.cpp
+++ b/test/http/tst_clientpool.cpp
@@ -1,11 +1,17 @@
 #include <oleandercross/http/clientpool.h>
 
+#include <oleandercross/core/clock.h>
 #include <oleandercross/core/resultcode.h>
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/synchronization/notification.h>
 #include <catch2/catch.hpp>
 #include <http/rawpeer.h>
 
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
 using namespace oleandercross;
 using core::ResultCode;
 
@@ -214,3 +220,29 @@
     CHECK(client.sent > (Exchanges + 1) * 10000);
     CHECK(client.received > (Exchanges + 1) * 20000);
 }
+
+// Guards against declaring a running peer dead because this process has no file descriptor left.
+TEST_CASE("a connection that this process cannot open does not count as refused")
+{
+    test::RawPeer peer([](test::RawConnection &connection) { connection.send(HelloResponse); });
+    http::ClientPool pool({});
+    rlimit limit{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    const int lowestFree = fcntl(STDIN_FILENO, F_DUPFD, 0);
+    REQUIRE(lowestFree >= 0);
+    close(lowestFree);
+    rlimit exhausted = limit;
+    exhausted.rlim_cur = static_cast<rlim_t>(lowestFree);
+    REQUIRE(setrlimit(RLIMIT_NOFILE, &exhausted) == 0);
+    const core::SteadyClock clock;
+    const core::Instant begin = clock.now();
+    bool answered = false;
+    bool refused = false;
+    {
+        const auto restore = absl::MakeCleanup([&limit] { setrlimit(RLIMIT_NOFILE, &limit); });
+        answered = pool.send(peer.endpoint(), getRequest(), absl::Seconds(5)).has_value();
+        refused = http::wasConnectionRefused(clock.now() - begin);
+    }
+    CHECK_FALSE(answered);
+    CHECK_FALSE(refused);
+}
