Reject heartbeats with an odd field as a whole

A heartbeat whose numbers were missing, of another type, negative, fractional or beyond 64 bits was accepted with 0 or the absurd value in their place, and so were texts of undecodable bytes, texts of a megabyte and ids with line breaks, which go into a header. Such a report, which another writer may send, replaced the true worker: with a time of start of 2^63-1 every later true report counted as one of an earlier boot, with such a clock every later list of runs counted as out of date, with such a sequence number every later report was dropped, and such capacities overflow the sums of the planner.

Every field that the protocol names is now required, with its type and range; the time of start and the labels may be absent, the remaining time of a drain is required while draining. A report without it, as the stand-in wrote it, is not a worker's.

--- a/include/oleandercross/core/json.h
+++ b/include/oleandercross/core/json.h
@@ -2,6 +2,7 @@
 
 #include <json/value.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,4 +25,24 @@
 // Returns the member, or a null value if it is absent or `object` is not an object.
 const Json::Value &member(const Json::Value &object, const char *key);
 
+// The largest integer that every JSON implementation represents exactly (RFC 8259, section 6).
+inline constexpr std::int64_t MaxExactInt = (std::int64_t{1} << 53) - 1;
+
+// Inclusive limits of an integer.
+struct IntRange
+{
+    std::int64_t min = 0;
+    std::int64_t max = MaxExactInt;
+};
+
+// Return the member. Fail with BadField if it is absent, of another type or out of range.
+std::optional<std::int64_t> requiredInt(const Json::Value &object, const char *key,
+                                        IntRange range = {});
+std::optional<std::string> requiredString(const Json::Value &object, const char *key);
+
+// Returns the member, or the fallback if it is absent. Fails with BadField if it is of another type
+// or out of range.
+std::optional<std::int64_t> optionalInt(const Json::Value &object, const char *key,
+                                        std::int64_t fallback, IntRange range = {});
+
 } // namespace oleandercross::core
--- a/src/core/json.cpp
+++ b/src/core/json.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandercross/core/resultcode.h>
 
+#include <absl/strings/str_cat.h>
 #include <json/reader.h>
 #include <json/writer.h>
 
@@ -83,4 +84,30 @@
     return value.isBool() ? value.asBool() : fallback;
 }
 
+std::optional<std::int64_t> requiredInt(const Json::Value &object, const char *key, IntRange range)
+{
+    const Json::Value &value = member(object, key);
+    if (!value.isInt64() || value.asInt64() < range.min || value.asInt64() > range.max)
+        return fail(
+            ResultCode::BadField,
+            absl::StrCat("\"", key, "\" is not an integer from ", range.min, " to ", range.max));
+    return value.asInt64();
+}
+
+std::optional<std::string> requiredString(const Json::Value &object, const char *key)
+{
+    const Json::Value &value = member(object, key);
+    if (!value.isString())
+        return fail(ResultCode::BadField, absl::StrCat("\"", key, "\" is not a string"));
+    return value.asString();
+}
+
+std::optional<std::int64_t> optionalInt(const Json::Value &object, const char *key,
+                                        std::int64_t fallback, IntRange range)
+{
+    if (!object.isObject() || !object.isMember(key))
+        return fallback;
+    return requiredInt(object, key, range);
+}
+
 } // namespace oleandercross::core
--- a/support/platformstandin.py
+++ b/support/platformstandin.py
@@ -214,10 +214,11 @@
     def now(self):
         return time.monotonic() - self.started_at
 
-    def heartbeat(self, draining=False):
+    def heartbeat(self, draining=False, remaining_ms=2000):
         with self.changed:
             self.sequence += 1
             return self.id, {
+                **({"drainRemainingMs": remaining_ms} if draining else {}),
                 "service": "service", "addr": f"{self.host}:{self.port}", "zone": "brum",
                 "version": "v1", "slots": 8, "state": "draining" if draining else "ready",
                 "coldLeftMs": 0, "capacity": self.capacity, "labels": ["a", self.rack],
--- a/test/deployment/tst_decode.cpp
+++ b/test/deployment/tst_decode.cpp
@@ -19,6 +19,14 @@
     return text.replace(at, from.size(), to);
 }
 
+std::string repeated(const std::string &text, int count)
+{
+    std::string result;
+    for (int i = 0; i < count; ++i)
+        result += text;
+    return result;
+}
+
 workload::Queue queue()
 {
     workload::Queue queue;
@@ -70,6 +78,126 @@
     CHECK_FALSE(core::lastReason().message.empty());
 }
 
+// Guards against a report of another writer that replaces or outlives the true reports of a worker,
+// by a value that is absurd, of another type or missing.
+TEST_CASE("a heartbeat with one odd field is rejected as a whole")
+{
+    struct Case
+    {
+        const char *what;
+        std::string from;
+        std::string to;
+    };
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    const std::string tooManyLabels = "[" + repeated("\"a\",", 64) + "\"a\"]";
+    const std::string labels = R"(["a","r1-3"])";
+    const Case c = GENERATE_COPY(values<Case>({
+        {"nested labels", labels, deep},
+        {"nested objects", labels, repeated(R"({"a":)", 5000) + "1" + std::string(5000, '}')},
+        {"a core count beyond 64 bits", "32000", "18446744073709551616"},
+        {"a core count of 400 digits", "32000", std::string(400, '9')},
+        {"a core count that overflows sums", "32000", "9223372036854775807"},
+        {"a core count beyond 32 bits", "32000", "2147483648"},
+        {"an infinite core count", "32000", "1e999"},
+        {"a negative core count", "32000", "-5"},
+        {"a fractional core count", "32000", "0.5"},
+        {"a core count as text", "32000", R"("32000")"},
+        {"no core count", R"("cpu":32000,)", ""},
+        {"no memory", R"("memMb":65536,)", ""},
+        {"memory that is null", "65536", "null"},
+        {"an accelerator count that overflows sums", R"("gpu":8)", R"("gpu":9223372036854775807)"},
+        {"a Boolean accelerator count", R"("gpu":8)", R"("gpu":true)"},
+        {"no capacity", R"("cpu":32000,"memMb":65536,"gpu":8)", R"("cpu":0,"memMb":0,"gpu":0)"},
+        {"a sequence number beyond 64 bits", R"("seq":4)", R"("seq":1180591620717411303424)"},
+        {"the largest 64-bit sequence number", R"("seq":4)", R"("seq":9223372036854775807)"},
+        {"a negative sequence number", R"("seq":4)", R"("seq":-1)"},
+        {"a fractional sequence number", R"("seq":4)", R"("seq":4.5)"},
+        {"a sequence number as text", R"("seq":4)", R"("seq":"4")"},
+        {"no sequence number", R"("seq":4,)", ""},
+        {"the largest 64-bit clock", "482113", "9223372036854775807"},
+        {"a negative clock", "482113", "-1"},
+        {"a clock as text", "482113", R"("482113")"},
+        {"no clock", R"("clockMs":482113,)", ""},
+        {"the largest 64-bit time of start", "1780000000000", "9223372036854775807"},
+        {"a time of start beyond all integers", "1780000000000", "1e300"},
+        {"a negative time of start", "1780000000000", "-1"},
+        {"a fractional time of start", "1780000000000", "1780000000000.5"},
+        {"a time of start as text", "1780000000000", R"("x")"},
+        {"a time of start that is null", "1780000000000", "null"},
+        {"a port of 16 bits and one", ":8080", ":65536"},
+        {"a port beyond 32 bits", ":8080", ":99999999999"},
+        {"port 0", ":8080", ":0"},
+        {"a negative port", ":8080", ":-1"},
+        {"no port", ":8080", ""},
+        {"an address that is a number", R"("10.1.0.20:8080")", "8080"},
+        {"draining without the remaining time", "ready", "draining"},
+        {"a remaining time beyond 64 bits", R"("ready")",
+         R"("draining","drainRemainingMs":9223372036854775808)"},
+        {"a negative remaining time", R"("ready")", R"("draining","drainRemainingMs":-5)"},
+        {"a remaining time as text", R"("ready")", R"("draining","drainRemainingMs":"900")"},
+        {"a service of undecodable bytes", R"("service":"s")", "\"service\":\"\xff\xfe\""},
+        {"a service with an overlong encoding", R"("service":"s")", "\"service\":\"\xc0\xaf\""},
+        {"a service with a cut character", R"("service":"s")", "\"service\":\"s\xe2\x82\""},
+        {"a service with a null character", R"("service":"s")", R"("service":"a\u0000b")"},
+        {"a service with a line break", R"("service":"s")", R"("service":"a\nb")"},
+        {"a service with half a surrogate pair", R"("service":"s")", R"("service":"\ud800")"},
+        {"a service of a megabyte", R"("service":"s")",
+         R"("service":")" + std::string(1 << 20, 's') + "\""},
+        {"an empty service", R"("service":"s")", R"("service":"")"},
+        {"too many labels", labels, tooManyLabels},
+        {"labels that are a number", labels, "7"},
+        {"labels that are null", labels, "null"},
+        {"labels that are an object", labels, R"({"a":"x","b":"y"})"},
+        {"a label that is a number", labels, R"([7,"r1-3"])"},
+        {"a label with a line break", labels, R"(["a","r\n"])"},
+        {"no zone", R"("zone":"brum",)", ""},
+        {"a zone that is a number", R"("brum")", "7"},
+        {"no version", R"("version":"v1",)", ""},
+        {"slots as text", R"("slots":8)", R"("slots":"8")"},
+        {"a negative time until warm", R"("coldLeftMs":0)", R"("coldLeftMs":-1)"},
+        {"a field that occurs twice", R"("seq":4)", R"("seq":4,"seq":5)"},
+        {"text after the report", "000}", "000}x"},
+    }));
+    CAPTURE(c.what);
+    CHECK_FALSE(platform::decodeHeartbeat("i-1", replaced(Heartbeat, c.from, c.to)));
+    CHECK_FALSE(core::lastReason().message.empty());
+}
+
+// Guards against an id that ends the header or the key that it becomes a part of.
+TEST_CASE("heartbeats of workers without a plain id are rejected")
+{
+    const std::string id =
+        GENERATE(as<std::string>(), "", "a/b", "i 1", "i-1\r\nX: y", std::string("i\0", 2), "i\x7f",
+                 "\xff\xfe", "\xc3\xa9", std::string(201, 'i'));
+    CAPTURE(id);
+    CHECK_FALSE(platform::decodeHeartbeat(id, Heartbeat));
+}
+
+// Guards against rejecting the true reports of a worker, which would leave it without work.
+TEST_CASE("heartbeats at the limits of the protocol are accepted")
+{
+    struct Case
+    {
+        const char *what;
+        std::string from;
+        std::string to;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"no labels", R"("labels":["a","r1-3"],)", ""},
+        {"an empty list of labels", R"(["a","r1-3"])", "[]"},
+        {"a label that is not ASCII", R"("a")", "\"\xc3\xa9\xf0\x9f\x98\x80\""},
+        {"no time of start", R"(,"born":1780000000000)", ""},
+        {"no accelerators", R"("gpu":8)", R"("gpu":0)"},
+        {"the start of the clock and the sequence", R"("clockMs":482113,"seq":4)",
+         R"("clockMs":0,"seq":0)"},
+        {"no time left to drain", R"("ready")", R"("draining","drainRemainingMs":0)"},
+        {"an unknown field", R"("seq":4)", R"("seq":4,"note":{"a":[1]})"},
+        {"the largest port", ":8080", ":65535"},
+    }));
+    CAPTURE(c.what);
+    CHECK(platform::decodeHeartbeat("i-1", replaced(Heartbeat, c.from, c.to)));
+}
+
 // Guards against results that are attributed to the wrong run.
 TEST_CASE("lists of runs are decoded or rejected as a whole")
 {
