Survive answers of peers that cannot be read

libjsonrpccpp declares that its client functions only throw its own exception. Its parser throws others if an answer is nested more than 1000 levels deep, and so does the conversion of an error number beyond 32 bits; both ended the calling process (SIGABRT, "Exceeded stackLimit in readValue()"). The leader calls every address of the member table, so that a row of another writer was enough to end each process that becomes the leader, again and again. Such exceptions are now translated into the one that the library declares, and the call fails like one without an answer. An error with the number 0 counted as success.

--- a/src/rpc/jsonrpcbridge.cpp
+++ b/src/rpc/jsonrpcbridge.cpp
@@ -5,6 +5,7 @@
 #include <jsonrpccpp/common/procedure.h>
 #include <jsonrpccpp/server/requesthandlerfactory.h>
 
+#include <exception>
 #include <map>
 
 namespace oleandercross {
@@ -16,6 +17,20 @@
 // Code of a transport failure, distinct from the library's own error codes, which are below -32000.
 constexpr int TransportFailed = -1;
 
+// The library's parser throws if a response is nested too deeply or contains a number out of range.
+// Its functions declare that they only throw JsonRpcException, so that any other exception would
+// end the process.
+void translateException()
+{
+    try {
+        throw;
+    } catch (const std::exception &e) {
+        throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE, e.what());
+    }
+}
+
+const std::unexpected_handler previousHandler = std::set_unexpected(translateException);
+
 class Connector : public jsonrpc::IClientConnector
 {
 public:
@@ -87,7 +102,9 @@
     try {
         client.CallMethod(method, params, result.value);
     } catch (const jsonrpc::JsonRpcException &e) {
-        result.code = e.GetCode();
+        // A peer must not report a failure as code 0, which stands for success.
+        result.code =
+            e.GetCode() != 0 ? e.GetCode() : jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE;
         result.message = e.GetMessage();
     }
     return result;
