Reject the odd states and orders of other processes

A leader that received the end of a run with a number that this version doesn't name ended its process (RunEndNames.at() throws in the planning thread), as soon as an agent of another version answered. Missing and absurd numbers counted as 0 or overflowed the clocks that they were added to; an answer without any field counted as the state of an agent without a worker, and the wait of a watch call had no limit.

States and orders with a missing field, a field of another type or a number out of range are now rejected as a whole, and the wait is limited to 10 s.

--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <array>
 
 namespace oleandercross::control {
@@ -17,6 +18,10 @@
 constexpr std::array<const char *, 5> ResultNames = {"done", "refused", "unanswered", "absent",
                                                      "not applicable"};
 
+constexpr int LastRunEnd = static_cast<int>(planning::RunEnd::Alone);
+// The longest time for which an agent delays its response to a watch call.
+constexpr std::int64_t MaxWatchWaitMs = 10000;
+
 Json::Int64 toMilliseconds(absl::Duration duration)
 {
     return duration == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(duration);
@@ -48,17 +53,23 @@
     const auto address = http::parseEndpoint(core::stringMember(value, "address"));
     if (!address)
         return std::nullopt;
+    const auto id = core::requiredString(value, "id");
+    const auto startedAtMs = core::requiredInt(value, "born");
+    const auto service = core::requiredString(value, "service");
+    const auto leavesInMs = core::optionalInt(value, "leavesIn", -1, {-1, core::MaxExactInt});
+    if (!id || !startedAtMs || !service || !leavesInMs)
+        return std::nullopt;
     WorkerReport worker;
-    worker.id = core::stringMember(value, "id");
-    worker.startedAtMs = core::intMember(value, "born");
+    worker.id = *id;
+    worker.startedAtMs = *startedAtMs;
     worker.address = *address;
-    worker.service = core::stringMember(value, "service");
+    worker.service = *service;
     worker.rack = core::stringMember(value, "rack");
     for (const Json::Value &label : core::member(value, "labels"))
         worker.labels.push_back(label.isString() ? label.asString() : std::string());
     worker.capacity = workload::demandFromJson(core::member(value, "capacity"));
     worker.draining = core::boolMember(value, "draining");
-    worker.drainRemaining = durationFromMilliseconds(core::intMember(value, "leavesIn", -1));
+    worker.drainRemaining = durationFromMilliseconds(*leavesInMs);
     return worker;
 }
 
@@ -72,7 +83,8 @@
 
 std::optional<workload::RunKey> runFromJson(const Json::Value &row)
 {
-    if (!row.isArray() || row.size() < 2 || !row[0U].isString() || !row[1U].isInt())
+    if (!row.isArray() || row.size() < 2 || !row[0U].isString() || !row[1U].isInt()
+        || row[1U].asInt() < 1)
         return core::fail(core::ResultCode::BadField,
                           "a row does not contain a task and a run number");
     const auto task = workload::parseTaskKey(row[0U].asString());
@@ -116,7 +128,8 @@
     call.renewUntilMs = core::intMember(value, "renewUntil");
     call.since = core::intMember(value, "since");
     call.agentIncarnation = core::stringMember(value, "incarnation");
-    call.wait = absl::Milliseconds(core::intMember(value, "wait"));
+    call.wait = absl::Milliseconds(
+        std::clamp<std::int64_t>(core::intMember(value, "wait"), 0, MaxWatchWaitMs));
     return call;
 }
 
@@ -150,10 +163,16 @@
 
 std::optional<AgentState> agentStateFromJson(const Json::Value &value)
 {
+    const auto incarnation = core::requiredString(value, "incarnation");
+    const auto clockMs = core::requiredInt(value, "clock");
+    const auto version = core::requiredInt(value, "version");
+    const auto listAgeMs = core::optionalInt(value, "listedAge", 0, {-1, core::MaxExactInt});
+    if (!incarnation || !clockMs || !version || !listAgeMs)
+        return std::nullopt;
     AgentState state;
-    state.incarnation = core::stringMember(value, "incarnation");
-    state.clockMs = core::intMember(value, "clock");
-    state.version = core::intMember(value, "version");
+    state.incarnation = *incarnation;
+    state.clockMs = *clockMs;
+    state.version = *version;
     const Json::Value &worker = core::member(value, "worker");
     if (worker.isObject()) {
         state.worker = workerFromJson(worker);
@@ -163,7 +182,7 @@
     state.workerLost = core::boolMember(value, "gone");
     state.workerCrashed = core::boolMember(value, "crashed");
     state.listed = core::boolMember(value, "listed");
-    state.runListAge = absl::Milliseconds(core::intMember(value, "listedAge"));
+    state.runListAge = durationFromMilliseconds(*listAgeMs);
     for (const Json::Value &row : core::member(value, "running")) {
         const auto run = runFromJson(row);
         if (!run || row.size() != 4 || !row[2U].isString() || !row[3U].isInt())
@@ -173,10 +192,11 @@
     }
     for (const Json::Value &row : core::member(value, "ended")) {
         const auto run = runFromJson(row);
-        if (!run || row.size() != 5 || !row[2U].isInt64() || !row[3U].isInt()
+        if (!run || row.size() != 5 || !row[2U].isInt64() || row[2U].asInt64() < 1
+            || !row[3U].isInt() || row[3U].asInt() < 0 || row[3U].asInt() > LastRunEnd
             || !row[4U].isString())
             return core::fail(core::ResultCode::BadField,
-                              "the row of an ended task has the wrong size or types");
+                              "the row of an ended task has the wrong size, types or numbers");
         state.runs.ended.push_back({row[2U].asInt64(), *run,
                                     static_cast<planning::RunEnd>(row[3U].asInt()),
                                     row[4U].asString()});
@@ -203,11 +223,16 @@
 
 std::optional<OrderCall> orderCallFromJson(const Json::Value &value)
 {
+    const auto epoch = core::requiredInt(value, "epoch");
+    const auto renewUntilMs = core::requiredInt(value, "renewUntil");
+    const auto acknowledged = core::requiredInt(value, "acknowledged");
+    if (!epoch || !renewUntilMs || !acknowledged)
+        return std::nullopt;
     OrderCall call;
-    call.epoch = core::intMember(value, "epoch");
-    call.renewUntilMs = core::intMember(value, "renewUntil");
+    call.epoch = *epoch;
+    call.renewUntilMs = *renewUntilMs;
     call.workerIncarnation = core::stringMember(value, "life");
-    call.acknowledged = core::intMember(value, "acknowledged");
+    call.acknowledged = *acknowledged;
     for (const Json::Value &row : core::member(value, "orders")) {
         const auto run = runFromJson(row);
         if (!run || row.size() != 5 || !row[2U].isBool() || !row[3U].isString()
