Check the numbers of stored progress

A progress row of another writer with a next occurrence of -2^31 or 2^31 made each process that became the leader open occurrences until its memory was used up (SIGABRT from std::bad_alloc in a process limited to 3 GB); with -1000000 it opened a million. A list of a million open occurrences did so too, and counts at the limit of 32 bits overflowed with the next one.

A next occurrence that the job does not have makes the progress unreadable, like text that is not JSON: its job is left alone, other jobs go on. Open occurrences that are not due, rows that name no task of the job and rows with a number out of range (0 to 2^30) are ignored, as rows of unknown tasks were before.

--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -173,9 +173,13 @@
     void finish(JobState state, core::Instant now);
     void applyRunEndToGang(StepProgress &step, const workload::RunKey &key, RunEnd outcome,
                            const std::string &checkpoint);
+    // Read parts of the stored progress. Rows with a number out of range and rows that name no open
+    // occurrence, step or task of this job are ignored.
     void restoreGangFailures(const Json::Value &row);
     void restoreTask(const Json::Value &row);
     void restoreCrashes(const Json::Value &row);
+    // Fails with BadField if the number of the next occurrence is missing or out of range.
+    bool restoreOccurrences(const Json::Value &progress);
     Occurrence newOccurrence() const;
 
     workload::Job m_job;
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -49,13 +49,16 @@
     return row;
 }
 
-// Returns true if the row is an array that starts with `count` integers.
-bool startsWithIntegers(const Json::Value &row, Json::ArrayIndex count)
+// Run numbers and counts beyond this limit do not occur; it leaves room for counting further.
+constexpr int MaxStoredCount = 1 << 30;
+
+// Returns true if the row is an array that starts with `count` integers from 0 to MaxStoredCount.
+bool startsWithCounts(const Json::Value &row, Json::ArrayIndex count)
 {
     if (!row.isArray() || row.size() < count)
         return false;
     for (Json::ArrayIndex i = 0; i < count; ++i) {
-        if (!row[i].isInt())
+        if (!row[i].isInt() || row[i].asInt() < 0 || row[i].asInt() > MaxStoredCount)
             return false;
     }
     return true;
@@ -357,24 +360,23 @@
 
 void JobRecord::restoreGangFailures(const Json::Value &row)
 {
-    if (!startsWithIntegers(row, 4))
+    if (!startsWithCounts(row, 4))
         return;
-    const auto found = m_occurrences.find(row[0].asInt());
-    const auto step = static_cast<std::size_t>(row[1].asInt());
-    if (found == m_occurrences.end() || step >= found->second.steps.size())
+    StepProgress *target = step({{}, row[0].asInt(), row[1].asInt(), 0});
+    if (!target)
         return;
-    found->second.steps[step].gangFailures = row[2].asInt();
-    found->second.steps[step].lastFailedRun = row[3].asInt();
+    target->gangFailures = row[2].asInt();
+    target->lastFailedRun = row[3].asInt();
 }
 
 void JobRecord::restoreTask(const Json::Value &row)
 {
-    if (!startsWithIntegers(row, 6) || row.size() != 8)
+    if (!startsWithCounts(row, 6) || row.size() != 8 || !row[6].isString() || !row[7].isString())
         return;
     Task *target = task({{}, row[0].asInt(), row[1].asInt(), row[2].asInt()});
-    if (!target || !row[6].isString() || !row[7].isString())
+    if (!target || row[3].asInt() > static_cast<int>(TaskPhase::Done))
         return;
-    target->phase = static_cast<TaskPhase>(std::clamp(row[3].asInt(), 0, 2));
+    target->phase = static_cast<TaskPhase>(row[3].asInt());
     target->run = row[4].asInt();
     target->failures = row[5].asInt();
     target->worker = row[6].asString();
@@ -384,7 +386,7 @@
 
 void JobRecord::restoreCrashes(const Json::Value &row)
 {
-    if (!startsWithIntegers(row, 5))
+    if (!startsWithCounts(row, 5))
         return;
     Task *target = task({{}, row[0].asInt(), row[1].asInt(), row[2].asInt()});
     if (!target)
@@ -393,6 +395,20 @@
     target->startCrashes = row[4].asInt();
 }
 
+bool JobRecord::restoreOccurrences(const Json::Value &progress)
+{
+    const auto next = core::requiredInt(progress, "next", {0, m_job.occurrences});
+    if (!next)
+        return false;
+    m_nextOccurrence = static_cast<int>(*next);
+    m_occurrences.clear();
+    for (const Json::Value &number : core::member(progress, "open")) {
+        if (number.isInt() && number.asInt() >= 0 && number.asInt() < m_nextOccurrence)
+            m_occurrences.emplace(number.asInt(), newOccurrence());
+    }
+    return true;
+}
+
 bool JobRecord::restore(const std::string &text, core::Instant now)
 {
     const std::optional<Json::Value> value = core::parseJson(text);
@@ -401,12 +417,8 @@
     const std::optional<JobState> state = parseJobState(core::stringMember(*value, "state"));
     if (!state)
         return false;
-    m_nextOccurrence = static_cast<int>(core::intMember(*value, "next"));
-    m_occurrences.clear();
-    for (const Json::Value &number : core::member(*value, "open")) {
-        if (number.isInt())
-            m_occurrences.emplace(number.asInt(), newOccurrence());
-    }
+    if (!restoreOccurrences(*value))
+        return false;
     for (const Json::Value &row : core::member(*value, "gangs"))
         restoreGangFailures(row);
     for (const Json::Value &row : core::member(*value, "tasks"))
