Replace a leader row of another writer

A leader row that could not be read was never replaced: each candidate found the leadership available and gave up, so that an installation had no leader until somebody repaired the row. A readable row with an epoch of 2^63-1 overflowed, and one with a missing or negative epoch led to an epoch that agents refuse.

The epoch that follows such a row is now the row's version plus one. Each epoch begins with a transaction, and the versions of the store increase with each, so no earlier epoch exceeds the version of a later row; the condition on the version of the row still allows only one successor. A readable epoch beyond its row's version is from another writer for the same reason.

--- a/src/control/leaderlog.cpp
+++ b/src/control/leaderlog.cpp
@@ -14,6 +14,20 @@
 constexpr absl::Duration MinRetryDelay = absl::Milliseconds(30);
 constexpr absl::Duration MaxRetryDelay = absl::Milliseconds(250);
 
+// Returns the epoch that follows the one of the leader row.
+std::int64_t epochAfter(const StoredRow &row)
+{
+    // Each epoch begins with a transaction that increases the version of the store, so no epoch
+    // exceeds the version of a row that is written in it.
+    const std::optional<Leadership> last = decodeLeadership(row.value);
+    if (last && last->epoch <= row.version)
+        return last->epoch + 1;
+    telemetry::Event("leader_row_unreadable")
+        .with("version", row.version)
+        .with("reason", last ? "the epoch is from another writer" : core::lastReason().message);
+    return row.version + 1;
+}
+
 } // namespace
 
 std::string encodeLeadership(const Leadership &leadership)
@@ -36,14 +50,14 @@
     const auto address = http::parseEndpoint(core::stringMember(*value, "address"));
     if (!address)
         return std::nullopt;
-    Leadership leadership;
-    leadership.epoch = core::intMember(*value, "epoch");
-    leadership.holder = core::stringMember(*value, "holder");
-    leadership.address = *address;
-    leadership.sequence = core::intMember(*value, "sequence");
-    leadership.milliCores = core::intMember(*value, "strength");
-    leadership.incarnation = core::stringMember(*value, "incarnation");
-    return leadership;
+    const auto epoch = core::requiredInt(*value, "epoch", {1, core::MaxExactInt});
+    const auto holder = core::requiredString(*value, "holder");
+    const auto sequence = core::requiredInt(*value, "sequence");
+    const auto milliCores = core::optionalInt(*value, "strength", 0);
+    const auto incarnation = core::requiredString(*value, "incarnation");
+    if (!epoch || !holder || !sequence || !milliCores || !incarnation)
+        return std::nullopt;
+    return Leadership{*epoch, *holder, *address, *sequence, *milliCores, *incarnation};
 }
 
 LeaderLog::LeaderLog(RowStore &store, Leadership leadership)
@@ -70,14 +84,8 @@
     Leadership next = m_leadership;
     next.epoch = 1;
     next.sequence = 0;
-    if (last) {
-        const std::optional<Leadership> old = decodeLeadership(last->value);
-        if (!old) {
-            telemetry::Event("leader_row_unreadable").with("reason", core::lastReason().message);
-            return false;
-        }
-        next.epoch = old->epoch + 1;
-    }
+    if (last)
+        next.epoch = epochAfter(*last);
     m_version = last ? last->version : 0;
     RowChanges changes;
     changes.conditions.push_back({LeaderTable, LeaderKey, m_version});
--- a/test/control/tst_leaderlog.cpp
+++ b/test/control/tst_leaderlog.cpp
@@ -100,15 +100,57 @@
     CHECK(current->epoch == 1);
 }
 
-// Guards against a malformed leader row that crashes every candidate.
-TEST_CASE("an unreadable leader row is not replaced")
+// Guards against a row of another writer that ends each candidate, or keeps an installation without
+// a leader for ever, and against an epoch that agents refuse as an earlier one.
+TEST_CASE("a leader row of another writer is replaced by a later epoch")
 {
+    struct Case
+    {
+        const char *what;
+        std::string from;
+        std::string to;
+    };
+    const std::string all =
+        R"({"epoch":1,"holder":"x","address":"10.0.0.9:7000","sequence":3,"incarnation":"i"})";
+    const Case c = GENERATE_COPY(values<Case>({
+        {"nothing", all, ""},
+        {"undecodable bytes", all, "\xff\xfe\x01"},
+        {"not an object", all, "[]"},
+        {"deeply nested", all, std::string(100000, '[')},
+        {"the largest 64-bit epoch", R"("epoch":1)", R"("epoch":9223372036854775807)"},
+        {"an epoch beyond 64 bits", R"("epoch":1)", R"("epoch":18446744073709551616)"},
+        {"an epoch that is later than the store's version", R"("epoch":1)", R"("epoch":1000000)"},
+        {"epoch 0", R"("epoch":1)", R"("epoch":0)"},
+        {"a negative epoch", R"("epoch":1)", R"("epoch":-7)"},
+        {"an epoch as text", R"("epoch":1)", R"("epoch":"1")"},
+        {"no epoch", R"("epoch":1,)", ""},
+        {"a port of 16 bits and one", ":7000", ":65536"},
+        {"no port", ":7000", ""},
+        {"a holder that is a number", R"("x")", "7"},
+        {"a sequence beyond 64 bits", R"("sequence":3)", R"("sequence":1e30)"},
+        {"a share beyond 64 bits", R"("sequence":3)", R"("sequence":3,"strength":1e30)"},
+        {"no incarnation", R"(,"incarnation":"i")", ""},
+    }));
+    CAPTURE(c.what);
+    std::string text = all;
+    const std::size_t at = text.find(c.from);
+    REQUIRE(at != std::string::npos);
+    text.replace(at, c.from.size(), c.to);
     testing::FakeRowStore store;
+    LeaderLog old(store, leadership("a"));
+    REQUIRE(old.acquire(std::nullopt));
+    REQUIRE(old.acquire(leaderRow(store)));
     RowChanges changes;
-    changes.puts.push_back({LeaderTable, LeaderKey, "nonsense"});
-    store.commit(changes, StoreTimeout);
-    LeaderLog log(store, leadership("a"));
-    CHECK_FALSE(log.acquire(leaderRow(store)));
+    changes.puts.push_back({LeaderTable, LeaderKey, text});
+    REQUIRE(store.commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
+    LeaderLog next(store, leadership("b"));
+    REQUIRE(next.acquire(leaderRow(store)));
+    CHECK(next.epoch() > old.epoch());
+    CHECK(next.epoch() <= leaderRow(store)->version);
+    CHECK(old.commit({{ProgressTable, "j", "old"}}, {}) == LeaderLog::Outcome::Deposed);
+    LeaderLog third(store, leadership("c"));
+    REQUIRE(third.acquire(leaderRow(store)));
+    CHECK(third.epoch() == next.epoch() + 1);
 }
 
 // Guards against a process that cannot stop while the store is unavailable.
