Reject relayed calls and answers that cannot be read

An answer to a relayed commit without an outcome counted as applied, so that a job was accepted or a decision carried out that nobody had stored; an answer to a relayed read without rows counted as an empty table, from which a leader would start all tasks again. A request with a malformed condition was executed with another one, and its wait had no limit.

Malformed commits now have an unknown outcome for the caller, malformed reads fail, and malformed requests are refused with the limits of the store.

--- a/src/control/relayedstore.cpp
+++ b/src/control/relayedstore.cpp
@@ -4,6 +4,8 @@
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/telemetry/eventlog.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace oleandercross::control {
@@ -15,6 +17,9 @@
 // The maximum number of peers that one call tries. Low, so that an outage of the store is detected
 // soon.
 constexpr std::size_t MaxRelays = 2;
+// The limits of the store, which also apply to calls that peers relay.
+constexpr std::int64_t MaxRowsPerPage = 500;
+constexpr std::int64_t MaxFeedWaitMs = 30000;
 // Added to the timeout of a call that is relayed by a peer.
 constexpr absl::Duration RelayMargin = absl::Milliseconds(300);
 
@@ -29,13 +34,13 @@
     return value;
 }
 
-StoredRow rowFromJson(const Json::Value &value)
+std::optional<StoredRow> rowFromJson(const Json::Value &value)
 {
     if (!value.isArray() || value.size() != 5 || !value[0U].isString() || !value[1U].isString()
         || !value[2U].isString() || !value[3U].isInt64() || !value[4U].isBool())
-        return {};
-    return {value[0U].asString(), value[1U].asString(), value[2U].asString(), value[3U].asInt64(),
-            value[4U].asBool()};
+        return core::fail(core::ResultCode::BadField, "a relayed row has the wrong size or types");
+    return StoredRow{value[0U].asString(), value[1U].asString(), value[2U].asString(),
+                     value[3U].asInt64(), value[4U].asBool()};
 }
 
 Json::Value toJson(const std::vector<StoredRow> &rows)
@@ -46,14 +51,34 @@
     return value;
 }
 
-std::vector<StoredRow> rowsFromJson(const Json::Value &value)
+std::optional<std::vector<StoredRow>> rowsFromJson(const Json::Value &object, const char *key)
 {
+    const Json::Value &value = core::member(object, key);
+    if (!value.isArray())
+        return core::fail(core::ResultCode::BadField,
+                          absl::StrCat("\"", key, "\" is not a list of rows"));
     std::vector<StoredRow> rows;
-    for (const Json::Value &row : value)
-        rows.push_back(rowFromJson(row));
+    for (const Json::Value &element : value) {
+        auto row = rowFromJson(element);
+        if (!row)
+            return std::nullopt;
+        rows.push_back(*std::move(row));
+    }
     return rows;
 }
 
+// Returns the result of a relayed commit, or nothing if the answer cannot be read.
+std::optional<CommitResult> commitResultFromJson(const Json::Value &value)
+{
+    const auto outcome =
+        core::requiredInt(value, "outcome", {0, static_cast<int>(CommitOutcome::Unknown)});
+    const auto version = core::requiredInt(value, "version");
+    auto current = rowsFromJson(value, "current");
+    if (!outcome || !version || !current)
+        return std::nullopt;
+    return CommitResult{static_cast<CommitOutcome>(*outcome), *version, *std::move(current), {}};
+}
+
 } // namespace
 
 RelayedStore::RelayedStore(RowStore &direct, rpc::Client &client,
@@ -146,6 +171,7 @@
             return result;
     }
     Json::Value params(Json::objectValue);
+    params["conditions"] = Json::Value(Json::arrayValue);
     for (const RowCondition &condition : changes.conditions)
         params["conditions"].append(
             toJson(StoredRow{condition.table, condition.key, {}, condition.version}));
@@ -161,20 +187,17 @@
                 result.outcome = CommitOutcome::Unknown;
             continue;
         }
-        const auto outcome = static_cast<CommitOutcome>(core::intMember(*answer, "outcome"));
-        if (outcome == CommitOutcome::Refused)
-            continue;
+        std::optional<CommitResult> relayed = commitResultFromJson(*answer);
         // A retry may conflict with the earlier attempt whose outcome is unknown; the caller then
         // recognizes its own rows.
-        if (outcome == CommitOutcome::Unknown) {
+        if (!relayed || relayed->outcome == CommitOutcome::Unknown) {
             result.outcome = CommitOutcome::Unknown;
             continue;
         }
+        if (relayed->outcome == CommitOutcome::Refused)
+            continue;
         preferRelay(peer);
-        result.outcome = outcome;
-        result.version = core::intMember(*answer, "version");
-        result.current = rowsFromJson(core::member(*answer, "current"));
-        return result;
+        return *std::move(relayed);
     }
     return result;
 }
@@ -197,8 +220,11 @@
     const auto answer = relay("store-range", params, timeout);
     if (!answer)
         return std::nullopt;
-    return RowPage{rowsFromJson(core::member(*answer, "rows")), core::boolMember(*answer, "more"),
-                   core::intMember(*answer, "version")};
+    auto rows = rowsFromJson(*answer, "rows");
+    const auto version = core::requiredInt(*answer, "version");
+    if (!rows || !version)
+        return std::nullopt;
+    return RowPage{*std::move(rows), core::boolMember(*answer, "more"), *version};
 }
 
 std::optional<RowFeed> RelayedStore::changes(const std::string &table, std::int64_t after,
@@ -217,8 +243,11 @@
     const auto answer = relay("store-changes", params, wait);
     if (!answer)
         return std::nullopt;
-    return RowFeed{rowsFromJson(core::member(*answer, "rows")), core::intMember(*answer, "version"),
-                   core::boolMember(*answer, "historyLost")};
+    auto rows = rowsFromJson(*answer, "rows");
+    const auto version = core::requiredInt(*answer, "version");
+    if (!rows || !version)
+        return std::nullopt;
+    return RowFeed{*std::move(rows), *version, core::boolMember(*answer, "historyLost")};
 }
 
 void RelayedStore::serve(rpc::Server &server)
@@ -232,11 +261,16 @@
 {
     if (!directlyReachable())
         return core::fail(core::ResultCode::StoreUnavailable, "this peer cannot reach the store");
+    const auto conditions = rowsFromJson(params, "conditions");
+    auto puts = rowsFromJson(params, "puts");
+    auto removals = rowsFromJson(params, "removals");
+    if (!conditions || !puts || !removals)
+        return std::nullopt;
     RowChanges changes;
-    for (const StoredRow &row : rowsFromJson(core::member(params, "conditions")))
+    for (const StoredRow &row : *conditions)
         changes.conditions.push_back({row.table, row.key, row.version});
-    changes.puts = rowsFromJson(core::member(params, "puts"));
-    changes.removals = rowsFromJson(core::member(params, "removals"));
+    changes.puts = *std::move(puts);
+    changes.removals = *std::move(removals);
     const CommitResult result = m_direct.commit(changes, StoreTimeout);
     Json::Value answer(Json::objectValue);
     answer["outcome"] = static_cast<int>(result.outcome);
@@ -249,10 +283,14 @@
 {
     if (!directlyReachable())
         return core::fail(core::ResultCode::StoreUnavailable, "this peer cannot reach the store");
+    const auto table = core::requiredString(params, "table");
+    const auto partition = core::requiredString(params, "partition");
+    const auto from = core::requiredString(params, "from");
+    const auto limit = core::requiredInt(params, "limit", {1, MaxRowsPerPage});
+    if (!table || !partition || !from || !limit)
+        return std::nullopt;
     const auto page =
-        m_direct.range(core::stringMember(params, "table"), core::stringMember(params, "partition"),
-                       core::stringMember(params, "from"),
-                       static_cast<int>(core::intMember(params, "limit", 1)), StoreTimeout);
+        m_direct.range(*table, *partition, *from, static_cast<int>(*limit), StoreTimeout);
     if (!page)
         return std::nullopt;
     Json::Value answer(Json::objectValue);
@@ -266,9 +304,12 @@
 {
     if (!directlyReachable())
         return core::fail(core::ResultCode::StoreUnavailable, "this peer cannot reach the store");
-    const auto feed =
-        m_direct.changes(core::stringMember(params, "table"), core::intMember(params, "after"),
-                         absl::Milliseconds(core::intMember(params, "wait")));
+    const auto table = core::requiredString(params, "table");
+    const auto after = core::requiredInt(params, "after");
+    const auto waitMs = core::requiredInt(params, "wait", {0, MaxFeedWaitMs});
+    if (!table || !after || !waitMs)
+        return std::nullopt;
+    const auto feed = m_direct.changes(*table, *after, absl::Milliseconds(*waitMs));
     if (!feed)
         return std::nullopt;
     Json::Value answer(Json::objectValue);
