Survive odd answers of peers about the configuration

An answer that is a list, a number or a text ended the process that asked: Json::Value::isMember() throws for them, in a thread that nobody catches in (SIGABRT). Each entry asks its peers while the store does not answer.

--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -210,8 +210,9 @@
     }
     rpc::broadcast(m_client, peers, "config", params, m_options.peerTimeout,
                    [this](const Json::Value &answer) {
-                       if (answer.isMember("config"))
-                           adopt(core::stringMember(answer, "config"), "peer");
+                       if (const Json::Value &config = core::member(answer, "config");
+                           config.isString())
+                           adopt(config.asString(), "peer");
                    });
 }
 
