Reject lists of runs with a number out of range

A worker's lists with a clock or a number of an end at the limit of 64 bits were accepted: every later list then counted as out of date, and every later end as acknowledged. Lists of another type counted as empty, as if nothing ran. Progress of 1e300 percent was converted to int, which is undefined (-fsanitize=float-cast-overflow reports it) and gives the largest number on one processor and the smallest on another; progress is a hint, so it is limited to 0 to 100.

--- a/test/deployment/tst_decode.cpp
+++ b/test/deployment/tst_decode.cpp
@@ -217,6 +217,65 @@
     CHECK_FALSE(platform::decodeRuns(bad));
 }
 
+// Guards against lists that poison the clock, the acknowledgements or the run numbers of a worker.
+TEST_CASE("lists of runs with a number out of range are rejected as a whole")
+{
+    struct Case
+    {
+        const char *what;
+        std::string from;
+        std::string to;
+    };
+    const std::string lists = R"({"clockMs":5,"born":7,"running":[["a.0.0.0",1,"c",50]],)"
+                              R"("ended":[[3,"a.0.0.1",2,"done",""]]})";
+    REQUIRE(platform::decodeRuns(lists));
+    const Case c = GENERATE(values<Case>({
+        {"the largest 64-bit clock", R"("clockMs":5)", R"("clockMs":9223372036854775807)"},
+        {"a clock beyond 64 bits", R"("clockMs":5)", R"("clockMs":1e30)"},
+        {"a negative clock", R"("clockMs":5)", R"("clockMs":-5)"},
+        {"a clock as text", R"("clockMs":5)", R"("clockMs":"5")"},
+        {"a time of start as text", R"("born":7)", R"("born":"7")"},
+        {"the largest 64-bit time of start", R"("born":7)", R"("born":9223372036854775807)"},
+        {"run 0", R"("a.0.0.0",1)", R"("a.0.0.0",0)"},
+        {"a negative run", R"("a.0.0.1",2)", R"("a.0.0.1",-2)"},
+        {"a run beyond 32 bits", R"("a.0.0.1",2)", R"("a.0.0.1",2147483648)"},
+        {"the largest 64-bit number of an end", "[3,", "[9223372036854775807,"},
+        {"a number of an end beyond 64 bits", "[3,", "[18446744073709551616,"},
+        {"end number 0", "[3,", "[0,"},
+        {"a task beyond 32 bits", "a.0.0.0", "a.99999999999.0.0"},
+        {"deeply nested", R"([["a.0.0.0",1,"c",50]])", std::string(100000, '[')},
+        {"active runs as a number", R"([["a.0.0.0",1,"c",50]])", "7"},
+        {"active runs that are null", R"([["a.0.0.0",1,"c",50]])", "null"},
+        {"ended runs as an object", R"([[3,"a.0.0.1",2,"done",""]])", "{}"},
+    }));
+    CAPTURE(c.what);
+    CHECK_FALSE(platform::decodeRuns(replaced(lists, c.from, c.to)));
+    CHECK_FALSE(core::lastReason().message.empty());
+}
+
+// Guards against progress beyond the range of its type, which differs between processors.
+TEST_CASE("the progress of a run is limited to whole percent")
+{
+    struct Case
+    {
+        const char *text;
+        int percent;
+    };
+    const Case c = GENERATE(values<Case>({{"41.9", 41},
+                                          {"100", 100},
+                                          {"5000", 100},
+                                          {"1e300", 100},
+                                          {"-1", 0},
+                                          {"-1e300", 0},
+                                          {R"("41")", 0},
+                                          {"null", 0}}));
+    CAPTURE(c.text);
+    const auto runs = platform::decodeRuns(
+        replaced(R"({"clockMs":5,"running":[["a.0.0.0",1,"c",PERCENT]]})", "PERCENT", c.text));
+    REQUIRE(runs);
+    CHECK(runs->running.at(0).percent == c.percent);
+}
+
 // Guards against jobs that run with other parameters than the caller requested.
 TEST_CASE("a submission is decoded with the terms of its queue")
 {
