Parse endpoints strictly

Ports with a sign or spaces, IPv6 addresses without brackets, whose port is ambiguous, and addresses with a null character were accepted; the latter were used up to the null character and compared as a whole. Heartbeats could name the unspecified address, which connects to the own machine, or a multicast address.

--- a/include/oleandercross/http/message.h
+++ b/include/oleandercross/http/message.h
@@ -24,6 +24,10 @@
 // ports.
 std::optional<Endpoint> parseEndpoint(const std::string &text);
 
+// Returns true if a connection to the address reaches the one process that listens there: false for
+// unspecified, broadcast and multicast addresses.
+bool isUnicast(const Endpoint &endpoint);
+
 // Lets a handler detect that the peer of its request has disconnected.
 class Connection
 {
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -2,9 +2,13 @@
 
 #include <oleandercross/core/resultcode.h>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <algorithm>
 
 namespace oleandercross::http {
 
@@ -12,11 +16,23 @@
 
 constexpr int MaxPort = 65535;
 
-bool isNumericAddress(const std::string &address)
+bool isNumericAddress(int family, const std::string &address)
 {
     unsigned char buffer[sizeof(in6_addr)];
-    return inet_pton(AF_INET, address.c_str(), buffer) == 1
-        || inet_pton(AF_INET6, address.c_str(), buffer) == 1;
+    return address.find('\0') == std::string::npos
+        && inet_pton(family, address.c_str(), buffer) == 1;
+}
+
+// Accepts decimal digits only, unlike absl::SimpleAtoi().
+std::optional<int> parsePort(const std::string &text)
+{
+    int port = 0;
+    const bool digits = std::all_of(text.begin(), text.end(), [](char c) {
+        return absl::ascii_isdigit(static_cast<unsigned char>(c));
+    });
+    if (!digits || !absl::SimpleAtoi(text, &port) || port < 1 || port > MaxPort)
+        return std::nullopt;
+    return port;
 }
 
 } // namespace
@@ -34,14 +50,27 @@
     if (colon == std::string::npos)
         return core::fail(core::ResultCode::BadField, "port is missing in address '" + text + "'");
     std::string address = text.substr(0, colon);
-    if (address.size() > 2 && address.front() == '[' && address.back() == ']')
+    const bool bracketed = address.size() > 2 && address.front() == '[' && address.back() == ']';
+    if (bracketed)
         address = address.substr(1, address.size() - 2);
-    if (!isNumericAddress(address))
+    if (!isNumericAddress(bracketed ? AF_INET6 : AF_INET, address))
         return core::fail(core::ResultCode::BadField, "'" + address + "' is not an IP address");
-    int port = 0;
-    if (!absl::SimpleAtoi(text.substr(colon + 1), &port) || port < 1 || port > MaxPort)
+    const std::optional<int> port = parsePort(text.substr(colon + 1));
+    if (!port)
         return core::fail(core::ResultCode::BadField, "invalid port in '" + text + "'");
-    return Endpoint{address, port};
+    return Endpoint{address, *port};
+}
+
+bool isUnicast(const Endpoint &endpoint)
+{
+    in_addr v4{};
+    if (inet_pton(AF_INET, endpoint.address.c_str(), &v4) == 1) {
+        const in_addr_t address = ntohl(v4.s_addr);
+        return address != INADDR_ANY && address != INADDR_BROADCAST && !IN_MULTICAST(address);
+    }
+    in6_addr v6{};
+    return inet_pton(AF_INET6, endpoint.address.c_str(), &v6) == 1 && !IN6_IS_ADDR_UNSPECIFIED(&v6)
+        && !IN6_IS_ADDR_MULTICAST(&v6);
 }
 
 std::string Request::header(const std::string &name) const
