Ignore rows of members with an odd value

A row of another writer in the member table that named the address of an agent took its place, even without an incarnation: the leader then knew the agent by the other name, so that no order applied to its worker any more. A name with a slash was taken for a worker of another agent, since the leader joins names with slashes, and shares beyond 64 bits or negative ones counted.

Rows with a missing incarnation, a share out of range, an address of no single process or a name that is not plain are now unreadable, like those that are not JSON. A complete row at the address of another member still replaces it, since that is how a process that moves announces itself.

--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -2,6 +2,7 @@
 
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
+#include <oleandercross/core/text.h>
 #include <oleandercross/telemetry/eventlog.h>
 
 #include <algorithm>
@@ -24,14 +25,26 @@
     const std::optional<Json::Value> value = core::parseJson(text);
     if (!value)
         return std::nullopt;
+    // The leader joins the names of agents and workers with slashes.
+    if (!core::isKeyPart(name))
+        return core::fail(core::ResultCode::BadField, "the name of the member is not a plain name");
     const auto address = http::parseEndpoint(core::stringMember(*value, "address"));
     if (!address)
         return std::nullopt;
+    if (!http::isUnicast(*address))
+        return core::fail(core::ResultCode::BadField,
+                          "\"" + toString(*address) + "\" is not the address of one process");
     const std::string role = core::stringMember(*value, "role");
     if (role != "entry" && role != "agent")
         return core::fail(core::ResultCode::BadField, "\"" + role + "\" is not a member role");
+    const std::string incarnation = core::stringMember(*value, "incarnation");
+    if (incarnation.empty())
+        return core::fail(core::ResultCode::BadField, "the member has no incarnation");
+    const auto milliCores = core::optionalInt(*value, "milliCores", 0);
+    if (!milliCores)
+        return std::nullopt;
     return Member{name, role == "entry" ? MemberRole::Entry : MemberRole::Agent, *address,
-                  core::stringMember(*value, "incarnation"), core::intMember(*value, "milliCores")};
+                  incarnation, *milliCores};
 }
 
 Members::Members(Member self)
