Reject jobs with numbers out of range

Numbers of a stored job or a submission beyond 32 bits were cut: tasks became one. Demands, estimates and times at the limit of 64 bits overflowed the sums of the planner (-fsanitize=undefined reports planner.cpp, plan.cpp and JobRecord::openDueOccurrences()), and a job under a key with a dot was started under task names that nobody can parse, which makes the lists of its worker unreadable as a whole.

findDefect() now also limits ids, demands, durations, times and the terms of the queue, and the stored form requires all numbers with their ranges. What a submission may contain is read back unchanged, so that no accepted job is unreadable to the leader.

A table of 25 rows, 7 ids and 14 further jobs and submissions was added.

--- a/include/oleandercross/workload/codec.h
+++ b/include/oleandercross/workload/codec.h
@@ -16,6 +16,7 @@
 std::optional<Job> decodeJob(const std::string &id, const std::string &text);
 
 Json::Value toJson(const Demand &demand);
-Demand demandFromJson(const Json::Value &value);
+// Fails with BadField if a number is missing, negative or larger than MaxDemand.
+std::optional<Demand> demandFromJson(const Json::Value &value);
 
 } // namespace oleandercross::workload
--- a/include/oleandercross/workload/job.h
+++ b/include/oleandercross/workload/job.h
@@ -4,12 +4,19 @@
 
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace oleandercross::workload {
 
+// The largest number in a demand, so that sums over tasks and workers stay within 64 bits.
+inline constexpr std::int64_t MaxDemand = std::numeric_limits<std::int32_t>::max();
+// The longest estimate, target or interval, so that sums over the steps and occurrences of a job
+// stay within 64 bits.
+inline constexpr std::int64_t MaxDurationMs = std::int64_t{10} * 365 * 24 * 3600 * 1000;
+
 // Resources that a task needs or a worker offers: thousandths of a core, memory in MiB and whole
 // accelerators.
 struct Demand
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -57,7 +57,8 @@
     const auto startedAtMs = core::requiredInt(value, "born");
     const auto service = core::requiredString(value, "service");
     const auto leavesInMs = core::optionalInt(value, "leavesIn", -1, {-1, core::MaxExactInt});
-    if (!id || !startedAtMs || !service || !leavesInMs)
+    const auto capacity = workload::demandFromJson(core::member(value, "capacity"));
+    if (!id || !startedAtMs || !service || !leavesInMs || !capacity)
         return std::nullopt;
     WorkerReport worker;
     worker.id = *id;
@@ -67,7 +68,7 @@
     worker.rack = core::stringMember(value, "rack");
     for (const Json::Value &label : core::member(value, "labels"))
         worker.labels.push_back(label.isString() ? label.asString() : std::string());
-    worker.capacity = workload::demandFromJson(core::member(value, "capacity"));
+    worker.capacity = *capacity;
     worker.draining = core::boolMember(value, "draining");
     worker.drainRemaining = durationFromMilliseconds(*leavesInMs);
     return worker;
--- a/src/workload/codec.cpp
+++ b/src/workload/codec.cpp
@@ -3,6 +3,8 @@
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
 
+#include <limits>
+
 namespace oleandercross::workload {
 
 namespace {
@@ -32,12 +34,20 @@
     return value;
 }
 
-Step stepFromJson(const Json::Value &value)
+constexpr core::IntRange CountRange{0, std::numeric_limits<std::int32_t>::max()};
+
+std::optional<Step> stepFromJson(const Json::Value &value)
 {
+    const auto tasks = core::requiredInt(value, "tasks", CountRange);
+    const auto perTask = demandFromJson(core::member(value, "demand"));
+    const auto estimateMs = core::requiredInt(value, "estimate");
+    const auto maxPerWorker = core::optionalInt(value, "perWorker", 0, CountRange);
+    if (!tasks || !perTask || !estimateMs || !maxPerWorker)
+        return std::nullopt;
     Step step;
-    step.tasks = static_cast<int>(core::intMember(value, "tasks"));
-    step.perTask = demandFromJson(core::member(value, "demand"));
-    step.estimateMs = core::intMember(value, "estimate");
+    step.tasks = static_cast<int>(*tasks);
+    step.perTask = *perTask;
+    step.estimateMs = *estimateMs;
     for (const Json::Value &earlier : core::member(value, "after"))
         step.after.push_back(earlier.isInt() ? earlier.asInt() : -1);
     step.gang = core::boolMember(value, "gang");
@@ -46,7 +56,7 @@
     step.speculative = core::boolMember(value, "speculative");
     step.neededLabel = core::stringMember(value, "label");
     step.inputRack = core::stringMember(value, "rack");
-    step.maxPerWorker = static_cast<int>(core::intMember(value, "perWorker"));
+    step.maxPerWorker = static_cast<int>(*maxPerWorker);
     return step;
 }
 
@@ -61,15 +71,16 @@
     return value;
 }
 
-QueueTerms termsFromJson(const Json::Value &value)
+std::optional<QueueTerms> termsFromJson(const Json::Value &value)
 {
-    QueueTerms terms;
-    terms.service = core::stringMember(value, "service");
-    terms.priority = static_cast<int>(core::intMember(value, "priority"));
-    terms.attempts = static_cast<int>(core::intMember(value, "attempts", 1));
-    terms.stretch = core::doubleMember(value, "stretch", 1);
-    terms.targetMs = core::intMember(value, "target");
-    return terms;
+    const auto service = core::requiredString(value, "service");
+    const auto priority = core::requiredInt(value, "priority", CountRange);
+    const auto attempts = core::requiredInt(value, "attempts", CountRange);
+    const auto targetMs = core::requiredInt(value, "target");
+    if (!service || !priority || !attempts || !targetMs)
+        return std::nullopt;
+    return QueueTerms{*service, static_cast<int>(*priority), static_cast<int>(*attempts),
+                      core::doubleMember(value, "stretch", -1), *targetMs};
 }
 
 } // namespace
@@ -83,14 +94,15 @@
     return value;
 }
 
-Demand demandFromJson(const Json::Value &value)
+std::optional<Demand> demandFromJson(const Json::Value &value)
 {
-    if (!value.isArray() || value.size() != 3)
-        return {};
-    const auto at = [&value](Json::ArrayIndex i) {
-        return value[i].isInt64() ? value[i].asInt64() : 0;
+    const auto valid = [](const Json::Value &number) {
+        return number.isInt64() && number.asInt64() >= 0 && number.asInt64() <= MaxDemand;
     };
-    return {at(0), at(1), at(2)};
+    if (!value.isArray() || value.size() != 3 || !valid(value[0U]) || !valid(value[1U])
+        || !valid(value[2U]))
+        return core::fail(core::ResultCode::BadField, "a demand is not three numbers in range");
+    return Demand{value[0U].asInt64(), value[1U].asInt64(), value[2U].asInt64()};
 }
 
 std::string encodeJob(const Job &job)
@@ -118,19 +130,30 @@
         return std::nullopt;
     if (!value->isObject())
         return core::fail(core::ResultCode::BadField, "job " + id + ": the row is not an object");
+    const auto terms = termsFromJson(core::member(*value, "terms"));
+    const auto occurrences = core::optionalInt(*value, "occurrences", 1, CountRange);
+    const auto firstDueMs = core::optionalInt(*value, "firstDue", 0);
+    const auto intervalMs = core::optionalInt(*value, "interval", 0);
+    const auto acceptedMs = core::requiredInt(*value, "accepted");
+    if (!terms || !occurrences || !firstDueMs || !intervalMs || !acceptedMs)
+        return std::nullopt;
     Job job;
     job.id = id;
     job.account = core::stringMember(*value, "account");
     job.queue = core::stringMember(*value, "queue");
-    job.terms = termsFromJson(core::member(*value, "terms"));
+    job.terms = *terms;
     job.payload = core::stringMember(*value, "payload");
-    for (const Json::Value &step : core::member(*value, "steps"))
-        job.steps.push_back(stepFromJson(step));
+    for (const Json::Value &element : core::member(*value, "steps")) {
+        auto step = stepFromJson(element);
+        if (!step)
+            return std::nullopt;
+        job.steps.push_back(*std::move(step));
+    }
     job.scheduled = value->isMember("occurrences");
-    job.occurrences = static_cast<int>(core::intMember(*value, "occurrences", 1));
-    job.firstDueMs = core::intMember(*value, "firstDue");
-    job.intervalMs = core::intMember(*value, "interval");
-    job.acceptedMs = core::intMember(*value, "accepted");
+    job.occurrences = static_cast<int>(*occurrences);
+    job.firstDueMs = *firstDueMs;
+    job.intervalMs = *intervalMs;
+    job.acceptedMs = *acceptedMs;
     if (const auto defect = findDefect(job))
         return core::fail(core::ResultCode::BadField, "job " + id + ": " + *defect);
     return job;
--- a/src/workload/job.cpp
+++ b/src/workload/job.cpp
@@ -1,6 +1,7 @@
 #include <oleandercross/workload/job.h>
 
 #include <oleandercross/core/resultcode.h>
+#include <oleandercross/core/text.h>
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -18,6 +19,10 @@
 constexpr int MaxTasksPerStep = 1000;
 constexpr int MaxOccurrences = 1000;
 constexpr std::size_t MaxPayloadBytes = 4000;
+// Bounds the product with the longest critical path.
+constexpr double MaxStretch = 1e6;
+// The end of the year 9999.
+constexpr std::int64_t MaxUnixMs = 253402300799999;
 // Used for steps without an estimate.
 constexpr std::int64_t DefaultEstimateMs = 1000;
 
@@ -34,9 +39,39 @@
                             MaxTasksPerStep);
     if (!dependsOnEarlierStepsOnly(step, index))
         return absl::StrCat("step ", index, " depends on a step that does not precede it");
-    if (step.perTask.milliCores < 0 || step.perTask.memoryMb < 0 || step.perTask.accelerators < 0
+    const Demand &demand = step.perTask;
+    if (demand.milliCores < 0 || demand.memoryMb < 0 || demand.accelerators < 0
         || step.estimateMs < 0 || step.maxPerWorker < 0)
         return absl::StrCat("step ", index, " has a negative demand, estimate or task limit");
+    if (demand.milliCores > MaxDemand || demand.memoryMb > MaxDemand
+        || demand.accelerators > MaxDemand || step.estimateMs > MaxDurationMs)
+        return absl::StrCat("step ", index, " has a demand or an estimate that is too large");
+    return std::nullopt;
+}
+
+std::optional<std::string> findTermsDefect(const QueueTerms &terms)
+{
+    if (terms.priority < 0 || terms.attempts < 0 || !(terms.stretch >= 0)
+        || terms.stretch > MaxStretch || terms.targetMs < 0 || terms.targetMs > MaxDurationMs)
+        return "a number in the terms of the queue is out of range";
+    return std::nullopt;
+}
+
+// Returns true if the id can be a part of task keys, which are joined with dots.
+bool isJobId(const std::string &id)
+{
+    return core::isKeyPart(id) && id.find('.') == std::string::npos;
+}
+
+std::optional<std::string> findScheduleDefect(const Job &job)
+{
+    if (job.occurrences < 1 || job.occurrences > MaxOccurrences)
+        return absl::StrCat("the job has ", job.occurrences, " occurrences, but must have 1 to ",
+                            MaxOccurrences);
+    if (job.scheduled && job.intervalMs < 0)
+        return "the interval between occurrences is negative";
+    if (job.intervalMs > MaxDurationMs || job.firstDueMs < 0 || job.firstDueMs > MaxUnixMs)
+        return "the times of the occurrences are out of range";
     return std::nullopt;
 }
 
@@ -120,17 +155,18 @@
 
 std::optional<std::string> findDefect(const Job &job)
 {
+    if (!isJobId(job.id))
+        return "the id of the job is not a plain name";
     if (job.payload.size() > MaxPayloadBytes)
         return absl::StrCat("the payload has ", job.payload.size(), " bytes, but the maximum is ",
                             MaxPayloadBytes);
     if (job.steps.empty() || job.steps.size() > MaxSteps)
         return absl::StrCat("the job has ", job.steps.size(), " steps, but must have 1 to ",
                             MaxSteps);
-    if (job.occurrences < 1 || job.occurrences > MaxOccurrences)
-        return absl::StrCat("the job has ", job.occurrences, " occurrences, but must have 1 to ",
-                            MaxOccurrences);
-    if (job.scheduled && job.intervalMs < 0)
-        return "the interval between occurrences is negative";
+    if (auto defect = findTermsDefect(job.terms))
+        return defect;
+    if (auto defect = findScheduleDefect(job))
+        return defect;
     for (std::size_t i = 0; i < job.steps.size(); ++i) {
         if (auto defect = findStepDefect(job.steps[i], static_cast<int>(i)))
             return defect;
--- a/test/deployment/tst_decode.cpp
+++ b/test/deployment/tst_decode.cpp
@@ -310,7 +310,13 @@
     const std::string body = GENERATE(
         as<std::string>(), "", "[]", R"({"spec":"x"})", R"({"steps":[{"count":0}]})",
         R"({"steps":[7]})", R"({"steps":[{"count":1,"longRunning":true}]})",
-        R"({"steps":[{"count":1,"fills":true}]})", R"({"steps":[{"count":1,"after":["0"]}]})");
+        R"({"steps":[{"count":1,"fills":true}]})", R"({"steps":[{"count":1,"after":["0"]}]})",
+        R"({"steps":[{"count":4294967297}]})", R"({"steps":[{"count":1e30}]})",
+        R"({"steps":[{"count":1,"maxPerServer":4294967296}]})",
+        R"({"steps":[{"count":1,"cpu":9223372036854775807}]})",
+        R"({"steps":[{"count":1,"estRuntimeMs":9223372036854775807}]})",
+        R"({"steps":[{"count":1}],"times":4294967297})",
+        R"({"steps":[{"count":1}],"times":2,"firstMs":9223372036854775807})");
     CHECK_FALSE(platform::decodeSubmission("5c0e7a21d94b36f8", queue(), "families", body));
     CHECK_FALSE(core::lastReason().message.empty());
 }
--- a/test/workload/tst_job.cpp
+++ b/test/workload/tst_job.cpp
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cmath>
 #include <functional>
+#include <limits>
 
 using namespace oleandercross;
 using namespace oleandercross::workload;
@@ -65,6 +67,81 @@
     CHECK_FALSE(core::lastReason().message.empty());
 }
 
+// Guards against a row of another writer that is scheduled with other numbers than it says, or
+// whose numbers overflow sums of the planner.
+TEST_CASE("job rows with a number out of range are rejected")
+{
+    struct Case
+    {
+        const char *what;
+        std::string from;
+        std::string to;
+    };
+    const std::string demand = "[500,256,1]";
+    const Case c = GENERATE_COPY(values<Case>({
+        {"a task count beyond 32 bits", R"("tasks":4)", R"("tasks":4294967300)"},
+        {"a task count as text", R"("tasks":4)", R"("tasks":"4")"},
+        {"a demand that overflows sums", demand, "[9223372036854775807,256,1]"},
+        {"a demand beyond 32 bits", demand, "[500,256,2147483648]"},
+        {"a negative demand", demand, "[500,-256,1]"},
+        {"a fractional demand", demand, "[0.5,256,1]"},
+        {"a demand as text", demand, R"("500")"},
+        {"a short demand", demand, "[500]"},
+        {"the largest 64-bit estimate", R"("estimate":900)", R"("estimate":9223372036854775807)"},
+        {"an estimate of a century", R"("estimate":900)", R"("estimate":3153600000000)"},
+        {"no estimate", R"("estimate":900,)", ""},
+        {"a task limit beyond 32 bits", R"("perWorker":1)", R"("perWorker":4294967297)"},
+        {"a priority beyond 32 bits", R"("priority":1)", R"("priority":4294967296)"},
+        {"a negative priority", R"("priority":1)", R"("priority":-1)"},
+        {"attempts as text", R"("attempts":3)", R"("attempts":"3")"},
+        {"a negative stretch", R"("stretch":3.0)", R"("stretch":-3.0)"},
+        {"a huge stretch", R"("stretch":3.0)", R"("stretch":1e300)"},
+        {"the largest 64-bit target", R"("target":1000)", R"("target":9223372036854775807)"},
+        {"no service", R"("service":"service",)", ""},
+        {"occurrences beyond 32 bits", R"("occurrences":6)", R"("occurrences":4294967302)"},
+        {"the largest 64-bit time of the first occurrence", R"("firstDue":1780000000000)",
+         R"("firstDue":9223372036854775807)"},
+        {"a negative time of the first occurrence", R"("firstDue":1780000000000)",
+         R"("firstDue":-9223372036854775808)"},
+        {"the largest 64-bit interval", R"("interval":4500)", R"("interval":9223372036854775807)"},
+        {"the smallest 64-bit time of acceptance", R"("accepted":1779999999000)",
+         R"("accepted":-9223372036854775808)"},
+        {"no time of acceptance", R"("accepted":1779999999000,)", ""},
+    }));
+    CAPTURE(c.what);
+    std::string text = encodeJob(sampleJob());
+    const std::size_t at = text.find(c.from);
+    REQUIRE(at != std::string::npos);
+    CHECK_FALSE(decodeJob("5c0e7a21d94b36f8", text.replace(at, c.from.size(), c.to)));
+    CHECK_FALSE(core::lastReason().message.empty());
+}
+
+// Guards against a job whose tasks make the list of runs of their worker unreadable.
+TEST_CASE("job rows whose key cannot be a part of task keys are rejected")
+{
+    const std::string id =
+        GENERATE(as<std::string>(), "", "a.b", "a/b", "a b", "a\n", "\xff", std::string(201, 'a'));
+    CAPTURE(id);
+    CHECK_FALSE(decodeJob(id, encodeJob(sampleJob())));
+}
+
+// Guards against accepting a job that no leader can read.
+TEST_CASE("the largest valid job is read back unchanged")
+{
+    Job job = sampleJob();
+    job.steps[0].tasks = 1000;
+    job.steps[0].perTask = {MaxDemand, MaxDemand, MaxDemand};
+    job.steps[0].estimateMs = MaxDurationMs;
+    job.steps[0].maxPerWorker = std::numeric_limits<int>::max();
+    job.terms = {"service", std::numeric_limits<int>::max(), std::numeric_limits<int>::max(), 1e6,
+                 MaxDurationMs};
+    job.occurrences = 1000;
+    job.firstDueMs = 253402300799999;
+    job.intervalMs = MaxDurationMs;
+    REQUIRE_FALSE(findDefect(job));
+    CHECK(decodeJob(job.id, encodeJob(job)) == job);
+}
+
 // Guards against accepting a job that can never be stored, scheduled or completed.
 TEST_CASE("invalid jobs are rejected at submission")
 {
@@ -85,6 +162,15 @@
         {"negative memory", [](Job &job) { job.steps[0].perTask.memoryMb = -1; }},
         {"no occurrences", [](Job &job) { job.occurrences = 0; }},
         {"a negative interval", [](Job &job) { job.intervalMs = -1; }},
+        {"an interval of a century", [](Job &job) { job.intervalMs = 10 * MaxDurationMs; }},
+        {"a first occurrence before 1970", [](Job &job) { job.firstDueMs = -1; }},
+        {"a demand beyond 32 bits",
+         [](Job &job) { job.steps[0].perTask.accelerators = MaxDemand + 1; }},
+        {"an estimate of a century",
+         [](Job &job) { job.steps[0].estimateMs = 10 * MaxDurationMs; }},
+        {"an id with a dot", [](Job &job) { job.id = "a.b"; }},
+        {"a negative stretch", [](Job &job) { job.terms.stretch = -1; }},
+        {"a stretch that is not a number", [](Job &job) { job.terms.stretch = std::nan(""); }},
     }));
     CAPTURE(c.description);
     Job job = sampleJob();
