Count task slots without overflow

The number of tasks that fit on all workers of a service was summed in 32 bits. With tasks that need nothing, or with workers of the largest capacity, it overflowed (-fsanitize=undefined reports it) and an urgent job of long tasks started 1 of its 24 tasks. The count is now summed in 64 bits and limited to the tasks of the step. Both cases of the new test failed before.

--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -56,12 +56,14 @@
 
 int Planner::tasksPerWave(const JobRecord &record, const workload::Step &spec, const Round &round)
 {
-    int totalSlots = 0;
+    std::int64_t totalSlots = 0;
     for (const WorkerClass &workers : round.workerClasses) {
         if (workers.service == record.job().terms.service)
-            totalSlots += workers.count * fittingTaskCount(spec.perTask, workers.capacity);
+            totalSlots +=
+                std::int64_t{workers.count} * fittingTaskCount(spec.perTask, workers.capacity);
     }
-    return std::max(1, totalSlots / WaveCapacityDivisor);
+    return static_cast<int>(
+        std::clamp<std::int64_t>(totalSlots / WaveCapacityDivisor, 1, spec.tasks));
 }
 
 int Planner::waves(const JobRecord &record, const workload::Step &spec, const Round &round)
--- a/test/planning/tst_widejobs.cpp
+++ b/test/planning/tst_widejobs.cpp
@@ -77,7 +77,33 @@
     CHECK(static_cast<int>(f.planStarts().size()) == c.starts);
 }
 
-// The same failure, as the jobs that wait would see it.
+// Guards against a count of task slots that overflows, after which the job waits without a reason.
+TEST_CASE("a job runs at its full width if any number of its tasks fits")
+{
+    struct Case
+    {
+        const char *what;
+        workload::Demand demand;
+        workload::Demand capacity;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"tasks that need nothing", {0, 0, 0}, {32000, 64000, 8}},
+        {"the largest workers", {1, 1, 1}, {2147483647, 2147483647, 2147483647}},
+    }));
+    CAPTURE(c.what);
+    WideJobFixture f;
+    for (int i = 0; i < WorkerCount; ++i) {
+        Worker worker = f.worker(i);
+        worker.capacity = c.capacity;
+        f.planner.updateWorker(worker);
+    }
+    workload::Job job = f.wideJob(0, 20000, false, 24);
+    job.steps[0].perTask = c.demand;
+    f.planner.addJob(job, f.now);
+    CHECK(f.planStarts().size() == 24);
+}
+
+// Guards against an urgent job that waits for the end of a wide one that began before it.
 TEST_CASE("an urgent job starts at once beside a wide one that began before it")
 {
     WideJobFixture f;
