Test an installation beside odd rows in each of its tables

The test leaves rows of another writer in the tables of leader, members, jobs, progress and configuration, and a member whose address answers every call with deep nesting; when the processes start, while they run, and again before a restart. A job must complete each time.

--- a/test/control/tst_system.cpp
+++ b/test/control/tst_system.cpp
@@ -4,10 +4,12 @@
 
 #include <oleandercross/control/agent.h>
 #include <oleandercross/control/entry.h>
+#include <oleandercross/workload/codec.h>
 
 #include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <memory>
 
 using namespace oleandercross;
@@ -131,6 +133,40 @@
     return job;
 }
 
+// A process at the address of a member that answers every call with the same text.
+struct OddPeer
+{
+    explicit OddPeer(std::string answer)
+        : server(onLoopback(0))
+    {
+        server.route("POST", "/rpc", [this, answer = std::move(answer)](const http::Request &) {
+            ++calls;
+            return http::Response{200, answer};
+        });
+        REQUIRE(server.start());
+    }
+
+    std::atomic<int> calls = 0;
+    http::Server server;
+};
+
+// Writes a row with the value into each table, beside the rows of the installation and, for the
+// leader, in place of its row.
+void putOddRows(RowStore &store, const std::string &value)
+{
+    RowChanges changes;
+    changes.puts = {{LeaderTable, LeaderKey, value},
+                    {MemberTable, "aaa", value},
+                    {MemberTable, "side/i", value},
+                    {JobTable, "0000000000000000", value},
+                    {JobTable, "a.b", workload::encodeJob(job("5c0e7a21d94b36f8", 1))},
+                    {JobTable, "0000000000000001", workload::encodeJob(job("0000000000000001", 1))},
+                    {ProgressTable, "0000000000000001", value},
+                    {JobTable, CancelSuffix, value},
+                    {"op", "config", value}};
+    REQUIRE(store.commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
+}
+
 core::Instant nearDeadline()
 {
     return core::BootClock().now() + absl::Seconds(10);
@@ -212,3 +248,46 @@
     other.completeAll();
     CHECK(second.reaches("5c0e7a21d94b36f8", planning::JobState::Completed));
 }
+
+// Guards against an entry of another writer that ends each process which reads it, hides the rows
+// after it, or leaves the installation without a leader: when it arrives, and at each later start.
+TEST_CASE("an installation works beside odd rows in each of its tables")
+{
+    const std::string value = GENERATE(
+        as<std::string>(), "\xff\xfe", std::string(100000, '['),
+        R"({"epoch":9223372036854775807,"holder":"x","address":"127.0.0.1:65536","sequence":1,)"
+        R"("incarnation":"i","role":"agent","state":"running","next":-2147483648,"open":[0],)"
+        R"("steps":[{"tasks":4294967297}],"version":1e300})");
+    CAPTURE(value.substr(0, 100));
+    testing::FakeRowStore store;
+    testing::SimulatedWorker worker;
+    OddPeer peer(R"({"jsonrpc":"2.0","id":1,"result":)" + std::string(100000, '['));
+    announce(store,
+             {"odd", MemberRole::Agent, {"127.0.0.1", peer.server.port()}, "another writer"});
+    putOddRows(store, value);
+    AgentProcess agent(store, worker, "side");
+    agent.agent.heartbeat(worker.report("i-1", 1000));
+    int completed = 0;
+    const auto runJob = [&](EntryProcess &process, const std::string &id) {
+        REQUIRE(process.entry.submit(job(id, 1), nearDeadline()) == SubmitOutcome::Accepted);
+        REQUIRE(process.reaches(id, planning::JobState::Running));
+        const core::BootClock clock;
+        const core::Instant until = clock.now() + StateTimeout;
+        while (worker.completeAll() == 0 && clock.now() < until)
+            absl::SleepFor(absl::Milliseconds(10));
+        REQUIRE(process.reaches(id, planning::JobState::Completed));
+        ++completed;
+    };
+    auto entry = std::make_unique<EntryProcess>(store, "front");
+    runJob(*entry, "5c0e7a21d94b36f0");
+    putOddRows(store, value);
+    runJob(*entry, "5c0e7a21d94b36f1");
+    entry.reset();
+    putOddRows(store, value);
+    EntryProcess next(store, "front");
+    runJob(next, "5c0e7a21d94b36f2");
+    CHECK(completed == 3);
+    CHECK(peer.calls > 0);
+    for (const auto &[task, count] : worker.starts())
+        CHECK(count == 1);
+}
