--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -22,6 +22,9 @@
 // 2^53, up to which JSON numbers are exact everywhere.
 constexpr int TermNumberBits = 20;
 constexpr std::int64_t MaxTermNumber = (std::int64_t{1} << TermNumberBits) - 1;
+constexpr int LastRunEnd = static_cast<int>(planning::RunEnd::Alone);
+// The longest time for which an agent delays its response to a watch call.
+constexpr std::int64_t MaxWatchWaitMs = 10000;
 
 Json::Int64 toMilliseconds(absl::Duration duration)
 {
@@ -54,17 +57,24 @@
     const auto address = http::parseEndpoint(core::stringMember(value, "address"));
     if (!address)
         return std::nullopt;
+    const auto id = core::requiredString(value, "id");
+    const auto startedAtMs = core::requiredInt(value, "born");
+    const auto service = core::requiredString(value, "service");
+    const auto leavesInMs = core::optionalInt(value, "leavesIn", -1, {-1, core::MaxExactInt});
+    const auto capacity = workload::demandFromJson(core::member(value, "capacity"));
+    if (!id || !startedAtMs || !service || !leavesInMs || !capacity)
+        return std::nullopt;
     WorkerReport worker;
-    worker.id = core::stringMember(value, "id");
-    worker.startedAtMs = core::intMember(value, "born");
+    worker.id = *id;
+    worker.startedAtMs = *startedAtMs;
     worker.address = *address;
-    worker.service = core::stringMember(value, "service");
+    worker.service = *service;
     worker.rack = core::stringMember(value, "rack");
     for (const Json::Value &label : core::member(value, "labels"))
         worker.labels.push_back(label.isString() ? label.asString() : std::string());
-    worker.capacity = workload::demandFromJson(core::member(value, "capacity"));
+    worker.capacity = *capacity;
     worker.draining = core::boolMember(value, "draining");
-    worker.drainRemaining = durationFromMilliseconds(core::intMember(value, "leavesIn", -1));
+    worker.drainRemaining = durationFromMilliseconds(*leavesInMs);
     return worker;
 }
 
@@ -74,9 +84,13 @@
     value["term"] = static_cast<Json::Int64>(term.number);
 }
 
-Term termFromJson(const Json::Value &value)
+std::optional<Term> termFromJson(const Json::Value &value)
 {
-    return {core::intMember(value, "epoch"), core::intMember(value, "term")};
+    const auto epoch = core::requiredInt(value, "epoch");
+    const auto number = core::requiredInt(value, "term", {0, MaxTermNumber});
+    if (!epoch || !number)
+        return std::nullopt;
+    return Term{*epoch, *number};
 }
 
 Json::Value runToJson(const workload::RunKey &run)
@@ -89,7 +103,8 @@
 
 std::optional<workload::RunKey> runFromJson(const Json::Value &row)
 {
-    if (!row.isArray() || row.size() < 2 || !row[0U].isString() || !row[1U].isInt())
+    if (!row.isArray() || row.size() < 2 || !row[0U].isString() || !row[1U].isInt()
+        || row[1U].asInt() < 1)
         return core::fail(core::ResultCode::BadField,
                           "a row does not contain a task and a run number");
     const auto task = workload::parseTaskKey(row[0U].asString());
@@ -136,11 +151,12 @@
 WatchCall watchCallFromJson(const Json::Value &value)
 {
     WatchCall call;
-    call.term = termFromJson(value);
+    call.term = termFromJson(value).value_or(Term{});
     call.renewUntilMs = core::intMember(value, "renewUntil");
     call.since = core::intMember(value, "since");
     call.agentIncarnation = core::stringMember(value, "incarnation");
-    call.wait = absl::Milliseconds(core::intMember(value, "wait"));
+    call.wait = absl::Milliseconds(
+        std::clamp<std::int64_t>(core::intMember(value, "wait"), 0, MaxWatchWaitMs));
     for (const Json::Value &service : core::member(value, "unknownServices")) {
         if (service.isString())
             call.unknownServices.push_back(service.asString());
@@ -179,11 +195,18 @@
 
 std::optional<AgentState> agentStateFromJson(const Json::Value &value)
 {
+    const auto incarnation = core::requiredString(value, "incarnation");
+    const auto clockMs = core::requiredInt(value, "clock");
+    const auto version = core::requiredInt(value, "version");
+    const auto listAgeMs = core::optionalInt(value, "listedAge", 0, {-1, core::MaxExactInt});
+    const auto term = termFromJson(value);
+    if (!incarnation || !clockMs || !version || !listAgeMs || !term)
+        return std::nullopt;
     AgentState state;
-    state.incarnation = core::stringMember(value, "incarnation");
-    state.clockMs = core::intMember(value, "clock");
-    state.version = core::intMember(value, "version");
-    state.term = termFromJson(value);
+    state.incarnation = *incarnation;
+    state.clockMs = *clockMs;
+    state.version = *version;
+    state.term = *term;
     const Json::Value &worker = core::member(value, "worker");
     if (worker.isObject()) {
         state.worker = workerFromJson(worker);
@@ -193,7 +216,7 @@
     state.workerLost = core::boolMember(value, "gone");
     state.workerCrashed = core::boolMember(value, "crashed");
     state.listed = core::boolMember(value, "listed");
-    state.runListAge = absl::Milliseconds(core::intMember(value, "listedAge"));
+    state.runListAge = durationFromMilliseconds(*listAgeMs);
     for (const Json::Value &row : core::member(value, "running")) {
         const auto run = runFromJson(row);
         if (!run || row.size() != 4 || !row[2U].isString() || !row[3U].isInt())
@@ -203,10 +226,11 @@
     }
     for (const Json::Value &row : core::member(value, "ended")) {
         const auto run = runFromJson(row);
-        if (!run || row.size() != 5 || !row[2U].isInt64() || !row[3U].isInt()
+        if (!run || row.size() != 5 || !row[2U].isInt64() || row[2U].asInt64() < 1
+            || !row[3U].isInt() || row[3U].asInt() < 0 || row[3U].asInt() > LastRunEnd
             || !row[4U].isString())
             return core::fail(core::ResultCode::BadField,
-                              "the row of an ended task has the wrong size or types");
+                              "the row of an ended task has the wrong size, types or numbers");
         state.runs.ended.push_back({row[2U].asInt64(), *run,
                                     static_cast<planning::RunEnd>(row[3U].asInt()),
                                     row[4U].asString()});
@@ -233,11 +257,16 @@
 
 std::optional<OrderCall> orderCallFromJson(const Json::Value &value)
 {
+    const auto term = termFromJson(value);
+    const auto renewUntilMs = core::requiredInt(value, "renewUntil");
+    const auto acknowledged = core::requiredInt(value, "acknowledged");
+    if (!term || !renewUntilMs || !acknowledged)
+        return std::nullopt;
     OrderCall call;
-    call.term = termFromJson(value);
-    call.renewUntilMs = core::intMember(value, "renewUntil");
+    call.term = *term;
+    call.renewUntilMs = *renewUntilMs;
     call.workerIncarnation = core::stringMember(value, "life");
-    call.acknowledged = core::intMember(value, "acknowledged");
+    call.acknowledged = *acknowledged;
     for (const Json::Value &row : core::member(value, "orders")) {
         const auto run = runFromJson(row);
         if (!run || row.size() != 5 || !row[2U].isBool() || !row[3U].isString()
