Take a connection for refused only if the peer's host refuses it

Cause: a connection that failed within 60 ms counted as refused, also if this process had no file descriptor for it. An agent declares its worker ended after two refused connections, without waiting for the lease, and the election takes one from the leader's address for its end. Whether an agent gets that far in a deployment was not tried.

Change: after a failed connection a bare one to the same address shows whether the host refuses it (ECONNREFUSED).

The call takes the endpoint instead of the duration.

--- a/include/oleandercross/http/clientpool.h
+++ b/include/oleandercross/http/clientpool.h
@@ -47,9 +47,9 @@
     std::unique_ptr<Private> d;
 };
 
-// Returns true if the last failed call on this thread, which took the time given, was refused by
-// the peer's host. The host is then up but nothing listens on the port, whereas an unreachable
-// address does not respond at all.
-bool wasConnectionRefused(absl::Duration took);
+// Returns true if the last failed call on this thread, which was to this endpoint, got no
+// connection because the peer's host refuses them. The host is then up but nothing listens on the
+// port, whereas an unreachable address does not respond at all.
+bool wasConnectionRefused(const Endpoint &endpoint);
 
 } // namespace oleandercross::http
--- a/src/control/election.cpp
+++ b/src/control/election.cpp
@@ -86,11 +86,10 @@
     }
     if (!address)
         return false;
-    const core::Instant begin = m_clock.now();
     const auto answer =
         m_client.call(*address, "leader-health", Json::Value(Json::objectValue), ProbeTimeout);
-    const bool negative = answer ? !core::boolMember(*answer, "leads")
-                                 : http::wasConnectionRefused(m_clock.now() - begin);
+    const bool negative =
+        answer ? !core::boolMember(*answer, "leads") : http::wasConnectionRefused(*address);
     m_negativeProbeCount = negative ? m_negativeProbeCount + 1 : 0;
     if (!answer || !core::boolMember(*answer, "healthy"))
         return false;
--- a/src/http/clientpool.cpp
+++ b/src/http/clientpool.cpp
@@ -6,13 +6,17 @@
 #include <oleandercross/core/condvar.h>
 #include <oleandercross/core/resultcode.h>
 
+#include <absl/cleanup/cleanup.h>
 #include <absl/container/btree_map.h>
 #include <absl/strings/ascii.h>
 #include <absl/synchronization/mutex.h>
+#include <arpa/inet.h>
 #include <httplib.h>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <atomic>
 #include <map>
@@ -22,7 +26,7 @@
 
 namespace {
 
-// A connection attempt that fails faster than this was refused by the peer's host.
+// A host that is up refuses a connection within this time.
 constexpr absl::Duration MaxRefusalTime = absl::Milliseconds(60);
 
 constexpr int TcpUserTimeoutMs = 2000;
@@ -43,6 +47,31 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof(userTimeout));
 }
 
+// Returns true if the host of the endpoint refuses a connection. The HTTP library does not tell a
+// refusal from a failure of this process, such as a lack of file descriptors.
+bool refuses(const Endpoint &endpoint)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(endpoint.port));
+    if (inet_pton(AF_INET, endpoint.address.c_str(), &address.sin_addr) != 1)
+        return false;
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (socket < 0)
+        return false;
+    const absl::Cleanup close = [socket] { ::close(socket); };
+    if (connect(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0)
+        return false;
+    if (errno != EINPROGRESS)
+        return errno == ECONNREFUSED;
+    pollfd event{socket, POLLOUT, 0};
+    if (poll(&event, 1, static_cast<int>(absl::ToInt64Milliseconds(MaxRefusalTime))) <= 0)
+        return false;
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return getsockopt(socket, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == ECONNREFUSED;
+}
+
 core::ResultCode codeOf(httplib::Error error)
 {
     switch (error) {
@@ -308,9 +337,9 @@
     d->idle.erase(endpoint);
 }
 
-bool wasConnectionRefused(absl::Duration took)
+bool wasConnectionRefused(const Endpoint &endpoint)
 {
-    return core::lastReason().code == core::ResultCode::ConnectionFailed && took < MaxRefusalTime;
+    return core::lastReason().code == core::ResultCode::ConnectionFailed && refuses(endpoint);
 }
 
 } // namespace oleandercross::http
--- a/test/http/tst_clientpool.cpp
+++ b/test/http/tst_clientpool.cpp
@@ -234,15 +234,26 @@
     rlimit exhausted = limit;
     exhausted.rlim_cur = static_cast<rlim_t>(lowestFree);
     REQUIRE(setrlimit(RLIMIT_NOFILE, &exhausted) == 0);
-    const core::SteadyClock clock;
-    const core::Instant begin = clock.now();
     bool answered = false;
     bool refused = false;
     {
         const auto restore = absl::MakeCleanup([&limit] { setrlimit(RLIMIT_NOFILE, &limit); });
         answered = pool.send(peer.endpoint(), getRequest(), absl::Seconds(5)).has_value();
-        refused = http::wasConnectionRefused(clock.now() - begin);
+        refused = http::wasConnectionRefused(peer.endpoint());
     }
     CHECK_FALSE(answered);
     CHECK_FALSE(refused);
 }
+
+// Guards against waiting for the lease of a worker, or for the leader, whose process has exited.
+TEST_CASE("a connection to a port at which nothing listens counts as refused")
+{
+    http::Endpoint closed;
+    {
+        const test::RawPeer peer([](test::RawConnection &) {});
+        closed = peer.endpoint();
+    }
+    http::ClientPool pool({});
+    REQUIRE_FALSE(pool.send(closed, getRequest(), absl::Seconds(5)));
+    CHECK(http::wasConnectionRefused(closed));
+}
