Conclude that a run is absent only from a complete list of ends

Cause: a worker lists at most 500 ended runs at once. The agent took a run that was in neither list after its stop for absent, so the leader started completed tasks again when more tasks had ended at once. Class: runs are declared over without proof.

--- a/include/oleandercross/control/workerport.h
+++ b/include/oleandercross/control/workerport.h
@@ -60,6 +60,8 @@
     std::int64_t startedAtMs = 0;
     std::vector<RunningTask> running;
     std::vector<EndedTask> ended;
+    // The worker may have more ended runs than it lists at once.
+    bool moreEnded = false;
 
     friend bool operator==(const WorkerRuns &, const WorkerRuns &) = default;
 };
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -541,7 +541,12 @@
                                     [&run](const RunningTask &task) { return task.run == run; })
         || std::any_of(runs.ended.begin(), runs.ended.end(),
                        [&run](const EndedTask &task) { return task.run == run; });
+    const bool complete = !runs.moreEnded;
     updateRuns(worker, term, std::move(runs));
+    if (!listed && !complete) {
+        core::fail(core::ResultCode::BadAnswer, "the worker has more ended runs than it lists");
+        return OrderResult::Unanswered;
+    }
     return listed ? OrderResult::Done : OrderResult::Absent;
 }
 
--- a/test/control/simulatedworker.h
+++ b/test/control/simulatedworker.h
@@ -144,7 +144,8 @@
         for (const workload::RunKey &run : m_running)
             runs.running.push_back({run, {}, 10});
         runs.ended = m_ended;
-        if (runs.ended.size() > MaxListedEnds)
+        runs.moreEnded = runs.ended.size() > MaxListedEnds;
+        if (runs.moreEnded)
             runs.ended.resize(MaxListedEnds);
         ++m_listings;
         return OrderOutcome::Done;
