Acknowledge ends once, not to every later incarnation of the worker

Cause: each renewal repeated the highest acknowledgement. A worker that has restarted under its id counts its ends anew and forgets those up to that number before its agent knows of the restart, so the end of a run that had reached the new incarnation was never listed. Trace: 06:39:42.719 run 1 starts on the new incarnation, ends as done 0.34 s later and is forgotten 0.05 s after that; 43.244 it is declared lost with the earlier one, 43.253 run 2 starts.

Change: an acknowledgement goes with the renewals until the worker has confirmed it, not with later ones. Left: a worker that restarts, and completes a run, between the agent's last list and the renewal with a new acknowledgement.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -92,6 +92,8 @@
     std::vector<WorkerReport> m_candidates ABSL_GUARDED_BY(m_mutex);
     std::vector<std::string> m_unknownServices ABSL_GUARDED_BY(m_mutex);
     std::int64_t m_acknowledged ABSL_GUARDED_BY(m_mutex) = 0;
+    // The highest acknowledgement that the worker has confirmed.
+    std::int64_t m_confirmedAcknowledgement ABSL_GUARDED_BY(m_mutex) = 0;
     core::Instant m_lastContact ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     // The worker's clock reading, and the local time at which it was received.
     std::int64_t m_workerClockMs ABSL_GUARDED_BY(m_mutex) = 0;
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -179,6 +179,7 @@
     m_state.workerCrashed = false;
     m_state.runs = {};
     m_acknowledged = 0;
+    m_confirmedAcknowledgement = 0;
     m_refusedConnections = 0;
     m_leaving = false;
     m_restarted = false;
@@ -318,7 +319,10 @@
         worker = *m_state.worker;
         term = m_term;
         startsExcluded = m_refusedConnections > 0 && m_startsUnderWay == 0;
-        order.acknowledged = m_acknowledged;
+        // The numbers of ends start anew when the worker restarts under its id, so an
+        // acknowledgement must not be repeated to a later incarnation.
+        if (m_acknowledged > m_confirmedAcknowledgement && !m_restarted)
+            order.acknowledged = m_acknowledged;
         order.leaseUntilMs = leaseUntil();
         order.fence = fencingToken(m_term);
         if (order.leaseUntilMs)
@@ -330,8 +334,9 @@
     if (outcome == OrderOutcome::Done && runs.startedAtMs == worker.startedAtMs) {
         updateRuns(worker, term, std::move(runs));
         absl::MutexLock lock(&m_mutex);
-        const std::int64_t acknowledged = m_acknowledged;
-        if (!m_state.runs.ended.empty() && acknowledged == order.acknowledged)
+        if (sameIncarnation(worker))
+            m_confirmedAcknowledgement = std::max(m_confirmedAcknowledgement, order.acknowledged);
+        if (!m_state.runs.ended.empty() && m_acknowledged == m_confirmedAcknowledgement)
             m_stateChanged.waitFor(m_mutex, AcknowledgementTimeout);
         return;
     }
@@ -530,10 +535,6 @@
     // If the run has not started yet, the worker blocks its start and does not list it as ended.
     RenewOrder query;
     WorkerRuns runs;
-    {
-        absl::MutexLock lock(&m_mutex);
-        query.acknowledged = m_acknowledged;
-    }
     query.fence = fencingToken(term);
     if (m_port.renew(worker, query, runs, WorkerCallTimeout) != OrderOutcome::Done)
         return OrderResult::Unanswered;
--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -469,6 +469,39 @@
     agent.stop();
 }
 
+// Guards against losing the ends of a worker that restarted under its id and counts them anew.
+TEST_CASE("an acknowledgement is not repeated once the worker has confirmed it")
+{
+    const workload::RunKey run{{"j", 0, 0, 0}, 1};
+    FakeWorkerPort port;
+    port.runs = {6000, 1000, {}, {{7, run, planning::RunEnd::Completed, ""}}};
+    Agent agent({"side", absl::Seconds(6)}, port);
+    OrderCall call = startCall(registerWorker(agent, report()).term, report());
+    call.orders.clear();
+    call.acknowledged = 7;
+    REQUIRE(agent.execute(call));
+    const auto acknowledgements = [&port] {
+        absl::MutexLock lock(&port.mutex);
+        return std::count_if(port.renewals.begin(), port.renewals.end(),
+                             [](const RenewOrder &order) { return order.acknowledged != 0; });
+    };
+    while (acknowledgements() == 0)
+        absl::SleepFor(absl::Milliseconds(1));
+    std::size_t begin = 0;
+    {
+        absl::MutexLock lock(&port.mutex);
+        port.runs.ended.clear();
+        begin = port.renewals.size();
+    }
+    const auto renewedSince = [&port, begin] {
+        absl::MutexLock lock(&port.mutex);
+        return port.renewals.size() - begin;
+    };
+    while (renewedSince() < 3)
+        absl::SleepFor(absl::Milliseconds(1));
+    CHECK(acknowledgements() == 1);
+}
+
 TEST_CASE("an agent's state survives a JSON round trip")
 {
     AgentState state;
