--- a/test/deployment/tst_httprowstore.cpp
+++ b/test/deployment/tst_httprowstore.cpp
@@ -162,3 +162,35 @@
                                           core::stringMember(entry, "key")));
     }
 }
+
+// Guards against a table that cannot be read, or whose changes are not followed any more, because
+// of one row of another writer.
+TEST_CASE("an odd row does not hide the rows beside it")
+{
+    const std::string odd =
+        GENERATE(as<std::string>(), R"({"table":"members","key":"\ud800","value":"e30=","ver":2})",
+                 R"({"table":"members","key":"\udc00\ud800","value":"e30=","ver":2})",
+                 R"({"table":"members","key":"\ud800\\u0041\ud83d\ude00","value":"e30=","ver":2})",
+                 R"({"table":"members","key":"\\ud800\u0000\n","value":"e30=","ver":2})",
+                 R"({"table":"members","key":"x","value":"not base64!","ver":2})",
+                 R"({"table":"members","key":"x","value":7,"ver":"2"})",
+                 R"({"table":"members","key":"x","value":"","ver":1e30})", R"({"key":null})", "7",
+                 "[1]", "null");
+    CAPTURE(odd);
+    StoreServer server(200,
+                       R"({"rows":[{"table":"members","key":"a","value":"Zmlyc3Q=","ver":1},)" + odd
+                           + R"(,{"table":"members","key":"z","value":"bGFzdA==","ver":3}],)"
+                             R"("hasMore":false,"ver":3,"nowMs":1})");
+    http::ClientPool pool({});
+    platform::HttpRowStore store(pool, server.address());
+    const auto page = store.table("members", absl::Seconds(5));
+    REQUIRE(page);
+    REQUIRE(page->rows.size() == 3);
+    CHECK(page->rows[0].value == "first");
+    CHECK(page->rows[2].value == "last");
+    const auto feed = store.changes("members", 0, absl::ZeroDuration());
+    REQUIRE(feed);
+    REQUIRE(feed->rows.size() == 3);
+    CHECK(feed->rows[2].key == "z");
+    CHECK(feed->version == 3);
+}
