--- a/test/control/tst_incarnations.cpp
+++ b/test/control/tst_incarnations.cpp
@@ -77,6 +77,12 @@
         return waitUntil(completed, RecoveryTimeout);
     }
 
+    void announceOtherName()
+    {
+        announce(m_store,
+                 {"other", MemberRole::Agent, {"127.0.0.1", m_agent->port}, "another life"});
+    }
+
     RunLog log;
     SimulatedWorker worker{log};
 
@@ -196,3 +202,46 @@
     CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
     CHECK(cluster.log.starts(JobBefore) == 1);
 }
+
+// Guards against acknowledging ends of a new boot with the numbers of the one before: the task was
+// executed, but nobody has read its end.
+TEST_CASE("ends on a new boot are not forgotten before they are read")
+{
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.submit(JobBefore);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+    REQUIRE(cluster.complete(JobBefore));
+    REQUIRE(waitUntil([&] { return cluster.worker.acknowledged() == 1; }));
+
+    // The worker restarts; a start reaches the new boot before its first list.
+    cluster.worker.setListing(false);
+    cluster.worker.boot("i-1", 2000);
+    cluster.submit(JobAfter);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobAfter) == 1; }));
+    REQUIRE(cluster.worker.completeAll() == 1);
+    cluster.worker.setListing(true);
+    REQUIRE(waitUntil([&] { return cluster.worker.listings() > 2; }));
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    CHECK(cluster.complete(JobAfter));
+    CHECK(cluster.log.starts(JobAfter) == 1);
+}
+
+// Guards against a worker whose runs are given up under one name of its agent while the leases are
+// extended under another.
+TEST_CASE("a member row of another name at an agent's address does not end the agent's runs")
+{
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.submit(JobBefore);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+    cluster.addOtherWorkers();
+    cluster.announceOtherName();
+    waitUntil([&] { return cluster.log.starts(JobBefore) > 1; }, absl::Seconds(15));
+    CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
+    CHECK(cluster.log.starts(JobBefore) == 1);
+}
