--- a/test/control/tst_incarnations.cpp
+++ b/test/control/tst_incarnations.cpp
@@ -237,11 +237,12 @@
     cluster.worker.boot("i-1", 1000);
     cluster.startAgent();
     cluster.agent().heartbeat(cluster.worker.heartbeat());
-    cluster.submit(JobBefore);
+    // Does not fit onto its worker twice.
+    cluster.submit(JobBefore, {1000, 1000, 5});
     REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
     cluster.addOtherWorkers();
     cluster.announceOtherName();
-    waitUntil([&] { return cluster.log.starts(JobBefore) > 1; }, absl::Seconds(15));
+    waitUntil([&] { return cluster.log.starts(JobBefore) > 1; }, RecoveryTimeout);
     CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
     CHECK(cluster.log.starts(JobBefore) == 1);
 }
