--- a/test/control/tst_incarnations.cpp
+++ b/test/control/tst_incarnations.cpp
@@ -17,6 +17,47 @@
 // A fault may keep tasks from being started or completed.
 constexpr absl::Duration RecoveryTimeout = absl::Seconds(20);
 
+// Passes calls on to a worker. While answers are lost, renewals take effect without a response, but
+// for one that confirms a new boot.
+class LossyPort : public WorkerPort
+{
+public:
+    explicit LossyPort(SimulatedWorker &worker)
+        : m_worker(worker)
+    { }
+
+    OrderOutcome start(const WorkerReport &worker, const StartOrder &order,
+                       absl::Duration timeout) override
+    {
+        return m_worker.start(worker, order, timeout);
+    }
+
+    OrderOutcome stop(const WorkerReport &worker, const workload::RunKey &run, std::int64_t fence,
+                      absl::Duration timeout) override
+    {
+        return m_worker.stop(worker, run, fence, timeout);
+    }
+
+    OrderOutcome renew(const WorkerReport &worker, const RenewOrder &order, WorkerRuns &runs,
+                       absl::Duration timeout) override
+    {
+        RenewOrder immediate = order;
+        if (answersLost)
+            immediate.wait = absl::ZeroDuration();
+        const OrderOutcome outcome = m_worker.renew(worker, immediate, runs, timeout);
+        if (!answersLost || (worker.startedAtMs == confirmedStartMs && !confirmed.exchange(true)))
+            return outcome;
+        return OrderOutcome::Unanswered;
+    }
+
+    std::atomic<bool> answersLost = false;
+    std::atomic<std::int64_t> confirmedStartMs = 0;
+    std::atomic<bool> confirmed = false;
+
+private:
+    SimulatedWorker &m_worker;
+};
+
 // A worker that restarts, an entry, and other workers on which the leader may start tasks again.
 class Cluster
 {
@@ -27,7 +68,7 @@
 
     void startAgent()
     {
-        m_agent = std::make_unique<AgentProcess>(m_store, worker, "side-1", Lease);
+        m_agent = std::make_unique<AgentProcess>(m_store, port, "side-1", Lease);
     }
 
     void restartAgent()
@@ -85,6 +126,7 @@
 
     RunLog log;
     SimulatedWorker worker{log};
+    LossyPort port{worker};
 
 private:
     struct OtherWorker
@@ -246,3 +288,29 @@
     CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
     CHECK(cluster.log.starts(JobBefore) == 1);
 }
+
+// Guards against giving up an earlier boot by the time that has passed while the present one, which
+// may execute its starts, keeps its lease.
+TEST_CASE("runs that may have reached a new boot are not given up while its lease is extended")
+{
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.submit(JobBefore);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+
+    cluster.port.answersLost = true;
+    cluster.worker.boot("i-1", 2000);
+    cluster.submit(JobAfter);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobAfter) == 1; }));
+    cluster.addOtherWorkers();
+    cluster.port.confirmedStartMs = 2000;
+    REQUIRE(waitUntil([&] {
+        cluster.agent().heartbeat(cluster.worker.heartbeat());
+        return cluster.port.confirmed.load();
+    }));
+    waitUntil([&] { return cluster.log.starts(JobAfter) > 1; }, RecoveryTimeout);
+    CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
+    CHECK(cluster.log.starts(JobAfter) == 1);
+}
