--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -551,3 +551,18 @@
     }
     CHECK_FALSE(workerLost);
 }
+
+// Guards against an agent that keeps a processor busy, and uses up the numbers of terms, while the
+// worker has seen the calls of a later epoch.
+TEST_CASE("an agent that is refused for its epoch pauses between its attempts")
+{
+    FakeWorkerPort port;
+    port.minFence = fencingToken({2, 0});
+    Agent agent({"side", absl::Seconds(6)}, port);
+    REQUIRE(agent.watch({{1, 0}, 0, 0, {}, {}, {}}));
+    agent.start();
+    agent.heartbeat(report());
+    absl::SleepFor(absl::Seconds(1));
+    absl::MutexLock lock(&port.mutex);
+    CHECK(port.renewals.size() <= 100);
+}
--- a/test/control/tst_incarnations.cpp
+++ b/test/control/tst_incarnations.cpp
@@ -103,6 +103,13 @@
                 == SubmitOutcome::Accepted);
     }
 
+    void submitFor(const std::string &service, const std::string &id)
+    {
+        workload::Job submitted = job(id, 1);
+        submitted.terms.service = service;
+        REQUIRE(m_entry.entry.submit(submitted, nearDeadline()) == SubmitOutcome::Accepted);
+    }
+
     // Completes all tasks until the job is shown as completed; returns false if it is not.
     bool complete(const std::string &id)
     {
@@ -314,3 +321,28 @@
     CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
     CHECK(cluster.log.starts(JobAfter) == 1);
 }
+
+// Guards against a worker that stays rejected although a job that was read later names its service.
+TEST_CASE("a rejected service is used once a job names it")
+{
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    // The leader now knows of one service.
+    cluster.addOtherWorkers();
+    const auto report = [&] {
+        WorkerReport heartbeat = cluster.worker.heartbeat();
+        heartbeat.service = "freight";
+        cluster.agent().heartbeat(heartbeat);
+    };
+    report();
+    REQUIRE(waitUntil([&] { return cluster.worker.listings() > 0; }));
+    absl::SleepFor(HeartbeatPeriod);
+    cluster.submitFor("freight", JobBefore);
+    CHECK(waitUntil(
+        [&] {
+            report();
+            return cluster.log.starts(JobBefore) == 1;
+        },
+        RecoveryTimeout));
+}
