--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -566,3 +566,33 @@
     absl::MutexLock lock(&port.mutex);
     CHECK(port.renewals.size() <= 100);
 }
+
+// Guards against a second raise, which drops the orders and permits of the term that the leader has
+// just begun, because a call of the term before was still under way.
+TEST_CASE("a renewal that was overtaken by a new term does not raise the term again")
+{
+    FakeWorkerPort port;
+    Agent agent({"side", absl::Seconds(6)}, port);
+    const Term earlier = registerWorker(agent, report()).term;
+    const Term later{earlier.epoch, earlier.number + 1};
+    {
+        absl::MutexLock lock(&port.mutex);
+        // The next renewal of the earlier term is under way now.
+        absl::SleepFor(absl::Milliseconds(20));
+        REQUIRE(agent.watch({later, 0, 0, {}, {}, {}}));
+        port.minFence = fencingToken(later);
+    }
+    CHECK(waitForState(agent, 1, isListed).term == later);
+}
+
+// Guards against tasks that are placed on a worker that accepts no starts.
+TEST_CASE("a repeated heartbeat does not hide that the worker has deregistered")
+{
+    FakeWorkerPort port;
+    Agent agent({"side", absl::Hours(1)}, port);
+    const Term term = registerWorker(agent, report()).term;
+    agent.deregister("i-1");
+    agent.heartbeat(report());
+    CHECK(agent.execute(startCall(term, report())) == std::vector{OrderResult::NotApplicable});
+    CHECK(agent.watch({term, 0, 0, {}, {}, {}})->worker->draining);
+}
