--- a/test/control/tst_incarnations.cpp
+++ b/test/control/tst_incarnations.cpp
@@ -17,6 +17,47 @@
 // A fault may keep tasks from being started or completed.
 constexpr absl::Duration RecoveryTimeout = absl::Seconds(20);
 
+// Passes calls on to a worker. While answers are lost, renewals take effect without a response, but
+// for one that confirms a new boot.
+class LossyPort : public WorkerPort
+{
+public:
+    explicit LossyPort(SimulatedWorker &worker)
+        : m_worker(worker)
+    { }
+
+    OrderOutcome start(const WorkerReport &worker, const StartOrder &order,
+                       absl::Duration timeout) override
+    {
+        return m_worker.start(worker, order, timeout);
+    }
+
+    OrderOutcome stop(const WorkerReport &worker, const workload::RunKey &run, std::int64_t fence,
+                      absl::Duration timeout) override
+    {
+        return m_worker.stop(worker, run, fence, timeout);
+    }
+
+    OrderOutcome renew(const WorkerReport &worker, const RenewOrder &order, WorkerRuns &runs,
+                       absl::Duration timeout) override
+    {
+        RenewOrder immediate = order;
+        if (answersLost)
+            immediate.wait = absl::ZeroDuration();
+        const OrderOutcome outcome = m_worker.renew(worker, immediate, runs, timeout);
+        if (!answersLost || (worker.startedAtMs == confirmedStartMs && !confirmed.exchange(true)))
+            return outcome;
+        return OrderOutcome::Unanswered;
+    }
+
+    std::atomic<bool> answersLost = false;
+    std::atomic<std::int64_t> confirmedStartMs = 0;
+    std::atomic<bool> confirmed = false;
+
+private:
+    SimulatedWorker &m_worker;
+};
+
 // A worker that restarts, an entry, and other workers on which the leader may start tasks again.
 class Cluster
 {
@@ -27,7 +68,7 @@
 
     void startAgent()
     {
-        m_agent = std::make_unique<AgentProcess>(m_store, worker, "side-1", Lease);
+        m_agent = std::make_unique<AgentProcess>(m_store, port, "side-1", Lease);
     }
 
     void restartAgent()
@@ -62,6 +103,13 @@
                 == SubmitOutcome::Accepted);
     }
 
+    void submitFor(const std::string &service, const std::string &id)
+    {
+        workload::Job submitted = job(id, 1);
+        submitted.terms.service = service;
+        REQUIRE(m_entry.entry.submit(submitted, nearDeadline()) == SubmitOutcome::Accepted);
+    }
+
     // Completes all tasks until the job is shown as completed; returns false if it is not.
     bool complete(const std::string &id)
     {
@@ -77,8 +125,15 @@
         return waitUntil(completed, RecoveryTimeout);
     }
 
+    void announceOtherName()
+    {
+        announce(m_store,
+                 {"other", MemberRole::Agent, {"127.0.0.1", m_agent->port}, "another life"});
+    }
+
     RunLog log;
     SimulatedWorker worker{log};
+    LossyPort port{worker};
 
 private:
     struct OtherWorker
@@ -196,3 +251,103 @@
     CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
     CHECK(cluster.log.starts(JobBefore) == 1);
 }
+
+// Guards against acknowledging ends of a new boot with the numbers of the one before: the task was
+// executed, but nobody has read its end.
+TEST_CASE("ends on a new boot are not forgotten before they are read")
+{
+    const bool answered = GENERATE(false, true);
+    CAPTURE(answered);
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.submit(JobBefore);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+    REQUIRE(cluster.complete(JobBefore));
+    REQUIRE(waitUntil([&] { return cluster.worker.acknowledged() == 1; }));
+    // The renewal with the acknowledgement is answered at the latest after 0.8 s.
+    if (answered)
+        absl::SleepFor(absl::Seconds(1));
+
+    // The worker restarts; a start reaches the new boot before its first list.
+    cluster.worker.setListing(false);
+    cluster.worker.boot("i-1", 2000);
+    cluster.submit(JobAfter);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobAfter) == 1; }));
+    REQUIRE(cluster.worker.completeAll() == 1);
+    cluster.worker.setListing(true);
+    REQUIRE(waitUntil([&] { return cluster.worker.listings() > 2; }));
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    CHECK(cluster.complete(JobAfter));
+    CHECK(cluster.log.starts(JobAfter) == 1);
+}
+
+// Guards against a worker whose runs are given up under one name of its agent while the leases are
+// extended under another.
+TEST_CASE("a member row of another name at an agent's address does not end the agent's runs")
+{
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    // Does not fit onto its worker twice.
+    cluster.submit(JobBefore, {1000, 1000, 5});
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+    cluster.addOtherWorkers();
+    cluster.announceOtherName();
+    waitUntil([&] { return cluster.log.starts(JobBefore) > 1; }, RecoveryTimeout);
+    CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
+    CHECK(cluster.log.starts(JobBefore) == 1);
+}
+
+// Guards against giving up an earlier boot by the time that has passed while the present one, which
+// may execute its starts, keeps its lease.
+TEST_CASE("runs that may have reached a new boot are not given up while its lease is extended")
+{
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    cluster.submit(JobBefore);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
+
+    cluster.port.answersLost = true;
+    cluster.worker.boot("i-1", 2000);
+    cluster.submit(JobAfter);
+    REQUIRE(waitUntil([&] { return cluster.log.starts(JobAfter) == 1; }));
+    cluster.addOtherWorkers();
+    cluster.port.confirmedStartMs = 2000;
+    REQUIRE(waitUntil([&] {
+        cluster.agent().heartbeat(cluster.worker.heartbeat());
+        return cluster.port.confirmed.load();
+    }));
+    waitUntil([&] { return cluster.log.starts(JobAfter) > 1; }, RecoveryTimeout);
+    CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
+    CHECK(cluster.log.starts(JobAfter) == 1);
+}
+
+// Guards against a worker that stays rejected although a job that was read later names its service.
+TEST_CASE("a rejected service is used once a job names it")
+{
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    // The leader now knows of one service.
+    cluster.addOtherWorkers();
+    const auto report = [&] {
+        WorkerReport heartbeat = cluster.worker.heartbeat();
+        heartbeat.service = "freight";
+        cluster.agent().heartbeat(heartbeat);
+    };
+    report();
+    REQUIRE(waitUntil([&] { return cluster.worker.listings() > 0; }));
+    absl::SleepFor(HeartbeatPeriod);
+    cluster.submitFor("freight", JobBefore);
+    CHECK(waitUntil(
+        [&] {
+            report();
+            return cluster.log.starts(JobBefore) == 1;
+        },
+        RecoveryTimeout));
+}
