Name the agent in calls, so that only it answers them

Cause: the leader keys workers by the name in the member row and calls the address in it. A complete row of another name at an agent's address, of another writer or after addresses were assigned anew, made the agent answer as that name: its permits were kept up while the leader gave up its worker under the true name. A list of results that is not an array ended the leader's process; a number that names no result was used.

Change: calls carry the name of the agent. Another agent refuses them without counting them as contact, so it announces itself again. Results that cannot be read count as unanswered.

--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -108,6 +108,15 @@
 
 const char *toString(OrderResult result);
 
+// Returns Unanswered for values that name no result.
+OrderResult orderResultFromJson(const Json::Value &value);
+
+// Adds the name of the agent that a call is meant for.
+Json::Value addressedTo(const std::string &agent, Json::Value call);
+// Returns false if the call is meant for an agent of another name, whose address this process now
+// has, or seems to have by a row of another writer. Fails with BadField.
+bool isAddressedTo(const std::string &agent, const Json::Value &call);
+
 Json::Value toJson(const WatchCall &call);
 WatchCall watchCallFromJson(const Json::Value &value);
 Json::Value toJson(const AgentState &state);
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -189,7 +189,8 @@
         call.renewUntilMs = permitUntilMs();
         call.unknownServices = m_rejectedServices;
     }
-    const auto answer = m_client.call(m_address, "watch", toJson(call), call.wait + ResponseMargin);
+    const auto answer = m_client.call(m_address, "watch", addressedTo(m_agent, toJson(call)),
+                                      call.wait + ResponseMargin);
     std::optional<AgentState> state;
     if (answer)
         state = agentStateFromJson(*answer);
@@ -230,7 +231,8 @@
             call.renewUntilMs = permitUntilMs();
         }
         const core::Instant sentAt = m_clock.now();
-        const auto answer = m_client.call(m_address, "orders", toJson(call), OrderTimeout);
+        const auto answer =
+            m_client.call(m_address, "orders", addressedTo(m_agent, toJson(call)), OrderTimeout);
         std::vector<OrderResult> results(call.orders.size(), OrderResult::Unanswered);
         if (!answer)
             recordFailure("orders");
@@ -243,9 +245,8 @@
         }
         for (std::size_t i = 0; answer && i < results.size(); ++i) {
             const Json::Value &rows = core::member(*answer, "results");
-            if (i < rows.size() && rows[static_cast<Json::ArrayIndex>(i)].isInt())
-                results[i] =
-                    static_cast<OrderResult>(rows[static_cast<Json::ArrayIndex>(i)].asInt());
+            if (rows.isArray() && i < rows.size())
+                results[i] = orderResultFromJson(rows[static_cast<Json::ArrayIndex>(i)]);
         }
         if (!call.orders.empty())
             m_callbacks.onResults(m_agent, call.workerIncarnation, std::move(call.orders),
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -135,6 +135,27 @@
     return absl::StrCat(agent, "/", worker.id, "/", worker.startedAtMs);
 }
 
+OrderResult orderResultFromJson(const Json::Value &value)
+{
+    constexpr int LastResult = static_cast<int>(OrderResult::NotApplicable);
+    const bool known = value.isInt() && value.asInt() >= 0 && value.asInt() <= LastResult;
+    return known ? static_cast<OrderResult>(value.asInt()) : OrderResult::Unanswered;
+}
+
+Json::Value addressedTo(const std::string &agent, Json::Value call)
+{
+    call["agent"] = agent;
+    return call;
+}
+
+bool isAddressedTo(const std::string &agent, const Json::Value &call)
+{
+    if (core::stringMember(call, "agent") == agent)
+        return true;
+    core::fail(core::ResultCode::BadField, "the call is for another agent than " + agent);
+    return false;
+}
+
 Json::Value toJson(const WatchCall &call)
 {
     Json::Value value(Json::objectValue);
--- a/test/control/testprocesses.h
+++ b/test/control/testprocesses.h
@@ -45,13 +45,17 @@
         , server(onLoopback(port), Key)
         , agent({name, lease}, worker)
     {
-        server.add("watch", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        server.add("watch", [this, name](const Json::Value &params) -> std::optional<Json::Value> {
+            if (!isAddressedTo(name, params))
+                return std::nullopt;
             while (watchesPaused)
                 absl::SleepFor(PollPeriod);
             const auto state = agent.watch(watchCallFromJson(params));
             return state ? std::optional(toJson(*state)) : std::nullopt;
         });
-        server.add("orders", [this](const Json::Value &params) -> std::optional<Json::Value> {
+        server.add("orders", [this, name](const Json::Value &params) -> std::optional<Json::Value> {
+            if (!isAddressedTo(name, params))
+                return std::nullopt;
             const int position = m_receivedOrders++;
             ++waitingOrders;
             while (ordersPaused || m_completedOrders < position)
--- a/test/control/tst_agentmessages.cpp
+++ b/test/control/tst_agentmessages.cpp
@@ -110,3 +110,13 @@
     CHECK(call.wait >= absl::ZeroDuration());
     CHECK(call.wait <= absl::Seconds(10));
 }
+
+// Guards against a result that the leader misreads, or that ends its process.
+TEST_CASE("results of orders that are not named count as unanswered")
+{
+    const std::string text = GENERATE(as<std::string>(), "null", "-1", "5", "1e30", R"("0")", "[0]",
+                                      "{}", "0.5", "4294967296");
+    CAPTURE(text);
+    CHECK(orderResultFromJson(*core::parseJson(text)) == OrderResult::Unanswered);
+    CHECK(orderResultFromJson(Json::Value(3)) == OrderResult::Absent);
+}
--- a/test/control/tst_incarnations.cpp
+++ b/test/control/tst_incarnations.cpp
@@ -66,10 +66,7 @@
         : m_entry(m_store, "front", Lease)
     { }
 
-    void startAgent()
-    {
-        m_agent = std::make_unique<AgentProcess>(m_store, port, "side-1", Lease);
-    }
+    void startAgent() { m_agent = std::make_unique<AgentProcess>(m_store, port, "side-1", Lease); }
 
     void restartAgent()
     {
--- a/test/deployment/tst_heartbeats.cpp
+++ b/test/deployment/tst_heartbeats.cpp
@@ -1,8 +1,15 @@
+#include <oleandercross/control/agentmessages.h>
+#include <oleandercross/core/clock.h>
 #include <oleandercross/http/clientpool.h>
+#include <oleandercross/http/server.h>
+#include <oleandercross/rpc/rpc.h>
 #include <platform/process.h>
 
+#include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
+#include <atomic>
+
 using namespace oleandercross;
 
 namespace {
@@ -13,27 +20,39 @@
     R"("clockMs":482113,"seq":4,"born":1780000000000})";
 const char Path[] = "/oleandercross/instances/";
 
-int freePort()
+http::ServerOptions anyPort()
 {
     http::ServerOptions options;
     options.listen = {"127.0.0.1", 0};
-    http::Server server(options);
+    return options;
+}
+
+int freePort()
+{
+    http::Server server(anyPort());
     REQUIRE(server.start());
     return server.port();
 }
 
-// An agent whose store cannot be reached.
+// An agent and a store that accepts every transaction.
 struct AgentFixture
 {
     AgentFixture()
         : heartbeats{"127.0.0.1", freePort()}
+        , internal{"127.0.0.1", freePort()}
         , pool({})
+        , store(anyPort())
     {
+        store.route("POST", "/oleandercross/rows-tx", [this](const http::Request &) {
+            ++announcements;
+            return http::Response{200, R"({"ver":1,"nowMs":0})"};
+        });
+        REQUIRE(store.start());
         platform::DeploymentSettings settings;
         settings.node = "side";
-        settings.internal = {"127.0.0.1", freePort()};
+        settings.internal = internal;
         settings.heartbeats = heartbeats;
-        settings.store = {"127.0.0.1", freePort()};
+        settings.store = {"127.0.0.1", store.port()};
         process = platform::makeDeployedAgent(settings);
         REQUIRE(process->start());
     }
@@ -54,8 +73,27 @@
         return response ? response->status : 0;
     }
 
+    // Watches the agent as a leader that knows it by the name, until it has announced itself again
+    // or the time has passed. Returns the number of calls that it answered.
+    int watchAs(const std::string &name, absl::Duration time)
+    {
+        rpc::Client client({}, "oleandercross/127.0.0.1:" + std::to_string(store.port()));
+        const core::BootClock clock;
+        const core::Instant until = clock.now() + time;
+        int answered = 0;
+        while (announcements < 2 && clock.now() < until) {
+            const Json::Value call = control::addressedTo(name, toJson(control::WatchCall{}));
+            answered += client.call(internal, "watch", call, absl::Seconds(5)) ? 1 : 0;
+            absl::SleepFor(absl::Milliseconds(50));
+        }
+        return answered;
+    }
+
     const http::Endpoint heartbeats;
+    const http::Endpoint internal;
     http::ClientPool pool;
+    std::atomic<int> announcements = 0;
+    http::Server store;
     std::unique_ptr<daemon::Process> process;
 };
 
@@ -84,3 +122,21 @@
         CHECK(f.send(path, Heartbeat) == 200);
     }
 }
+
+// Guards against a row of another writer that gives the address of an agent another name: the
+// leader then knows the agent by a name under which no order applies, until the agent announces
+// itself again.
+TEST_CASE("an agent that is called by another name announces itself again")
+{
+    AgentFixture f;
+    CHECK(f.watchAs("odd", absl::Seconds(60)) == 0);
+    CHECK(f.announcements == 2);
+}
+
+// Guards against announcements while all is well, each of which is a transaction of the store.
+TEST_CASE("an agent that is called by its name announces itself once")
+{
+    AgentFixture f;
+    CHECK(f.watchAs("side", absl::Seconds(5)) > 0);
+    CHECK(f.announcements == 1);
+}
