Acknowledge ends at once after a list of the same incarnation

Cause: an acknowledgement was confirmed only when the renewal that carried it was answered, up to 0.8 s later, and was repeated after a failed call. A worker that restarted under its id in that time forgot the ends that it had counted anew.

Change: a renewal with a new acknowledgement does not wait for the next end, and after a failed call a list comes first.

--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -320,9 +320,12 @@
         term = m_term;
         startsExcluded = m_refusedConnections > 0 && m_startsUnderWay == 0;
         // The numbers of ends start anew when the worker restarts under its id, so an
-        // acknowledgement must not be repeated to a later incarnation.
-        if (m_acknowledged > m_confirmedAcknowledgement && !m_restarted)
+        // acknowledgement only follows a list of the registered incarnation, and is not repeated.
+        if (m_acknowledged > m_confirmedAcknowledgement
+            && m_failingSince == absl::InfiniteFuture()) {
             order.acknowledged = m_acknowledged;
+            wait = absl::ZeroDuration();
+        }
         order.leaseUntilMs = leaseUntil();
         order.fence = fencingToken(m_term);
         if (order.leaseUntilMs)
