Grant permits only for workers that have listed their runs

Cause: while the next incarnation of a worker had not listed its runs, its lease was extended, although runs of its predecessor may have reached it; 8.4 s after the predecessor's last report they were started elsewhere.

Change: a permit needs a list in the present term.

--- a/include/oleandercross/control/agentlink.h
+++ b/include/oleandercross/control/agentlink.h
@@ -92,7 +92,8 @@
     // The incarnation that the latest response with a worker reported, and its time.
     std::string m_reportedIncarnation ABSL_GUARDED_BY(m_mutex);
     core::Instant m_reportedAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
-    // The latest response reported a worker that is not lost, in the present term.
+    // The latest response reported a worker that is not lost and has listed its runs in the present
+    // term.
     bool m_workerUsable ABSL_GUARDED_BY(m_mutex) = false;
     // The agent's clock in its latest response, 0 before the first one.
     std::int64_t m_agentClockMs ABSL_GUARDED_BY(m_mutex) = 0;
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -169,7 +169,7 @@
     }
     m_agentClockMs = state.clockMs;
     m_lastResponseTime = state.receivedAt;
-    m_workerUsable = state.worker && !state.workerLost && state.term == m_term;
+    m_workerUsable = state.worker && !state.workerLost && state.listed && state.term == m_term;
     if (state.worker) {
         m_reportedIncarnation = incarnationKey(m_agent, *state.worker);
         m_reportedAt = state.receivedAt;
