Raise the term only for a refusal of the present one, with a pause

Cause: an agent that a leader of an earlier epoch calls first repeated the refused query without a pause (263,635 times in 1 s in a trial with a port that answers at once), and a renewal that a new term had overtaken raised the term once more, which drops pending orders.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -64,8 +64,10 @@
     void dropUnknownServices(const std::vector<std::string> &services);
     void renewOnce(absl::Duration wait);
     void updateRuns(const WorkerReport &worker, const Term &term, WorkerRuns runs);
-    // `startsExcluded` is true if no start could take effect during the failed call.
-    void recordFailure(const WorkerReport &worker, OrderOutcome outcome, bool startsExcluded);
+    // `term` is that of the failed call. `startsExcluded` is true if an earlier refused connection
+    // had stopped all starts before the call began.
+    void recordFailure(const WorkerReport &worker, const Term &term, OrderOutcome outcome,
+                       bool startsExcluded);
     OrderResult execute(const WorkerReport &worker, const planning::Order &order, const Term &term,
                         core::Instant receivedAt);
     OrderResult start(const WorkerReport &worker, const planning::Order &order, const Term &term);
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -139,11 +139,13 @@
 
 void Agent::confirm(const WorkerReport &candidate)
 {
-    RenewOrder query;
+    Term term;
     {
         absl::MutexLock lock(&m_mutex);
-        query.fence = fencingToken(m_term);
+        term = m_term;
     }
+    RenewOrder query;
+    query.fence = fencingToken(term);
     WorkerRuns runs;
     const OrderOutcome outcome = m_port.renew(candidate, query, runs, WorkerCallTimeout);
     absl::MutexLock lock(&m_mutex);
@@ -159,8 +161,10 @@
         .with("listed_born", runs.startedAtMs);
     // An earlier process of this agent may have been in a later term.
     if (outcome == OrderOutcome::Fenced) {
-        raiseTerm();
+        if (term == m_term)
+            raiseTerm();
         m_candidates.push_back(candidate);
+        m_stateChanged.waitFor(m_mutex, RetryDelay);
     }
 }
 
@@ -343,7 +347,7 @@
             m_stateChanged.waitFor(m_mutex, AcknowledgementTimeout);
         return;
     }
-    recordFailure(worker, outcome, startsExcluded);
+    recordFailure(worker, term, outcome, startsExcluded);
     absl::MutexLock lock(&m_mutex);
     m_stateChanged.waitFor(m_mutex, RetryDelay);
 }
@@ -373,7 +377,8 @@
         markChanged();
 }
 
-void Agent::recordFailure(const WorkerReport &worker, OrderOutcome outcome, bool startsExcluded)
+void Agent::recordFailure(const WorkerReport &worker, const Term &term, OrderOutcome outcome,
+                          bool startsExcluded)
 {
     absl::MutexLock lock(&m_mutex);
     if (!sameIncarnation(worker) || m_state.workerLost)
@@ -386,7 +391,7 @@
             .with("outcome", toString(outcome))
             .with("reason", core::lastReason().message);
     }
-    if (outcome == OrderOutcome::Fenced)
+    if (outcome == OrderOutcome::Fenced && term == m_term)
         raiseTerm();
     // The worker answered as another incarnation. Its next heartbeat names that, so that starts
     // which reached it instead of the registered one are found in its list.
