Keep a deregistered worker closed when its last heartbeat is repeated

A repeated heartbeat after a DELETE made the worker look available, and each start there was refused.

--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -108,6 +108,7 @@
     const bool stateChanged =
         report.draining != m_state.worker->draining || report.capacity != m_state.worker->capacity;
     m_state.worker = report;
+    m_state.worker->draining = report.draining || m_leaving;
     if (stateChanged)
         markChanged();
     return true;
