Do not report a run as absent while a start of it is under way

A start that stalls in another thread of the agent could reach a later incarnation of the worker, which knows nothing of the stop. Found by review, by reading only.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -7,6 +7,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <atomic>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -103,7 +104,7 @@
     // An upper bound, on this clock, for the end of every lease that the worker may hold.
     core::Instant m_leaseEnd ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     int m_refusedConnections ABSL_GUARDED_BY(m_mutex) = 0;
-    int m_startsUnderWay ABSL_GUARDED_BY(m_mutex) = 0;
+    std::multiset<workload::RunKey> m_startsUnderWay ABSL_GUARDED_BY(m_mutex);
     // The worker has deregistered.
     bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
     // The worker has restarted under the same id and has not reported its new incarnation yet.
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -323,7 +323,7 @@
             return;
         worker = *m_state.worker;
         term = m_term;
-        startsExcluded = m_refusedConnections > 0 && m_startsUnderWay == 0;
+        startsExcluded = m_refusedConnections > 0 && m_startsUnderWay.empty();
         // The numbers of ends start anew when the worker restarts under its id, so an
         // acknowledgement only follows a list of the registered incarnation, and is not repeated.
         if (m_acknowledged > m_confirmedAcknowledgement
@@ -493,7 +493,7 @@
         const OrderOutcome outcome = m_port.start(worker, *start, timeout);
         {
             absl::MutexLock lock(&m_mutex);
-            --m_startsUnderWay;
+            m_startsUnderWay.erase(m_startsUnderWay.find(order.run));
         }
         if (outcome == OrderOutcome::Done) {
             recordStart(worker, order.run);
@@ -518,7 +518,7 @@
         return core::fail(core::ResultCode::ConnectionFailed, "the worker may have exited");
     if (m_state.worker->draining)
         return core::fail(core::ResultCode::Draining, "the worker is draining");
-    ++m_startsUnderWay;
+    m_startsUnderWay.insert(order.run);
     m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
     return StartOrder{order.run, order.payload, order.checkpoint, *until, fencingToken(term)};
 }
@@ -553,11 +553,16 @@
                        [&run](const EndedTask &task) { return task.run == run; });
     const bool complete = !runs.moreEnded;
     updateRuns(worker, term, std::move(runs));
-    if (!listed && !complete) {
-        core::fail(core::ResultCode::BadAnswer, "the worker has more ended runs than it lists");
+    if (listed)
+        return OrderResult::Done;
+    absl::MutexLock lock(&m_mutex);
+    if (!complete || m_startsUnderWay.contains(run)) {
+        core::fail(core::ResultCode::BadAnswer,
+                   complete ? "a start of the run is under way"
+                            : "the worker has more ended runs than it lists");
         return OrderResult::Unanswered;
     }
-    return listed ? OrderResult::Done : OrderResult::Absent;
+    return OrderResult::Absent;
 }
 
 } // namespace oleandercross::control
