Use a rejected service again once a job names it

Jobs that are read after a worker of their service was rejected did not start. Nothing is rejected before a configuration has been read.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -95,6 +95,7 @@
     void round(core::Instant &nextRoundAt);
     static void pauseAfter(absl::Duration roundDuration);
     void applyServices(const workload::Catalog &catalog);
+    void clearRejectedServices();
     void applyJobRow(const StoredRow &row, core::Instant now);
     void applyAgents(std::map<std::string, http::Endpoint> agents);
     void applyState(const std::string &agent, const AgentState &state, core::Instant now);
@@ -139,6 +140,8 @@
     std::map<std::string, std::int64_t> m_nextTerms;
     // The services that a configuration or a job has named. Jobs outlast their configuration.
     std::set<std::string> m_services;
+    // A configuration with services has been read.
+    bool m_servicesConfigured = false;
     std::map<std::string, std::int64_t> m_toAcknowledge;
     // The incarnation that each agent last reported ends of, and the highest number of them.
     std::map<std::string, std::pair<std::string, std::int64_t>> m_lastEnd;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -249,7 +249,8 @@
         return;
     }
     const std::string queue = job->queue;
-    m_services.insert(job->terms.service);
+    if (m_services.insert(job->terms.service).second)
+        clearRejectedServices();
     const absl::Duration age = jobAge(*job, now);
     const auto progress = m_progress.find(row.key);
     if (progress == m_progress.end()) {
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -65,13 +65,19 @@
         m_services.insert(service);
     for (const workload::Queue &queue : catalog.queues)
         m_services.insert(queue.terms.service);
+    m_servicesConfigured = !m_services.empty();
+    clearRejectedServices();
+}
+
+void Leader::clearRejectedServices()
+{
     for (auto &[agent, link] : m_links)
         link->clearRejectedServices();
 }
 
 bool Leader::isKnownService(const std::string &service) const
 {
-    return m_services.empty() || m_services.contains(service);
+    return !m_servicesConfigured || m_services.contains(service);
 }
 
 bool Leader::replaceOtherIncarnations(const std::string &agent, const std::string &incarnation,
@@ -152,7 +158,8 @@
         return;
     }
     const std::string incarnation = incarnationKey(agent, *state.worker);
-    const bool listed = state.listed && state.term >= link->second->term();
+    const bool listed =
+        state.listed && state.term >= link->second->term() && state.term.epoch == epoch();
     if (!isKnownService(state.worker->service) && m_planner.activeRunCount(incarnation) == 0) {
         link->second->rejectService(state.worker->service);
         return;
