--- a/include/oleandercross/control/agentlink.h
+++ b/include/oleandercross/control/agentlink.h
@@ -74,6 +74,8 @@
     // Returns the end of the permit to grant with the next call.
     std::int64_t permitUntilMs() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void recordState(const AgentState &state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Sends the acknowledgement of a call without an answer again.
+    void repeatAcknowledgement(const OrderCall &call);
     bool hasWork() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void recordFailure(const char *call);
 
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -215,6 +215,16 @@
     return true;
 }
 
+void AgentLink::repeatAcknowledgement(const OrderCall &call)
+{
+    if (call.acknowledged == 0)
+        return;
+    // An agent that does not answer must not be called without a pause.
+    absl::SleepFor(RetryDelay);
+    absl::MutexLock lock(&m_mutex);
+    m_acknowledge = m_acknowledge || m_pending.workerIncarnation == call.workerIncarnation;
+}
+
 void AgentLink::orderLoop()
 {
     while (true) {
@@ -234,8 +244,10 @@
         const auto answer =
             m_client.call(m_address, "orders", addressedTo(m_agent, toJson(call)), OrderTimeout);
         std::vector<OrderResult> results(call.orders.size(), OrderResult::Unanswered);
-        if (!answer)
+        if (!answer) {
             recordFailure("orders");
+            repeatAcknowledgement(call);
+        }
         if (!answer && !call.orders.empty()) {
             telemetry::Event("orders_unanswered")
                 .with("life", call.workerIncarnation)
