Announce the silent agent again in the test of two names

The process announces its agent again after 2.5 s without a call of a leader; the test's agent did not, so its worker was given up by its lease, which is allowed. The test checks the same as before.

--- a/test/control/tst_incarnations.cpp
+++ b/test/control/tst_incarnations.cpp
@@ -128,6 +128,13 @@
                  {"other", MemberRole::Agent, {"127.0.0.1", m_agent->port}, "another life"});
     }
 
+    // Announces the agent again if no leader has called it for a while, as its process does.
+    void announceSilentAgent()
+    {
+        if (core::BootClock().now() - agent().lastContact() > absl::Milliseconds(2500))
+            announce(m_store, {"side-1", MemberRole::Agent, {"127.0.0.1", m_agent->port}, "life"});
+    }
+
     RunLog log;
     SimulatedWorker worker{log};
     LossyPort port{worker};
@@ -293,7 +300,11 @@
     REQUIRE(waitUntil([&] { return cluster.log.starts(JobBefore) == 1; }));
     cluster.addOtherWorkers();
     cluster.announceOtherName();
-    waitUntil([&] { return cluster.log.starts(JobBefore) > 1; }, RecoveryTimeout);
+    const auto startedAgain = [&] {
+        cluster.announceSilentAgent();
+        return cluster.log.starts(JobBefore) > 1;
+    };
+    waitUntil(startedAgain, RecoveryTimeout);
     CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
     CHECK(cluster.log.starts(JobBefore) == 1);
 }
