--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -244,10 +244,8 @@
         const auto answer =
             m_client.call(m_address, "orders", addressedTo(m_agent, toJson(call)), OrderTimeout);
         std::vector<OrderResult> results(call.orders.size(), OrderResult::Unanswered);
-        if (!answer) {
+        if (!answer)
             recordFailure("orders");
-            repeatAcknowledgement(call);
-        }
         if (!answer && !call.orders.empty()) {
             telemetry::Event("orders_unanswered")
                 .with("life", call.workerIncarnation)
@@ -263,6 +261,8 @@
         if (!call.orders.empty())
             m_callbacks.onResults(m_agent, call.workerIncarnation, std::move(call.orders),
                                   std::move(results));
+        if (!answer)
+            repeatAcknowledgement(call);
     }
 }
 
