--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -22,7 +22,8 @@
 // Orders everything that a leader and an agent do with a worker in time. The number is raised
 // whenever runs of the worker are given up without the worker having listed their ends: by the
 // agent when it registers or loses a worker, by the leader when it gives up a silent one. Nothing
-// that was decided in an earlier term takes effect in a later one.
+// that was decided in an earlier term takes effect in a later one. Both may raise it to the same
+// number independently, since either only has to exclude what came before.
 struct Term
 {
     // The epoch of the leader.
