Read all ends of a restarted worker before its earlier boot is given up

Cause: a list of runs names at most 500 ends. When a worker restarted under its id and more tasks than that ended on the next boot before it was registered, Leader::replaceOtherIncarnations() moved the runs in the first list, took the others for lost with the earlier boot and started them again. Agents did not even pass on that a list was cut. Ruled out: the ends of one boot beyond the first 500 (Agent::stopRun() already takes a run for absent only from a complete list). Change: the agent's state says that more ends follow. Until the list is complete the earlier boot keeps its runs, and the worker gets no new ones; each acknowledgement brings the next ends, whose runs move as before.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -105,8 +105,9 @@
     void applyResults(const OrderResults &results);
     // Removes an incarnation of a worker and logs the runs that are lost with it.
     void removeWorker(const std::string &incarnation, planning::WorkerEnd end, core::Instant now);
-    // Ends all other incarnations of the agent's worker and moves runs of them that the given one
-    // lists to it. Returns false if that must wait until the given one has listed its runs.
+    // Moves runs of other incarnations of the agent's worker that the given one lists to it, and
+    // ends the other incarnations once the list is complete. Returns false if the given one has not
+    // listed its runs yet.
     bool replaceOtherIncarnations(const std::string &agent, const std::string &incarnation,
                                   const AgentState &state, bool listed, core::Instant now);
     // Excludes the incarnation from new work until its agent reports it again.
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -211,6 +211,7 @@
         row.append(task.checkpoint);
         value["ended"].append(row);
     }
+    value["moreEnded"] = state.runs.moreEnded;
     return value;
 }
 
@@ -256,6 +257,7 @@
                                     static_cast<planning::RunEnd>(row[3U].asInt()),
                                     row[4U].asString()});
     }
+    state.runs.moreEnded = core::boolMember(value, "moreEnded");
     return state;
 }
 
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -96,6 +96,11 @@
             continue;
         }
         moveRuns(other, incarnation, state.runs);
+        if (state.runs.moreEnded && !state.workerLost) {
+            // The other runs may be among the ends that are listed after an acknowledgement.
+            closeWorker(other);
+            continue;
+        }
         telemetry::Event("worker_life_ended").with("life", other).with("by", incarnation);
         const bool draining = known && worker->second.draining;
         removeWorker(other, draining ? planning::WorkerEnd::Left : planning::WorkerEnd::Crashed,
@@ -175,7 +180,8 @@
     worker.labels = state.worker->labels;
     worker.capacity = state.worker->capacity;
     worker.draining = state.worker->draining;
-    worker.accepting = listed && !state.workerLost && !state.worker->draining;
+    worker.accepting =
+        listed && !state.runs.moreEnded && !state.workerLost && !state.worker->draining;
     if (state.worker->draining)
         worker.leavesAt = now + state.worker->drainRemaining;
     // Ends that a lost worker has listed remain valid.
