Keep acknowledgements from removing ends of a later boot

Callers would have seen a task executed again after it had ended: its end was removed before anybody had read it. Cause: the numbers of ends start anew when a worker restarts under its id, and its id is all that a call can name. An acknowledgement was sent after a list of the registered boot, but starts could be carried out on the next boot between the two, while the acknowledgement was under way, or before one without an answer arrived late. The ends of such starts have the same numbers as those that were acknowledged. Evidence: "an acknowledgement does not remove ends of a later boot that were not listed" forces the three orders of steps with gates between agent and worker; on the end of the second run is missing in each of them. Change: an acknowledgement and a start exclude each other. It is sent only after a list of the registered boot that was requested when all starts had been answered, with no start since; starts wait until it is answered. If it gets no answer, the agent raises its term, so that a boot that has carried out a start of the new term refuses it. A start without an answer that the next boot carries out and completes within the milliseconds between list and acknowledgement is still not covered.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -76,6 +76,12 @@
                                          const Term &term);
     void recordStart(const WorkerReport &worker, const workload::RunKey &run);
     OrderResult stopRun(const WorkerReport &worker, const workload::RunKey &run, const Term &term);
+    void endStart(const workload::RunKey &run);
+    // Adds the acknowledgement of ended runs to a renewal if no start can have reached another
+    // incarnation than the registered one.
+    void addAcknowledgement(RenewOrder &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    bool acknowledgementPending() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    void endAcknowledgement(const WorkerReport &worker, const Term &term, OrderOutcome outcome);
     std::int64_t nowMs() const;
     std::optional<std::int64_t> leaseUntil() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void markChanged() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -105,6 +111,12 @@
     core::Instant m_leaseEnd ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     int m_refusedConnections ABSL_GUARDED_BY(m_mutex) = 0;
     std::multiset<workload::RunKey> m_startsUnderWay ABSL_GUARDED_BY(m_mutex);
+    // The number of starts that have been sent to workers, and the number that had been answered
+    // before the registered incarnation last listed its runs.
+    std::int64_t m_startsSent ABSL_GUARDED_BY(m_mutex) = 0;
+    std::int64_t m_startsListed ABSL_GUARDED_BY(m_mutex) = 0;
+    // A call with an acknowledgement is under way. No start is sent meanwhile.
+    bool m_acknowledging ABSL_GUARDED_BY(m_mutex) = false;
     // The worker has deregistered.
     bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
     // The worker has restarted under the same id and has not reported its new incarnation yet.
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -188,6 +188,7 @@
     m_refusedConnections = 0;
     m_leaving = false;
     m_restarted = false;
+    m_startsListed = -1;
     m_failingSince = absl::InfiniteFuture();
     m_workerClockMs = runs.clockMs;
     m_workerClockAt = m_clock.now();
@@ -317,20 +318,21 @@
     RenewOrder order;
     Term term;
     bool startsExcluded = false;
+    std::optional<std::int64_t> answeredStarts;
     {
         absl::MutexLock lock(&m_mutex);
+        if (acknowledgementPending() && !m_startsUnderWay.empty())
+            m_stateChanged.waitFor(m_mutex, AcknowledgementTimeout);
         if (!m_state.worker || m_state.workerLost)
             return;
         worker = *m_state.worker;
         term = m_term;
         startsExcluded = m_refusedConnections > 0 && m_startsUnderWay.empty();
-        // The numbers of ends start anew when the worker restarts under its id, so an
-        // acknowledgement only follows a list of the registered incarnation, and is not repeated.
-        if (m_acknowledged > m_confirmedAcknowledgement
-            && m_failingSince == absl::InfiniteFuture()) {
-            order.acknowledged = m_acknowledged;
+        if (m_startsUnderWay.empty())
+            answeredStarts = m_startsSent;
+        if (acknowledgementPending())
             wait = absl::ZeroDuration();
-        }
+        addAcknowledgement(order);
         order.leaseUntilMs = leaseUntil();
         order.fence = fencingToken(m_term);
         if (order.leaseUntilMs)
@@ -339,11 +341,15 @@
     order.wait = wait;
     WorkerRuns runs;
     const OrderOutcome outcome = m_port.renew(worker, order, runs, wait + WorkerCallTimeout);
+    if (order.acknowledged > 0)
+        endAcknowledgement(worker, term, outcome);
     if (outcome == OrderOutcome::Done && runs.startedAtMs == worker.startedAtMs) {
         updateRuns(worker, term, std::move(runs));
         absl::MutexLock lock(&m_mutex);
-        if (sameIncarnation(worker))
+        if (sameIncarnation(worker)) {
             m_confirmedAcknowledgement = std::max(m_confirmedAcknowledgement, order.acknowledged);
+            m_startsListed = std::max(m_startsListed, answeredStarts.value_or(-1));
+        }
         if (!m_state.runs.ended.empty() && m_acknowledged == m_confirmedAcknowledgement)
             m_stateChanged.waitFor(m_mutex, AcknowledgementTimeout);
         return;
@@ -353,6 +359,33 @@
     m_stateChanged.waitFor(m_mutex, RetryDelay);
 }
 
+bool Agent::acknowledgementPending() const
+{
+    return m_acknowledged > m_confirmedAcknowledgement && m_failingSince == absl::InfiniteFuture();
+}
+
+void Agent::addAcknowledgement(RenewOrder &order)
+{
+    // The numbers of ends start anew when the worker restarts under its id. An acknowledgement that
+    // reaches the next incarnation therefore must not find ends there: it follows a list of the
+    // registered incarnation without a start in between, and no start is sent until it is answered.
+    if (!acknowledgementPending() || !m_startsUnderWay.empty() || m_startsListed != m_startsSent)
+        return;
+    order.acknowledged = m_acknowledged;
+    m_acknowledging = true;
+}
+
+void Agent::endAcknowledgement(const WorkerReport &worker, const Term &term, OrderOutcome outcome)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_acknowledging = false;
+    m_stateChanged.signalAll();
+    // The acknowledgement may still be carried out later. Starts of a new term make the worker
+    // refuse it.
+    if (outcome == OrderOutcome::Unanswered && sameIncarnation(worker) && term == m_term)
+        raiseTerm();
+}
+
 void Agent::updateRuns(const WorkerReport &worker, const Term &term, WorkerRuns runs)
 {
     absl::MutexLock lock(&m_mutex);
@@ -491,10 +524,7 @@
                 ? OrderResult::Refused
                 : OrderResult::NotApplicable;
         const OrderOutcome outcome = m_port.start(worker, *start, timeout);
-        {
-            absl::MutexLock lock(&m_mutex);
-            m_startsUnderWay.erase(m_startsUnderWay.find(order.run));
-        }
+        endStart(order.run);
         if (outcome == OrderOutcome::Done) {
             recordStart(worker, order.run);
             return OrderResult::Done;
@@ -511,6 +541,8 @@
                                             const planning::Order &order, const Term &term)
 {
     absl::MutexLock lock(&m_mutex);
+    while (m_acknowledging && !m_stopping)
+        m_stateChanged.waitFor(m_mutex, RetryDelay);
     const std::optional<std::int64_t> until = leaseUntil();
     if (!until || term != m_term || !sameIncarnation(worker) || m_state.workerLost)
         return core::fail(core::ResultCode::StaleEpoch, "the leader's permit has expired");
@@ -519,10 +551,19 @@
     if (m_state.worker->draining)
         return core::fail(core::ResultCode::Draining, "the worker is draining");
     m_startsUnderWay.insert(order.run);
+    ++m_startsSent;
     m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
     return StartOrder{order.run, order.payload, order.checkpoint, *until, fencingToken(term)};
 }
 
+void Agent::endStart(const workload::RunKey &run)
+{
+    absl::MutexLock lock(&m_mutex);
+    m_startsUnderWay.erase(m_startsUnderWay.find(run));
+    if (m_startsUnderWay.empty())
+        m_stateChanged.signalAll();
+}
+
 void Agent::recordStart(const WorkerReport &worker, const workload::RunKey &run)
 {
     absl::MutexLock lock(&m_mutex);
--- a/test/control/tst_restarts.cpp
+++ b/test/control/tst_restarts.cpp
@@ -1,9 +1,141 @@
 #include "restartcluster.h"
 
+#include <thread>
+
 using namespace oleandercross;
 using namespace oleandercross::control;
 using namespace oleandercross::control::testing;
 
+namespace {
+
+// An agent whose calls the test makes in place of a leader.
+struct LedAgent
+{
+    LedAgent()
+    {
+        worker.boot("i-1", 1000);
+        agent.start();
+        agent.heartbeat(worker.heartbeat());
+    }
+
+    ~LedAgent()
+    {
+        for (Gate *gate : {&port.starts, &port.acknowledgements, &port.lists})
+            gate->open();
+        agent.stop();
+    }
+
+    // Returns the state once it meets the condition.
+    AgentState stateWith(const std::function<bool(const AgentState &)> &condition)
+    {
+        std::optional<AgentState> state;
+        REQUIRE(waitUntil([&] {
+            WatchCall call;
+            call.term = {1, 0};
+            state = agent.watch(call);
+            return state && condition(*state);
+        }));
+        return *state;
+    }
+
+    std::vector<OrderResult> call(const Term &term, std::int64_t acknowledged,
+                                  const std::vector<workload::RunKey> &starts)
+    {
+        OrderCall call;
+        call.term = term;
+        call.renewUntilMs = absl::ToUnixMillis(core::BootClock().now() + absl::Hours(1));
+        call.workerIncarnation = "side/i-1/1000";
+        call.acknowledged = acknowledged;
+        for (const workload::RunKey &run : starts) {
+            planning::Order order;
+            order.run = run;
+            call.orders.push_back(order);
+        }
+        return agent.execute(call).value();
+    }
+
+    // Starts a run and completes it. Returns the state that lists its end.
+    AgentState completeFirstRun()
+    {
+        const AgentState listed = stateWith([](const AgentState &s) { return s.listed; });
+        REQUIRE(call(listed.term, 0, {First}) == std::vector{OrderResult::Done});
+        REQUIRE(worker.completeAll() == 1);
+        return stateWith([](const AgentState &s) { return s.runs.ended.size() == 1; });
+    }
+
+    bool secondStarted() const { return worker.starts().contains(Second.task); }
+
+    const workload::RunKey First{{JobBefore, 0, 0, 0}, 1};
+    const workload::RunKey Second{{JobAfter, 0, 0, 0}, 1};
+    SimulatedWorker worker;
+    LossyPort port{worker};
+    Agent agent{{"side", Lease}, port};
+};
+
+} // namespace
+
+// Guards against a task that is started again although it has ended: an acknowledgement for the
+// earlier boot of a worker removes the end from the list of the present one before it is read.
+TEST_CASE("an acknowledgement does not remove ends of a later boot that were not listed")
+{
+    struct Case
+    {
+        const char *what;
+        // Brings the second run onto the later boot, completes it there and lets the
+        // acknowledgement of the first run arrive after that.
+        std::function<void(LedAgent &, const Term &)> act;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"a start overtakes the acknowledgement",
+         [](LedAgent &a, const Term &term) {
+             a.port.acknowledgements.close();
+             a.call(term, 1, {});
+             REQUIRE(waitUntil([&] { return a.port.acknowledgements.hasWaiting(); }));
+             a.worker.boot("i-1", 2000);
+             std::thread start([&] { a.call(term, 0, {a.Second}); });
+             waitUntil([&] { return a.secondStarted(); }, absl::Seconds(1));
+             a.worker.completeAll();
+             a.port.acknowledgements.open();
+             start.join();
+         }},
+        {"a start between the list and the acknowledgement",
+         [](LedAgent &a, const Term &term) {
+             a.port.lists.close();
+             REQUIRE(waitUntil([&] { return a.port.lists.hasWaiting(); }));
+             a.worker.boot("i-1", 2000);
+             a.call(term, 0, {a.Second});
+             REQUIRE(a.secondStarted());
+             a.worker.completeAll();
+             a.call(term, 1, {});
+             a.port.lists.open();
+             waitUntil([&] { return a.worker.acknowledged() == 1; }, absl::Seconds(1));
+         }},
+        {"an acknowledgement is carried out late",
+         [](LedAgent &a, const Term &term) {
+             a.port.acknowledgementsDelayed = true;
+             a.call(term, 1, {});
+             REQUIRE(waitUntil([&] { return a.worker.acknowledged() == 1; }));
+             a.port.answersLost = true;
+             a.worker.boot("i-1", 2000);
+             REQUIRE(waitUntil([&] {
+                 const AgentState state = a.stateWith([](const AgentState &) { return true; });
+                 a.call(state.term, 0, {a.Second});
+                 return a.secondStarted();
+             }));
+             a.worker.completeAll();
+             a.port.carryOutDelayed();
+             a.port.answersLost = false;
+         }},
+    }));
+    CAPTURE(c.what);
+    LedAgent a;
+    c.act(a, a.completeFirstRun().term);
+    a.agent.heartbeat(a.worker.heartbeat());
+    const AgentState state = a.stateWith(
+        [](const AgentState &s) { return s.worker && s.worker->startedAtMs == 2000 && s.listed; });
+    CHECK(state.runs.ended.size() == (a.secondStarted() ? 1 : 0));
+}
+
 // Guards against starting tasks again that a new boot has completed: a list names only some of the
 // ended runs.
 TEST_CASE("tasks execute once if a worker that restarts under its id lists only some of their ends")
