Keep runs whose start may still be carried out by the next boot

Callers would have seen a task run twice at the same time: the next boot of its worker carried out the start of the first run seconds late, while the second run was at work elsewhere. Cause: refused connections prove that a worker's process has ended, and with it its runs; they say nothing about a start that got no answer. The platform may carry it out seconds later, on a boot under the same id that has not seen a newer fencing token yet. Evidence: "a run whose start got no answer waits until no boot of its worker can begin it" on: run 1 starts on the new boot beside run 2 on another worker. Ruled out: a boot under another id, which refuses the call; a boot that the agent has registered, which has seen the token of a later term. Change: the agent reports such runs with the lost worker, until the next boot has been registered or each boot that can have carried the start out would have been (12 s, the platform's longest delay, and 3 s for its report). The leader keeps them active meanwhile and moves them when the next boot lists them; all other runs of the worker start elsewhere at once, as before. Not covered: an agent that the leader cannot reach, and a third boot that comes before the start is carried out.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -7,6 +7,7 @@
 #include <absl/synchronization/mutex.h>
 
 #include <atomic>
+#include <map>
 #include <set>
 #include <thread>
 #include <vector>
@@ -76,7 +77,7 @@
                                          const Term &term);
     void recordStart(const WorkerReport &worker, const workload::RunKey &run);
     OrderResult stopRun(const WorkerReport &worker, const workload::RunKey &run, const Term &term);
-    void endStart(const workload::RunKey &run);
+    void endStart(const workload::RunKey &run, OrderOutcome outcome);
     // Adds the acknowledgement of ended runs to a renewal if no start can have reached another
     // incarnation than the registered one.
     void addAcknowledgement(RenewOrder &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
@@ -117,6 +118,9 @@
     std::int64_t m_startsListed ABSL_GUARDED_BY(m_mutex) = 0;
     // A call with an acknowledgement is under way. No start is sent meanwhile.
     bool m_acknowledging ABSL_GUARDED_BY(m_mutex) = false;
+    // Runs of which a start got no answer, and when each boot that may have carried it out has been
+    // reported.
+    std::map<workload::RunKey, core::Instant> m_lateStarts ABSL_GUARDED_BY(m_mutex);
     // The worker has deregistered.
     bool m_leaving ABSL_GUARDED_BY(m_mutex) = false;
     // The worker has restarted under the same id and has not reported its new incarnation yet.
--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -71,6 +71,9 @@
     // earlier term can be added to it.
     bool listed = false;
     WorkerRuns runs;
+    // The worker is lost, but starts of these runs got no answer recently, so that its next
+    // incarnation may still carry them out.
+    std::vector<workload::RunKey> lateStarts;
     // The age of `runs` when the agent sent this state.
     absl::Duration runListAge = absl::ZeroDuration();
     // When the leader received the state, on the leader's clock; not sent.
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -103,8 +103,10 @@
     void applyRuns(const std::string &incarnation, const AgentState &state,
                    planning::Worker &worker, core::Instant now);
     void applyResults(const OrderResults &results);
-    // Removes an incarnation of a worker and logs the runs that are lost with it.
-    void removeWorker(const std::string &incarnation, planning::WorkerEnd end, core::Instant now);
+    // Removes an incarnation of a worker and logs the runs that are lost with it. Runs in `kept`
+    // are not lost yet.
+    void removeWorker(const std::string &incarnation, planning::WorkerEnd end, core::Instant now,
+                      const std::vector<workload::RunKey> &kept = {});
     // Moves runs of other incarnations of the agent's worker that the given one lists to it, and
     // ends the other incarnations once the list is complete. Returns false if the given one has not
     // listed its runs yet.
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -72,10 +72,11 @@
 
     void updateWorker(const Worker &worker);
     // Removes an incarnation of a worker that is permanently lost or was replaced by a new one; all
-    // its runs have ended. A crash counts against the runs that were active on it, see JobRecord.
-    // Returns these runs.
+    // its runs have ended but those in `kept`, which stay active on the removed incarnation. A
+    // crash counts against the runs that have ended, see JobRecord. Returns these runs.
     std::vector<workload::RunKey> removeWorker(const std::string &key, WorkerEnd end,
-                                               core::Instant now);
+                                               core::Instant now,
+                                               const std::set<workload::RunKey> &kept = {});
 
     // Moves an active run to another incarnation of its worker, which turned out to execute it.
     // Returns false if the run is not active on `from`.
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -20,6 +20,10 @@
 constexpr absl::Duration RetryDelay = absl::Milliseconds(100);
 // How long to wait for the leader to acknowledge ended runs before they are listed again.
 constexpr absl::Duration AcknowledgementTimeout = absl::Milliseconds(150);
+// A worker carries out a call that it has not answered up to this much later.
+constexpr absl::Duration MaxCallDelay = absl::Seconds(12);
+// A boot that has begun is reported and confirmed within this time, twice the period of heartbeats.
+constexpr absl::Duration MaxReportDelay = absl::Seconds(3);
 // The number of consecutive refused connections after which the worker's process counts as exited.
 constexpr int RefusedConnectionCountUntilLost = 2;
 // Reports of other writers must not use up the memory.
@@ -189,6 +193,8 @@
     m_leaving = false;
     m_restarted = false;
     m_startsListed = -1;
+    // The worker lists its runs in a new term, after which it refuses the starts of earlier ones.
+    m_lateStarts.clear();
     m_failingSince = absl::InfiniteFuture();
     m_workerClockMs = runs.clockMs;
     m_workerClockAt = m_clock.now();
@@ -278,7 +284,12 @@
     }
     AgentState state = m_state;
     state.clockMs = nowMs();
-    state.runListAge = m_clock.now() - m_workerClockAt;
+    const core::Instant now = m_clock.now();
+    state.runListAge = now - m_workerClockAt;
+    for (const auto &[run, until] : m_lateStarts) {
+        if (m_state.workerLost && now < until)
+            state.lateStarts.push_back(run);
+    }
     return state;
 }
 
@@ -524,7 +535,7 @@
                 ? OrderResult::Refused
                 : OrderResult::NotApplicable;
         const OrderOutcome outcome = m_port.start(worker, *start, timeout);
-        endStart(order.run);
+        endStart(order.run, outcome);
         if (outcome == OrderOutcome::Done) {
             recordStart(worker, order.run);
             return OrderResult::Done;
@@ -556,12 +567,16 @@
     return StartOrder{order.run, order.payload, order.checkpoint, *until, fencingToken(term)};
 }
 
-void Agent::endStart(const workload::RunKey &run)
+void Agent::endStart(const workload::RunKey &run, OrderOutcome outcome)
 {
     absl::MutexLock lock(&m_mutex);
     m_startsUnderWay.erase(m_startsUnderWay.find(run));
     if (m_startsUnderWay.empty())
         m_stateChanged.signalAll();
+    const core::Instant now = m_clock.now();
+    std::erase_if(m_lateStarts, [now](const auto &start) { return start.second <= now; });
+    if (outcome == OrderOutcome::Unanswered)
+        m_lateStarts[run] = now + MaxCallDelay + MaxReportDelay;
 }
 
 void Agent::recordStart(const WorkerReport &worker, const workload::RunKey &run)
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -212,6 +212,8 @@
         value["ended"].append(row);
     }
     value["moreEnded"] = state.runs.moreEnded;
+    for (const workload::RunKey &run : state.lateStarts)
+        value["lateStarts"].append(runToJson(run));
     return value;
 }
 
@@ -258,6 +260,12 @@
                                     row[4U].asString()});
     }
     state.runs.moreEnded = core::boolMember(value, "moreEnded");
+    for (const Json::Value &row : core::member(value, "lateStarts")) {
+        const auto run = runFromJson(row);
+        if (!run)
+            return std::nullopt;
+        state.lateStarts.push_back(*run);
+    }
     return state;
 }
 
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -137,9 +137,10 @@
 }
 
 void Leader::removeWorker(const std::string &incarnation, planning::WorkerEnd end,
-                          core::Instant now)
+                          core::Instant now, const std::vector<workload::RunKey> &kept)
 {
-    for (const workload::RunKey &run : m_planner.removeWorker(incarnation, end, now)) {
+    const std::set<workload::RunKey> keptRuns(kept.begin(), kept.end());
+    for (const workload::RunKey &run : m_planner.removeWorker(incarnation, end, now, keptRuns)) {
         const planning::Task *task = m_planner.job(run.task.job)->task(run.task);
         m_metrics.add(absl::StrCat("runs_lost{reason=\"", toString(end), "\"}"));
         telemetry::Event("run_lost")
@@ -192,7 +193,7 @@
                      state.workerCrashed          ? planning::WorkerEnd::Crashed
                          : state.worker->draining ? planning::WorkerEnd::Left
                                                   : planning::WorkerEnd::LeaseExpired,
-                     now);
+                     now, state.lateStarts);
         return;
     }
     m_planner.updateWorker(worker);
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -100,7 +100,8 @@
 }
 
 std::vector<workload::RunKey> Planner::removeWorker(const std::string &key, WorkerEnd end,
-                                                    core::Instant now)
+                                                    core::Instant now,
+                                                    const std::set<workload::RunKey> &kept)
 {
     m_workers.erase(key);
     m_health.removeWorker(key);
@@ -108,6 +109,8 @@
     m_heldByEndingMembers.erase(key);
     std::vector<workload::RunKey> lost;
     forEachActiveTask(key, [&](const workload::TaskKey &task, Task &run) {
+        if (kept.contains({task, run.run}))
+            return;
         lost.push_back({task, run.run});
         JobRecord &record = m_jobs.at(task.job);
         if (end == WorkerEnd::Crashed)
--- a/test/control/tst_restarts.cpp
+++ b/test/control/tst_restarts.cpp
@@ -136,6 +136,42 @@
     CHECK(state.runs.ended.size() == (a.secondStarted() ? 1 : 0));
 }
 
+// Guards against a task that runs twice at the same time: a start without an answer may be carried
+// out by the next boot of the worker, after the worker has been given up.
+TEST_CASE("a run whose start got no answer waits until no boot of its worker can begin it")
+{
+    struct Case
+    {
+        const char *what;
+        bool processEnds;
+        // How long the task could start elsewhere unnoticed.
+        absl::Duration wait;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"the worker's process ends", true, absl::Seconds(2)},
+    }));
+    CAPTURE(c.what);
+    Cluster cluster;
+    cluster.worker.boot("i-1", 1000);
+    cluster.startAgent();
+    cluster.agent().heartbeat(cluster.worker.heartbeat());
+    REQUIRE(waitUntil([&] { return cluster.worker.listings() > 1; }));
+    cluster.port.startsDelayed = true;
+    // Fits onto each worker once.
+    cluster.submit(JobBefore, {1000, 1000, 5});
+    REQUIRE(waitUntil([&] { return cluster.port.delayedCalls() > 0; }));
+    cluster.addOtherWorkers();
+    (c.processEnds ? cluster.port.refusing : cluster.port.silent) = true;
+    waitUntil([&] { return cluster.log.starts(JobBefore) > 0; }, c.wait);
+    cluster.worker.boot("i-1", 2000);
+    cluster.port.carryOutDelayed();
+    cluster.port.startsDelayed = false;
+    cluster.port.refusing = false;
+    cluster.port.silent = false;
+    CHECK(cluster.complete(JobBefore));
+    CHECK_THAT(cluster.log.simultaneousRuns(), Catch::Equals(std::vector<std::string>()));
+}
+
 // Guards against starting tasks again that a new boot has completed: a list names only some of the
 // ended runs.
 TEST_CASE("tasks execute once if a worker that restarts under its id lists only some of their ends")
