Stop extending the lease of a worker that answers nothing

Cause: each renewal that was sent moved the agent's bound for the worker's lease, answered or not, so that the bound never passed while a leader renewed the permit. Evidence: "a worker that answers nothing is given up although the leader renews its permit" fails on after 20 s with a lease of 0.5 s. Change: a lease is extended, and tasks are started, only until the worker has been silent for 2 s, as long as an agent goes on without its leader. A silent worker is given up 2 s and a lease after its last answer; a late start on its next boot is covered by the bound for starts without an answer, with a row of that test.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -84,6 +84,8 @@
     bool acknowledgementPending() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void endAcknowledgement(const WorkerReport &worker, const Term &term, OrderOutcome outcome);
     std::int64_t nowMs() const;
+    // Returns the end of the lease to request on the worker's clock, or nothing if the lease must
+    // not be extended.
     std::optional<std::int64_t> leaseUntil() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void markChanged() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     bool sameIncarnation(const WorkerReport &worker) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -24,6 +24,8 @@
 constexpr absl::Duration MaxCallDelay = absl::Seconds(12);
 // A boot that has begun is reported and confirmed within this time, twice the period of heartbeats.
 constexpr absl::Duration MaxReportDelay = absl::Seconds(3);
+// How long the lease of a worker that does not answer is still extended.
+constexpr absl::Duration MaxWorkerSilence = absl::Seconds(2);
 // The number of consecutive refused connections after which the worker's process counts as exited.
 constexpr int RefusedConnectionCountUntilLost = 2;
 // Reports of other writers must not use up the memory.
@@ -296,7 +298,8 @@
 std::optional<std::int64_t> Agent::leaseUntil() const
 {
     const core::Instant now = m_clock.now();
-    if (absl::ToUnixMillis(now) >= m_renewUntilMs || m_leaving || m_restarted)
+    if (absl::ToUnixMillis(now) >= m_renewUntilMs || m_leaving || m_restarted
+        || now - m_failingSince > MaxWorkerSilence)
         return std::nullopt;
     return m_workerClockMs + absl::ToInt64Milliseconds(now - m_workerClockAt + m_options.lease);
 }
--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -257,6 +257,29 @@
     CHECK(port.starts[1].fence == fencingToken(term));
 }
 
+// Guards against tasks that are never started elsewhere: a worker that accepts calls but answers
+// none looks alive as long as its agent goes on to extend its lease.
+TEST_CASE("a worker that answers nothing is given up although the leader renews its permit")
+{
+    FakeWorkerPort port;
+    Agent agent({"side", absl::Milliseconds(500)}, port);
+    WatchCall watch;
+    watch.term = registerWorker(agent, report()).term;
+    {
+        absl::MutexLock lock(&port.mutex);
+        port.renewOutcome = OrderOutcome::Unanswered;
+    }
+    const core::BootClock clock;
+    const core::Instant until = clock.now() + absl::Seconds(20);
+    bool lost = false;
+    while (!lost && clock.now() < until) {
+        watch.renewUntilMs = absl::ToUnixMillis(clock.now() + RenewalPermit);
+        lost = agent.watch(watch)->workerLost;
+        absl::SleepFor(absl::Milliseconds(20));
+    }
+    CHECK(lost);
+}
+
 // Guards against starting a task elsewhere while its previous run is still stopping.
 TEST_CASE("a stopped run is absent only if the worker lists it neither as running nor as ended")
 {
--- a/test/control/tst_restarts.cpp
+++ b/test/control/tst_restarts.cpp
@@ -149,6 +149,7 @@
     };
     const Case c = GENERATE(values<Case>({
         {"the worker's process ends", true, absl::Seconds(2)},
+        {"the worker does not answer until its lease is over", false, absl::Seconds(12)},
     }));
     CAPTURE(c.what);
     Cluster cluster;
