Store the progress of a job in parts of bounded size

Cause: all tasks of a job that had been started were in one row of the store. From about 1,200 tasks on it exceeded 65,536 bytes; the store refused the leader's transaction, and since a refusal by a limit was taken for a busy store, that leader and each one after it repeated it without end. Ruled out: only fewer bytes for each task, which moves the bound but leaves it. Change: jobs that can have more than 32 tasks keep them in rows of their own, 32 tasks of one step in each, completed tasks as ranges, checkpoints of at most 512 bytes; only parts that change are written. The order of the writes lets a process that ends between two transactions leave rows that can be restored without repeating a completed task. A commit takes as many rows as fit, up to 98 and half a megabyte. A transaction that the store will never take (400, 403, 413) is told apart from a busy store. The leader divides it until the job is found, which is shown as failed; all others are stored. Submissions that do not fit into a row are answered with 413, and no other writer repeats a rejected transaction. The test of status codes now expects 400 as rejected; it was taken for refused like 503.

--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -35,6 +35,8 @@
     Accepted,
     // The job is not stored and will not be stored later.
     NotAccepted,
+    // The job does not fit into a row of the store.
+    TooLarge,
     // The job may have been stored, or may still be stored.
     Unknown,
 };
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -118,12 +118,31 @@
     // Returns true if a configuration or a job names the service, or if none has been read yet.
     bool isKnownService(const std::string &service) const;
     void handleUnresponsiveWorkers(core::Instant now);
-    bool store(const std::set<std::string> &changed);
+    // Changes of one job's progress that are stored in one transaction.
+    struct ProgressWrite
+    {
+        std::string job;
+        std::vector<StoredRow> puts;
+        std::vector<StoredRow> removals;
+    };
+
+    // Stores the changed progress. The rows of several jobs share a transaction, within the limits
+    // of the store. Returns false if this process is not the leader any more, or stops.
+    bool store(const std::set<std::string> &changed, core::Instant now);
+    static ProgressWrite progressWrite(const std::string &job,
+                                       const planning::ProgressGroup &group);
+    // Stores the changes in one transaction. If the store rejects it, divides it to find the jobs
+    // whose progress cannot be stored, and adds them to `rejected`.
+    bool commitWrites(const std::vector<ProgressWrite> &writes, std::set<std::string> &rejected);
+    // Ends the jobs as failed, so that they do not keep other jobs from being stored.
+    bool failRejected(const std::set<std::string> &rejected, core::Instant now);
     void publish(const std::set<std::string> &changed);
     void acknowledgeEndedRuns();
     void send(std::vector<planning::Order> orders);
     bool removeOldJobs(core::Instant now);
-    bool commit(const std::vector<StoredRow> &puts, const std::vector<StoredRow> &removals);
+    LeaderLog::Outcome commit(const std::vector<StoredRow> &puts,
+                              const std::vector<StoredRow> &removals);
+    static bool leads(LeaderLog::Outcome outcome);
 
     RowStore &m_store;
     const std::unique_ptr<LeaderLog> m_log;
@@ -135,7 +154,8 @@
 
     // Used by the planning thread only.
     planning::Planner m_planner;
-    std::map<std::string, std::string> m_progress;
+    // The stored progress of jobs whose rows have not been read yet.
+    std::map<std::string, planning::ProgressRows> m_progress;
     std::map<std::string, std::unique_ptr<AgentLink>> m_links;
     // Links to agents that have been removed; their threads exit asynchronously.
     std::vector<std::unique_ptr<AgentLink>> m_stoppedLinks;
--- a/include/oleandercross/control/leaderlog.h
+++ b/include/oleandercross/control/leaderlog.h
@@ -42,8 +42,9 @@
 class LeaderLog
 {
 public:
-    // Deposed means that another process is the leader, or may be.
-    enum class Outcome { Committed, Deposed, Stopped };
+    // Deposed means that another process is the leader, or may be. Rejected means that the store
+    // will never accept the changes; the leadership is not affected.
+    enum class Outcome { Committed, Deposed, Rejected, Stopped };
 
     LeaderLog(RowStore &store, Leadership leadership);
 
@@ -52,7 +53,7 @@
     bool acquire(const std::optional<StoredRow> &last,
                  const std::function<bool()> &shouldAbort = {});
 
-    // Stores the changes, retrying until the outcome is known. There must be at most
+    // Stores the changes, repeating attempts until the outcome is known. There must be at most
     // MaxRowsPerCommit rows.
     Outcome commit(const std::vector<StoredRow> &puts, const std::vector<StoredRow> &removals);
 
@@ -69,11 +70,14 @@
     // the leader at any time after that, however late the confirmation arrived.
     core::Instant lastCommit() const;
 
+    // The sum of sentSize() that changes of different jobs may have in one commit. Half of the
+    // store's limit, so that transactions can also be relayed by peers.
+    static constexpr std::size_t MaxBytesPerCommit = MaxTransactionBytes / 2;
     // Two of the MaxChanges are the condition on the leader row and its new value.
     static constexpr std::size_t MaxRowsPerCommit = MaxChanges - 2;
 
 private:
-    enum class Attempt { Done, Deposed, Retry };
+    enum class Attempt { Done, Deposed, Rejected, Retry };
 
     // `firstBegin` is the time of the first attempt of the same transaction.
     Attempt attempt(const RowChanges &changes, const Leadership &next, core::Instant firstBegin);
--- a/include/oleandercross/control/rowstore.h
+++ b/include/oleandercross/control/rowstore.h
@@ -46,13 +46,18 @@
 
 // The maximum number of conditions, puts and removals in one transaction.
 inline constexpr std::size_t MaxChanges = 100;
+// The maximum size of a row's value and of a transaction as it is sent, in bytes.
+inline constexpr std::size_t MaxRowBytes = 65536;
+inline constexpr std::size_t MaxTransactionBytes = 1000000;
 
 enum class CommitOutcome {
     Applied,
     // A condition does not hold; nothing was changed.
     Conflict,
-    // The transaction has not been applied and will not be applied later.
+    // The transaction has not been applied and will not be applied later. It may be sent again.
     Refused,
+    // The transaction can never be applied, since it exceeds a limit of the store or is malformed.
+    Rejected,
     // The transaction may have been applied, or may still be while its conditions hold.
     Unknown,
 };
@@ -85,6 +90,11 @@
     bool historyLost = false;
 };
 
+const char *toString(CommitOutcome outcome);
+
+// Returns an upper bound of the size of a changed row in a transaction as it is sent, in bytes.
+std::size_t sentSize(const StoredRow &row);
+
 // The platform's transactional store of rows. Implementations are thread safe.
 class RowStore
 {
--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <oleandercross/core/clock.h>
+#include <oleandercross/planning/progress.h>
 #include <oleandercross/workload/job.h>
 
 #include <json/value.h>
@@ -144,7 +145,7 @@
     // Returns true once a task of the job has been started.
     bool begun() const { return m_begun; }
 
-    // Opens the occurrences that are due at this Unix time.
+    // Opens the occurrences that are due at this Unix time, within MaxOpenTasks.
     void openDueOccurrences(std::int64_t unixMs);
     // Returns true if all steps that the step depends on are done.
     bool ready(const Occurrence &occurrence, int step) const;
@@ -160,13 +161,26 @@
     // Makes the task pending again after its worker crashed. The job fails if its tasks have
     // crashed too many workers. Returns false if it is not the task's current run on that worker.
     bool workerCrashed(const workload::RunKey &key, const std::string &worker, core::Instant now);
-    // Returns false if the job has already ended.
+    // Return false if the job has already ended.
     bool cancel(core::Instant now);
+    bool fail(core::Instant now);
+
+    // Moves the task's current run to another worker. Returns false if it is not on `from`.
+    bool move(const workload::RunKey &key, const std::string &from, const std::string &to);
+    // Records a checkpoint of a task. Returns true if it is a new one; an empty or too large one is
+    // ignored.
+    bool saveCheckpoint(const workload::TaskKey &key, const std::string &checkpoint);
 
     // Returns the stored form of the progress.
-    std::string encode() const;
+    ProgressRows encode() const;
+    // Returns the changes of the stored form since the last call or the restore. The groups must
+    // take effect in this order.
+    std::vector<ProgressGroup> takeProgressChanges();
+    // Returns true if the restored progress differs from the rows that it was read from.
+    bool differsFromStore() const { return m_headChanged || !m_changedParts.empty(); }
+    bool hasStoredParts() const { return !m_storedParts.empty(); }
     // Restores the progress from its stored form. Fails with BadJson or BadField.
-    bool restore(const std::string &text, core::Instant now);
+    bool restore(const ProgressRows &rows, core::Instant now);
 
 private:
     void closeCompletedOccurrences(core::Instant now);
@@ -178,6 +192,15 @@
     void restoreGangFailures(const Json::Value &row);
     void restoreTask(const Json::Value &row);
     void restoreCrashes(const Json::Value &row);
+    void restoreDone(const Json::Value &row);
+    void restoreTasks(const Json::Value &value);
+    bool restorePart(const std::string &name, const std::string &text);
+    // Completes all members of gangs of which one has completed.
+    void completeGangs();
+    std::string encodeHead() const;
+    // Returns nothing if there is nothing to store.
+    std::optional<std::string> encodePart(const ProgressPart &part) const;
+    void markChanged(const workload::TaskKey &key);
     // Fails with BadField if the number of the next occurrence is missing or out of range.
     bool restoreOccurrences(const Json::Value &progress);
     Occurrence newOccurrence() const;
@@ -191,6 +214,13 @@
     std::map<int, Occurrence> m_occurrences;
     // Occurrences 0 to m_nextOccurrence - 1 have been opened.
     int m_nextOccurrence = 0;
+    std::int64_t m_tasksPerOccurrence = 0;
+    // The tasks are stored in parts, not in the head.
+    bool m_hasParts = false;
+    std::set<ProgressPart> m_storedParts;
+    // The parts that differ from their stored form, or are to be removed.
+    std::set<ProgressPart> m_changedParts;
+    bool m_headChanged = false;
 };
 
 } // namespace oleandercross::planning
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -65,9 +65,11 @@
     void addJob(workload::Job job, core::Instant now, absl::Duration age = absl::ZeroDuration());
     // Adds or replaces a job with progress stored by an earlier leader. Fails if
     // JobRecord::restore() fails.
-    bool restoreJob(workload::Job job, const std::string &progress, core::Instant now,
+    bool restoreJob(workload::Job job, const ProgressRows &progress, core::Instant now,
                     absl::Duration age = absl::ZeroDuration());
     void cancelJob(const std::string &id, core::Instant now);
+    // Ends a job as failed whose progress cannot be stored.
+    void failJob(const std::string &id, core::Instant now);
     void removeJob(const std::string &id);
 
     void updateWorker(const Worker &worker);
@@ -101,6 +103,9 @@
     // Returns the jobs whose stored form changed since the last call.
     std::set<std::string> takeChanged();
 
+    // See JobRecord::takeProgressChanges(). The job must exist.
+    std::vector<ProgressGroup> takeProgressChanges(const std::string &id);
+
     const JobRecord *job(const std::string &id) const;
     const std::map<std::string, JobRecord> &jobs() const { return m_jobs; }
     const Workers &workers() const { return m_workers; }
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -171,6 +171,8 @@
     RowChanges changes;
     changes.conditions.push_back({JobTable, job.id, 0});
     changes.puts.push_back({JobTable, job.id, workload::encodeJob(job)});
+    if (changes.puts.front().value.size() > MaxRowBytes)
+        return SubmitOutcome::TooLarge;
     std::optional<core::Instant> inDoubtSince;
     while (true) {
         const core::Instant now = m_clock.now();
@@ -191,8 +193,10 @@
         }
         telemetry::Event("job_store_failed")
             .with("job", job.id)
-            .with("outcome", result.outcome == CommitOutcome::Refused ? "refused" : "unknown")
+            .with("outcome", toString(result.outcome))
             .with("reason", result.reason);
+        if (result.outcome == CommitOutcome::Rejected)
+            return SubmitOutcome::NotAccepted;
         // No attempt can have stored the job, so the caller can be refused immediately.
         if (result.outcome == CommitOutcome::Refused && !inDoubtSince)
             return SubmitOutcome::NotAccepted;
@@ -280,6 +284,8 @@
                     .with("version", result.version);
                 return CancelOutcome::Cancelled;
             }
+            if (result.outcome == CommitOutcome::Rejected)
+                return CancelOutcome::NotCancelled;
             inDoubt = inDoubt || result.outcome == CommitOutcome::Unknown;
         }
         absl::SleepFor(RetryDelay);
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/cleanup/cleanup.h>
 #include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
 #include <algorithm>
@@ -27,6 +28,10 @@
 // from may differ.
 constexpr absl::Duration MaxJobAge = absl::Minutes(10);
 constexpr absl::Duration CleanupPeriod = absl::Seconds(10);
+// The same while there are more ended jobs than one commit can remove.
+constexpr absl::Duration FullCleanupPeriod = absl::Seconds(1);
+// Stands between a job's id and the name of a part of its progress in the key of a row.
+constexpr char ProgressSeparator[] = "/";
 
 } // namespace
 
@@ -125,8 +130,12 @@
 {
     while (!m_stopping) {
         if (const auto page = m_store.table(ProgressTable, StoreTimeout)) {
-            for (const StoredRow &row : page->rows)
-                m_progress[row.key] = row.value;
+            for (const StoredRow &row : page->rows) {
+                const std::size_t idSize =
+                    std::min(row.key.find(ProgressSeparator), row.key.size());
+                const std::string name = row.key.substr(std::min(idSize + 1, row.key.size()));
+                m_progress[row.key.substr(0, idSize)][name] = row.value;
+            }
             break;
         }
         telemetry::Event("leader_load_retried").with("reason", core::lastReason().message);
@@ -209,10 +218,15 @@
     m_metrics.observe("decision_seconds", m_clock.now() - now);
     const std::set<std::string> changed = m_planner.takeChanged();
     const bool renew = now - m_log->lastCommit() >= LeaderWritePeriod;
-    if ((!changed.empty() || renew) && !store(changed))
+    if ((!changed.empty() || renew) && !store(changed, now))
         return;
     publish(changed);
     acknowledgeEndedRuns();
+    // Jobs whose progress was rejected have ended, and their starts are not stored.
+    std::erase_if(plan.orders, [this](const planning::Order &order) {
+        return order.kind == planning::Order::Kind::Start
+            && planning::ended(m_planner.job(order.run.task.job)->state());
+    });
     send(std::move(plan.orders));
     if (!removeOldJobs(now))
         return;
@@ -276,28 +290,101 @@
     m_views[row.key] = {record.job().account, queue, record.state(), record.begun()};
 }
 
-bool Leader::commit(const std::vector<StoredRow> &puts, const std::vector<StoredRow> &removals)
+LeaderLog::Outcome Leader::commit(const std::vector<StoredRow> &puts,
+                                  const std::vector<StoredRow> &removals)
 {
     const core::Instant begin = m_clock.now();
     const LeaderLog::Outcome outcome = m_log->commit(puts, removals);
     m_metrics.observe("commit_seconds", m_clock.now() - begin);
     if (outcome == LeaderLog::Outcome::Deposed)
         m_deposed = true;
-    return outcome == LeaderLog::Outcome::Committed;
+    return outcome;
 }
 
-bool Leader::store(const std::set<std::string> &changed)
+bool Leader::leads(LeaderLog::Outcome outcome)
 {
-    std::vector<StoredRow> puts;
+    return outcome == LeaderLog::Outcome::Committed || outcome == LeaderLog::Outcome::Rejected;
+}
+
+Leader::ProgressWrite Leader::progressWrite(const std::string &job,
+                                            const planning::ProgressGroup &group)
+{
+    ProgressWrite write{job, {}, {}};
+    for (const planning::ProgressChange &change : group) {
+        const std::string key =
+            change.name.empty() ? job : absl::StrCat(job, ProgressSeparator, change.name);
+        std::vector<StoredRow> &rows = change.value ? write.puts : write.removals;
+        rows.push_back({ProgressTable, key, change.value.value_or(std::string())});
+    }
+    return write;
+}
+
+bool Leader::store(const std::set<std::string> &changed, core::Instant now)
+{
+    std::set<std::string> rejected;
+    std::vector<ProgressWrite> writes;
+    std::size_t rowCount = 0;
+    std::size_t bytes = 0;
     for (const std::string &id : changed) {
-        if (puts.size() == LeaderLog::MaxRowsPerCommit) {
-            if (!commit(puts, {}))
+        for (const planning::ProgressGroup &group : m_planner.takeProgressChanges(id)) {
+            ProgressWrite write = progressWrite(id, group);
+            std::size_t size = 0;
+            for (const StoredRow &row : write.puts)
+                size += sentSize(row);
+            for (const StoredRow &row : write.removals)
+                size += sentSize(row);
+            if (rowCount + group.size() > LeaderLog::MaxRowsPerCommit
+                || (rowCount > 0 && bytes + size > LeaderLog::MaxBytesPerCommit)) {
+                if (!commitWrites(writes, rejected))
+                    return false;
+                writes.clear();
+                rowCount = 0;
+                bytes = 0;
+            }
+            rowCount += group.size();
+            bytes += size;
+            writes.push_back(std::move(write));
+        }
+    }
+    return commitWrites(writes, rejected) && (rejected.empty() || failRejected(rejected, now));
+}
+
+bool Leader::commitWrites(const std::vector<ProgressWrite> &writes, std::set<std::string> &rejected)
+{
+    std::vector<StoredRow> puts;
+    std::vector<StoredRow> removals;
+    for (const ProgressWrite &write : writes) {
+        // The parts of a job's progress depend on those before them.
+        if (rejected.contains(write.job))
+            continue;
+        puts.insert(puts.end(), write.puts.begin(), write.puts.end());
+        removals.insert(removals.end(), write.removals.begin(), write.removals.end());
+    }
+    const LeaderLog::Outcome outcome = commit(puts, removals);
+    if (outcome != LeaderLog::Outcome::Rejected)
+        return leads(outcome);
+    if (writes.size() == 1) {
+        rejected.insert(writes.front().job);
+        return true;
+    }
+    return std::all_of(writes.begin(), writes.end(), [&](const ProgressWrite &write) {
+        return rejected.contains(write.job) || commitWrites({write}, rejected);
+    });
+}
+
+bool Leader::failRejected(const std::set<std::string> &rejected, core::Instant now)
+{
+    for (const std::string &id : rejected) {
+        telemetry::Event("progress_rejected").with("job", id);
+        m_metrics.add("jobs_rejected_by_store");
+        m_planner.failJob(id, now);
+        for (const planning::ProgressGroup &group : m_planner.takeProgressChanges(id)) {
+            const ProgressWrite write = progressWrite(id, group);
+            if (!leads(commit(write.puts, write.removals)))
                 return false;
-            puts.clear();
         }
-        puts.push_back({ProgressTable, id, m_planner.job(id)->encode()});
     }
-    return commit(puts, {});
+    return true;
 }
 
 void Leader::publish(const std::set<std::string> &changed)
@@ -324,10 +411,13 @@
     // A job has up to three rows. Jobs that do not fit into this commit are removed by the next
     // cleanup.
     for (const auto &[id, record] : m_planner.jobs()) {
-        if (now - record.endedAt() < m_options.retention || record.hasActiveTasks())
+        if (now - record.endedAt() < m_options.retention || record.hasActiveTasks()
+            || record.hasStoredParts())
             continue;
-        if (removals.size() + 3 > LeaderLog::MaxRowsPerCommit)
+        if (removals.size() + 3 > LeaderLog::MaxRowsPerCommit) {
+            m_nextCleanup = now + FullCleanupPeriod;
             break;
+        }
         removals.push_back({JobTable, id, {}});
         removals.push_back({JobTable, id + CancelSuffix, {}});
         removals.push_back({ProgressTable, id, {}});
@@ -335,8 +425,9 @@
     }
     if (ids.empty())
         return true;
-    if (!commit({}, removals))
-        return false;
+    const LeaderLog::Outcome outcome = commit({}, removals);
+    if (outcome != LeaderLog::Outcome::Committed)
+        return leads(outcome);
     absl::MutexLock lock(&m_mutex);
     for (const std::string &id : ids) {
         m_planner.removeJob(id);
--- a/src/control/leaderlog.cpp
+++ b/src/control/leaderlog.cpp
@@ -96,10 +96,8 @@
     for (absl::Duration pause = MinRetryDelay; !m_stopping && !(shouldAbort && shouldAbort());
          pause = std::min(pause * 2, MaxRetryDelay)) {
         const Attempt result = attempt(changes, next, begin);
-        if (result == Attempt::Deposed)
-            return false;
-        if (result == Attempt::Done)
-            return true;
+        if (result != Attempt::Retry)
+            return result == Attempt::Done;
         absl::SleepFor(pause);
     }
     return false;
@@ -120,6 +118,8 @@
     for (absl::Duration pause = MinRetryDelay; !m_stopping;
          pause = std::min(pause * 2, MaxRetryDelay)) {
         const Attempt result = attempt(changes, next, begin);
+        if (result == Attempt::Rejected)
+            return Outcome::Rejected;
         if (result != Attempt::Retry)
             return result == Attempt::Done ? Outcome::Committed : Outcome::Deposed;
         absl::SleepFor(pause);
@@ -135,12 +135,13 @@
     if (result.outcome == CommitOutcome::Conflict)
         return afterConflict(result, next, firstBegin);
     if (result.outcome != CommitOutcome::Applied) {
-        telemetry::Event("leader_commit_retried")
+        const bool rejected = result.outcome == CommitOutcome::Rejected;
+        telemetry::Event(rejected ? "leader_commit_rejected" : "leader_commit_retried")
             .with("epoch", next.epoch)
             .with("sequence", next.sequence)
-            .with("outcome", result.outcome == CommitOutcome::Refused ? "refused" : "unknown")
+            .with("outcome", toString(result.outcome))
             .with("reason", result.reason);
-        return Attempt::Retry;
+        return rejected ? Attempt::Rejected : Attempt::Retry;
     }
     absl::MutexLock lock(&m_mutex);
     m_leadership = next;
--- a/src/control/relayedstore.cpp
+++ b/src/control/relayedstore.cpp
@@ -163,7 +163,7 @@
     if (shouldTryDirect()) {
         result = m_direct.commit(changes, timeout);
         const bool answered =
-            result.outcome == CommitOutcome::Applied || result.outcome == CommitOutcome::Conflict;
+            result.outcome != CommitOutcome::Refused && result.outcome != CommitOutcome::Unknown;
         if (!answered)
             core::fail(core::ResultCode::StoreUnavailable, result.reason);
         recordReachability(answered);
--- a/src/control/rowstore.cpp
+++ b/src/control/rowstore.cpp
@@ -4,6 +4,8 @@
 #include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
+#include <array>
+
 namespace oleandercross::control {
 
 namespace {
@@ -21,6 +23,21 @@
 
 } // namespace
 
+const char *toString(CommitOutcome outcome)
+{
+    constexpr std::array<const char *, 5> Names = {"applied", "conflict", "refused", "rejected",
+                                                   "unknown"};
+    return Names.at(static_cast<std::size_t>(outcome));
+}
+
+std::size_t sentSize(const StoredRow &row)
+{
+    // The names of the fields, the partition and the punctuation.
+    constexpr std::size_t OverheadBytes = 128;
+    // Values are sent in Base64.
+    return OverheadBytes + row.table.size() + row.key.size() + (row.value.size() + 2) / 3 * 4;
+}
+
 std::string partitionOf(const std::string &table, const std::string &key)
 {
     if (table == LeaderTable || table == ProgressTable)
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -35,35 +35,6 @@
     task.percent = 0;
 }
 
-Json::Value encodeTask(const workload::TaskKey &key, const Task &task)
-{
-    Json::Value row(Json::arrayValue);
-    row.append(key.occurrence);
-    row.append(key.step);
-    row.append(key.index);
-    row.append(static_cast<int>(task.phase));
-    row.append(task.run);
-    row.append(task.failures);
-    row.append(task.worker);
-    row.append(task.checkpoint);
-    return row;
-}
-
-// Run numbers and counts beyond this limit do not occur; it leaves room for counting further.
-constexpr int MaxStoredCount = 1 << 30;
-
-// Returns true if the row is an array that starts with `count` integers from 0 to MaxStoredCount.
-bool startsWithCounts(const Json::Value &row, Json::ArrayIndex count)
-{
-    if (!row.isArray() || row.size() < count)
-        return false;
-    for (Json::ArrayIndex i = 0; i < count; ++i) {
-        if (!row[i].isInt() || row[i].asInt() < 0 || row[i].asInt() > MaxStoredCount)
-            return false;
-    }
-    return true;
-}
-
 } // namespace
 
 const char *toString(JobState state)
@@ -106,6 +77,9 @@
     : m_job(std::move(job))
     , m_acceptedAt(acceptedAt)
 {
+    for (const workload::Step &step : m_job.steps)
+        m_tasksPerOccurrence += step.tasks;
+    m_hasParts = m_tasksPerOccurrence * m_job.occurrences > TasksPerPart;
     if (!m_job.scheduled) {
         m_occurrences.emplace(0, newOccurrence());
         m_nextOccurrence = 1;
@@ -180,7 +154,11 @@
 {
     if (ended(m_state))
         return;
-    while (m_nextOccurrence < m_job.occurrences
+    const auto mayOpen = [this] {
+        const auto open = static_cast<std::int64_t>(m_occurrences.size());
+        return open == 0 || (open + 1) * m_tasksPerOccurrence <= MaxOpenTasks;
+    };
+    while (m_nextOccurrence < m_job.occurrences && mayOpen()
            && m_job.firstDueMs + m_nextOccurrence * m_job.intervalMs <= unixMs) {
         m_occurrences.emplace(m_nextOccurrence, newOccurrence());
         ++m_nextOccurrence;
@@ -219,6 +197,7 @@
     target->startedWithoutCheckpoint = target->checkpoint.empty();
     target->rateBasePercent = target->startedWithoutCheckpoint ? 0 : -1;
     target->rateBaseAt = now;
+    markChanged(key);
     m_begun = true;
     if (m_state == JobState::Queued)
         m_state = JobState::Running;
@@ -233,8 +212,7 @@
         return false;
     StepProgress &step =
         m_occurrences.at(key.task.occurrence).steps[static_cast<std::size_t>(key.task.step)];
-    if (!checkpoint.empty())
-        target->checkpoint = checkpoint;
+    saveCheckpoint(key.task, checkpoint);
     resetRun(*target);
     if (outcome == RunEnd::Completed)
         target->phase = TaskPhase::Done;
@@ -242,6 +220,7 @@
         ++target->failures;
         target->workersWithFailedRuns.insert(worker);
     }
+    markChanged(key.task);
     if (m_job.steps[static_cast<std::size_t>(key.task.step)].gang)
         applyRunEndToGang(step, key, outcome, checkpoint);
     const int failures = m_job.steps[static_cast<std::size_t>(key.task.step)].gang
@@ -260,9 +239,12 @@
         step.lastFailedRun = key.run;
         ++step.gangFailures;
     }
-    for (Task &member : step.tasks) {
-        if (!checkpoint.empty())
-            member.checkpoint = checkpoint;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i) {
+        Task &member = step.tasks[i];
+        const workload::TaskKey memberKey{key.task.job, key.task.occurrence, key.task.step,
+                                          static_cast<int>(i)};
+        markChanged(memberKey);
+        saveCheckpoint(memberKey, checkpoint);
         // The members of a gang complete together, so the completion of one applies to all.
         if (outcome == RunEnd::Completed && member.run == key.run) {
             resetRun(member);
@@ -278,9 +260,38 @@
         || target->worker != worker)
         return false;
     resetRun(*target);
+    markChanged(key.task);
+    return true;
+}
+
+bool JobRecord::move(const workload::RunKey &key, const std::string &from, const std::string &to)
+{
+    Task *target = task(key.task);
+    if (!target || target->phase != TaskPhase::Active || target->run != key.run
+        || target->worker != from)
+        return false;
+    target->worker = to;
+    markChanged(key.task);
+    return true;
+}
+
+bool JobRecord::saveCheckpoint(const workload::TaskKey &key, const std::string &checkpoint)
+{
+    Task *target = task(key);
+    if (!target || checkpoint.empty() || checkpoint == target->checkpoint
+        || core::writeJson(checkpoint).size() > MaxCheckpointBytes)
+        return false;
+    target->checkpoint = checkpoint;
+    markChanged(key);
     return true;
 }
 
+void JobRecord::markChanged(const workload::TaskKey &key)
+{
+    if (m_hasParts)
+        m_changedParts.insert({key.occurrence, key.step, key.index / TasksPerPart});
+}
+
 bool JobRecord::workerCrashed(const workload::RunKey &key, const std::string &worker,
                               core::Instant now)
 {
@@ -304,12 +315,27 @@
     return true;
 }
 
+bool JobRecord::fail(core::Instant now)
+{
+    if (ended(m_state))
+        return false;
+    finish(JobState::Failed, now);
+    return true;
+}
+
 void JobRecord::closeCompletedOccurrences(core::Instant now)
 {
     if (ended(m_state))
         return;
-    for (auto it = m_occurrences.begin(); it != m_occurrences.end();)
-        it = it->second.complete() ? m_occurrences.erase(it) : std::next(it);
+    for (auto it = m_occurrences.begin(); it != m_occurrences.end();) {
+        if (!it->second.complete()) {
+            ++it;
+            continue;
+        }
+        const auto end = m_storedParts.lower_bound({it->first + 1, 0, 0});
+        m_changedParts.insert(m_storedParts.lower_bound({it->first, 0, 0}), end);
+        it = m_occurrences.erase(it);
+    }
     if (m_occurrences.empty() && m_nextOccurrence >= m_job.occurrences)
         finish(JobState::Completed, now);
 }
@@ -318,129 +344,7 @@
 {
     m_state = state;
     m_endedAt = now;
-}
-
-std::string JobRecord::encode() const
-{
-    Json::Value value(Json::objectValue);
-    value["state"] = toString(m_state);
-    value["next"] = m_nextOccurrence;
-    for (const auto &[number, occurrence] : m_occurrences) {
-        value["open"].append(number);
-        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-            const StepProgress &step = occurrence.steps[s];
-            if (step.gangFailures > 0) {
-                Json::Value row(Json::arrayValue);
-                row.append(number);
-                row.append(static_cast<int>(s));
-                row.append(step.gangFailures);
-                row.append(step.lastFailedRun);
-                value["gangs"].append(row);
-            }
-            for (std::size_t i = 0; i < step.tasks.size(); ++i) {
-                const Task &task = step.tasks[i];
-                if (task.crashes > 0) {
-                    Json::Value row(Json::arrayValue);
-                    row.append(number);
-                    row.append(static_cast<int>(s));
-                    row.append(static_cast<int>(i));
-                    row.append(task.crashes);
-                    row.append(task.startCrashes);
-                    value["crashes"].append(row);
-                }
-                // An ended job only stores the tasks that still have to be stopped.
-                if (task.run > 0 && (!ended(m_state) || task.phase == TaskPhase::Active))
-                    value["tasks"].append(
-                        encodeTask({{}, number, static_cast<int>(s), static_cast<int>(i)}, task));
-            }
-        }
-    }
-    return core::writeJson(value);
-}
-
-void JobRecord::restoreGangFailures(const Json::Value &row)
-{
-    if (!startsWithCounts(row, 4))
-        return;
-    StepProgress *target = step({{}, row[0].asInt(), row[1].asInt(), 0});
-    if (!target)
-        return;
-    target->gangFailures = row[2].asInt();
-    target->lastFailedRun = row[3].asInt();
-}
-
-void JobRecord::restoreTask(const Json::Value &row)
-{
-    if (!startsWithCounts(row, 6) || row.size() != 8 || !row[6].isString() || !row[7].isString())
-        return;
-    Task *target = task({{}, row[0].asInt(), row[1].asInt(), row[2].asInt()});
-    if (!target || row[3].asInt() > static_cast<int>(TaskPhase::Done))
-        return;
-    target->phase = static_cast<TaskPhase>(row[3].asInt());
-    target->run = row[4].asInt();
-    target->failures = row[5].asInt();
-    target->worker = row[6].asString();
-    target->checkpoint = row[7].asString();
-    m_begun = true;
-}
-
-void JobRecord::restoreCrashes(const Json::Value &row)
-{
-    if (!startsWithCounts(row, 5))
-        return;
-    Task *target = task({{}, row[0].asInt(), row[1].asInt(), row[2].asInt()});
-    if (!target)
-        return;
-    target->crashes = row[3].asInt();
-    target->startCrashes = row[4].asInt();
-}
-
-bool JobRecord::restoreOccurrences(const Json::Value &progress)
-{
-    const auto next = core::requiredInt(progress, "next", {0, m_job.occurrences});
-    if (!next)
-        return false;
-    m_nextOccurrence = static_cast<int>(*next);
-    m_occurrences.clear();
-    for (const Json::Value &number : core::member(progress, "open")) {
-        if (number.isInt() && number.asInt() >= 0 && number.asInt() < m_nextOccurrence)
-            m_occurrences.emplace(number.asInt(), newOccurrence());
-    }
-    return true;
-}
-
-bool JobRecord::restore(const std::string &text, core::Instant now)
-{
-    const std::optional<Json::Value> value = core::parseJson(text);
-    if (!value)
-        return false;
-    const std::optional<JobState> state = parseJobState(core::stringMember(*value, "state"));
-    if (!state)
-        return false;
-    if (!restoreOccurrences(*value))
-        return false;
-    for (const Json::Value &row : core::member(*value, "gangs"))
-        restoreGangFailures(row);
-    for (const Json::Value &row : core::member(*value, "tasks"))
-        restoreTask(row);
-    for (const Json::Value &row : core::member(*value, "crashes"))
-        restoreCrashes(row);
-    for (auto &[number, occurrence] : m_occurrences) {
-        for (StepProgress &step : occurrence.steps) {
-            for (Task &task : step.tasks) {
-                task.startedAt = now;
-                task.percentChangedAt = now;
-                task.lastListedAt = now;
-                task.rateBaseAt = now;
-                task.rateBasePercent = -1;
-            }
-        }
-    }
-    m_begun = m_begun || *state != JobState::Queued;
-    m_state = *state;
-    if (ended(m_state))
-        m_endedAt = now;
-    return true;
+    m_changedParts.insert(m_storedParts.begin(), m_storedParts.end());
 }
 
 } // namespace oleandercross::planning
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -36,7 +36,7 @@
     m_openJobs.emplace(id, &added->second);
 }
 
-bool Planner::restoreJob(workload::Job job, const std::string &progress, core::Instant now,
+bool Planner::restoreJob(workload::Job job, const ProgressRows &progress, core::Instant now,
                          absl::Duration age)
 {
     JobRecord record(std::move(job), now - age);
@@ -47,6 +47,8 @@
     const auto restored = m_jobs.insert_or_assign(id, std::move(record)).first;
     m_openJobs.insert_or_assign(id, &restored->second);
     indexActiveTasks(restored->second);
+    if (restored->second.differsFromStore())
+        m_changed.insert(id);
     return true;
 }
 
@@ -87,6 +89,13 @@
         m_changed.insert(id);
 }
 
+void Planner::failJob(const std::string &id, core::Instant now)
+{
+    JobRecord *record = find(id);
+    if (record && record->fail(now))
+        m_changed.insert(id);
+}
+
 void Planner::removeJob(const std::string &id)
 {
     m_openJobs.erase(id);
@@ -124,9 +133,9 @@
 
 bool Planner::moveRun(const std::string &from, const std::string &to, const workload::RunKey &run)
 {
-    if (!hasActiveRun(from, run))
+    JobRecord *record = find(run.task.job);
+    if (!record || !record->move(run, from, to))
         return false;
-    find(run.task.job)->task(run.task)->worker = to;
     m_tasksByWorker[to].insert(run.task);
     m_changed.insert(run.task.job);
     return true;
@@ -184,10 +193,8 @@
     Task *task = find(run.task.job)->task(run.task);
     task->running = true;
     task->runningSince = std::min(task->runningSince, now);
-    if (!checkpoint.empty()) {
-        task->savedCheckpoint = task->savedCheckpoint || checkpoint != task->checkpoint;
-        task->checkpoint = checkpoint;
-    }
+    if (find(run.task.job)->saveCheckpoint(run.task, checkpoint))
+        task->savedCheckpoint = true;
     task->lastListedAt = std::max(task->lastListedAt, now);
     if (percent == task->percent || now <= task->percentChangedAt)
         return;
@@ -315,6 +322,11 @@
     task.orderSentAt = absl::InfinitePast();
 }
 
+std::vector<ProgressGroup> Planner::takeProgressChanges(const std::string &id)
+{
+    return m_jobs.at(id).takeProgressChanges();
+}
+
 std::set<std::string> Planner::takeChanged()
 {
     return std::exchange(m_changed, {});
--- a/test/control/fakerowstore.h
+++ b/test/control/fakerowstore.h
@@ -47,6 +47,20 @@
         m_unavailable = unavailable;
     }
 
+    // Returns how many transactions exceeded a limit of the store.
+    int rejections() const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_rejections;
+    }
+
+    // Limits the size of rows further.
+    void setMaxRowBytes(std::size_t bytes)
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_maxRowBytes = bytes;
+    }
+
     int commits() const
     {
         absl::MutexLock lock(&m_mutex);
@@ -77,6 +91,10 @@
             m_faults.pop_front();
         if (m_unavailable || fault == Fault::Refuse)
             return {CommitOutcome::Refused, 0, {}, "refused by the test"};
+        if (exceedsLimits(changes)) {
+            ++m_rejections;
+            return {CommitOutcome::Rejected, 0, {}, "the transaction or a row is too large"};
+        }
         if (fault == Fault::Delay) {
             m_delayed.push_back(changes);
             return {CommitOutcome::Unknown, 0, {}, "delayed by the test"};
@@ -127,6 +145,21 @@
     }
 
 private:
+    bool exceedsLimits(const RowChanges &changes) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    {
+        std::size_t bytes = 0;
+        bool rowTooLarge = false;
+        for (const StoredRow &put : changes.puts) {
+            bytes += sentSize(put);
+            rowTooLarge = rowTooLarge || put.value.size() > m_maxRowBytes;
+        }
+        for (const StoredRow &removal : changes.removals)
+            bytes += sentSize(removal);
+        return rowTooLarge || bytes > MaxTransactionBytes
+            || changes.conditions.size() + changes.puts.size() + changes.removals.size()
+            > MaxChanges;
+    }
+
     CommitResult apply(const RowChanges &changes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
     {
         CommitResult result;
@@ -157,6 +190,8 @@
     std::vector<RowChanges> m_delayed ABSL_GUARDED_BY(m_mutex);
     bool m_unavailable ABSL_GUARDED_BY(m_mutex) = false;
     int m_commits ABSL_GUARDED_BY(m_mutex) = 0;
+    int m_rejections ABSL_GUARDED_BY(m_mutex) = 0;
+    std::size_t m_maxRowBytes ABSL_GUARDED_BY(m_mutex) = MaxRowBytes;
     std::map<std::string, int> m_reads ABSL_GUARDED_BY(m_mutex);
 };
 
--- a/test/control/tst_entry.cpp
+++ b/test/control/tst_entry.cpp
@@ -83,6 +83,16 @@
         CHECK(f.store.applyDelayed() == 0);
 }
 
+// Guards against a caller that repeats a submission that the store will never take.
+TEST_CASE("a job that does not fit into a row is rejected and not stored")
+{
+    EntryFixture f;
+    workload::Job job = f.job();
+    job.steps[0].neededLabel = std::string(MaxRowBytes, 'x');
+    CHECK(f.entry.submit(job, f.deadlineIn(absl::Seconds(10))) == SubmitOutcome::TooLarge);
+    CHECK_FALSE(f.store.value(JobTable, job.id));
+}
+
 // Guards against refusing a job that a delayed transaction can still store.
 TEST_CASE("a submission in doubt at its deadline is not reported as refused")
 {
--- a/test/control/tst_leaderlog.cpp
+++ b/test/control/tst_leaderlog.cpp
@@ -57,6 +57,19 @@
     CHECK(second.epoch() == first.epoch() + 1);
 }
 
+// Guards against a leader that repeats a transaction without end that the store will never take.
+TEST_CASE("a rejected transaction is not repeated and does not end the leadership")
+{
+    testing::FakeRowStore store;
+    LeaderLog log(store, leadership("a"));
+    REQUIRE(log.acquire(std::nullopt));
+    const int before = store.commits();
+    const StoredRow large{ProgressTable, "j", std::string(MaxRowBytes + 1, 'x')};
+    CHECK(log.commit({large}, {}) == LeaderLog::Outcome::Rejected);
+    CHECK(store.commits() == before + 1);
+    CHECK(log.commit({{ProgressTable, "j", "x"}}, {}) == LeaderLog::Outcome::Committed);
+}
+
 // Guards against decisions of a leader that was suspended while another process became the leader.
 TEST_CASE("a deposed leader cannot store anything")
 {
--- a/test/deployment/tst_httprowstore.cpp
+++ b/test/deployment/tst_httprowstore.cpp
@@ -57,7 +57,10 @@
         {412, R"({"ver":412,"rows":[]})", control::CommitOutcome::Conflict},
         {503, "", control::CommitOutcome::Refused},
         {429, "", control::CommitOutcome::Refused},
-        {400, "", control::CommitOutcome::Refused},
+        {408, "", control::CommitOutcome::Refused},
+        {400, "", control::CommitOutcome::Rejected},
+        {403, "", control::CommitOutcome::Rejected},
+        {413, "", control::CommitOutcome::Rejected},
         {500, "", control::CommitOutcome::Unknown},
         {200, R"({"ver":41)", control::CommitOutcome::Unknown},
     }));
--- a/test/planning/tst_jobrecord.cpp
+++ b/test/planning/tst_jobrecord.cpp
@@ -45,7 +45,7 @@
 TEST_CASE("stored progress is restored")
 {
     JobRecord record(job(), absl::UnixEpoch());
-    REQUIRE(record.restore(Progress, absl::UnixEpoch()));
+    REQUIRE(record.restore({{"", Progress}}, absl::UnixEpoch()));
     CHECK(record.occurrences().size() == 2);
     const Task *task = record.task({"j", 0, 0, 0});
     REQUIRE(task);
@@ -59,6 +59,32 @@
     CHECK(next.encode() == record.encode());
 }
 
+// Guards against members of a gang that are started again after the others have completed, since a
+// process ended while it stored the parts of their progress.
+TEST_CASE("a gang of which one part is stored as completed is restored as completed")
+{
+    constexpr int Members = 4 * TasksPerPart;
+    workload::Job gang = job();
+    gang.scheduled = false;
+    gang.occurrences = 1;
+    gang.steps[0].tasks = Members;
+    gang.steps[0].gang = true;
+    // A second step, so that the job goes on.
+    gang.steps.push_back(gang.steps[0]);
+    gang.steps[1].after = {0};
+    JobRecord record(gang, absl::UnixEpoch());
+    for (int i = 0; i < Members; ++i)
+        record.start({"j", 0, 0, i}, 1, "w", absl::UnixEpoch());
+    ProgressRows rows = record.encode();
+    record.end({{"j", 0, 0, 0}, 1}, "w", RunEnd::Completed, {}, absl::UnixEpoch());
+    rows["0.0.2"] = record.encode().at("0.0.2");
+    JobRecord restored(gang, absl::UnixEpoch());
+    REQUIRE(restored.restore(rows, absl::UnixEpoch()));
+    for (int i = 0; i < Members; ++i)
+        CHECK(restored.task({"j", 0, 0, i})->phase == TaskPhase::Done);
+    CHECK(restored.differsFromStore());
+}
+
 // Guards against a row of another writer that ends each process that becomes the leader.
 TEST_CASE("progress with an odd state or next occurrence is rejected")
 {
@@ -74,7 +100,7 @@
     }));
     CAPTURE(c.what);
     JobRecord record(job(), absl::UnixEpoch());
-    CHECK_FALSE(record.restore(changed(c), absl::UnixEpoch()));
+    CHECK_FALSE(record.restore({{"", changed(c)}}, absl::UnixEpoch()));
 }
 
 // Guards against a row of another writer that hides the rows after it, or whose numbers overflow or
@@ -110,8 +136,8 @@
     }));
     CAPTURE(c.what);
     JobRecord record(job(), absl::UnixEpoch());
-    REQUIRE(record.restore(changed(c), absl::UnixEpoch()));
+    REQUIRE(record.restore({{"", changed(c)}}, absl::UnixEpoch()));
     JobRecord expected(job(), absl::UnixEpoch());
-    REQUIRE(expected.restore(Progress, absl::UnixEpoch()));
+    REQUIRE(expected.restore({{"", Progress}}, absl::UnixEpoch()));
     CHECK(record.encode() == expected.encode());
 }
--- a/test/planning/tst_planner.cpp
+++ b/test/planning/tst_planner.cpp
@@ -312,10 +312,10 @@
     REQUIRE(starts.size() == 2);
     f.confirm(starts);
     f.end(starts[0], RunEnd::Failed);
-    const std::string row = f.planner.job("a")->encode();
+    const ProgressRows rows = f.planner.job("a")->encode();
 
     PlannerFixture g(2);
-    REQUIRE(g.planner.restoreJob(g.job("a", 1, 2, 1, false), row, g.now));
+    REQUIRE(g.planner.restoreJob(g.job("a", 1, 2, 1, false), rows, g.now));
     CHECK(g.planner.hasActiveRun(starts[1].worker, starts[1].run));
     g.planner.runSeen(starts[1].worker, starts[1].run, {}, 10, g.now);
     const auto again = g.planStarts();
@@ -332,7 +332,7 @@
     PlannerFixture f(1);
     const std::string row =
         GENERATE(as<std::string>(), "", "[]", "{}", R"({"state":"asleep"})", "\xff");
-    CHECK_FALSE(f.planner.restoreJob(f.job("a", 1, 1, 1), row, f.now));
+    CHECK_FALSE(f.planner.restoreJob(f.job("a", 1, 1, 1), {{"", row}}, f.now));
 }
 
 // Guards against progress rows that refer to steps or tasks that the job does not have.
@@ -344,7 +344,7 @@
         R"({"state":"running","next":1,"open":[0],"gangs":[[0,7,1,1]],"tasks":[[0,9,0,1,1,0,"w0",""]]})",
         R"({"state":"running","next":1,"open":[0],"gangs":[["x"],[0]],"tasks":[[0],["a"]]})",
         R"({"state":"running","next":1,"open":[0],"tasks":[[0,0,-1,1,1,0,"w0",""]]})");
-    CHECK(f.planner.restoreJob(f.job("a", 1, 1, 1), row, f.now));
+    CHECK(f.planner.restoreJob(f.job("a", 1, 1, 1), {{"", row}}, f.now));
     CHECK(f.planStarts().size() == 1);
 }
 
