Start a job of many tasks as fast as its workers confirm

Cause: a job's tasks were all ordered at once, and an agent's orders sent in one call. An agent that needs longer than 2.5 s for them gets the stops of starts that it has not carried out, and the orders of other jobs wait behind them. From some thousand orders on the body of the call exceeded its limit. Change: a job has at most 16 unconfirmed starts on a worker, and 500 runs, which bounds the list that an agent sends. Jobs without unconfirmed starts do not wait for it; gangs start as a whole and are exempt. A call takes 16 orders, at first at most 8 of one job. Test: "a call with orders takes some of each job, in their sequence"; the pacing is covered by the test of large jobs. Not covered: a gang of 1,000 tasks, whose members do not start within the workers' time for a gang.

--- a/include/oleandercross/control/agentlink.h
+++ b/include/oleandercross/control/agentlink.h
@@ -14,6 +14,15 @@
 
 namespace oleandercross::control {
 
+// The orders of one call must fit into the body of a request, and an agent should carry them out
+// within the timeout of a call.
+inline constexpr std::size_t MaxOrdersPerCall = 16;
+// The part of a call that one job may use while orders of others are waiting.
+inline constexpr std::size_t MaxOrdersOfJobPerCall = 8;
+
+// Removes the orders of the next call from the waiting ones. The orders of a job stay in sequence.
+std::vector<planning::Order> takeOrders(std::vector<planning::Order> &waiting);
+
 // The leader's connection to one agent. One thread polls the state of the agent's worker, another
 // one sends orders.
 class AgentLink
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -7,6 +7,7 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <map>
 
 namespace oleandercross::control {
 
@@ -21,6 +22,25 @@
 
 } // namespace
 
+std::vector<planning::Order> takeOrders(std::vector<planning::Order> &waiting)
+{
+    std::vector<planning::Order> taken;
+    const auto take = [&](std::size_t limitOfJob) {
+        std::map<std::string, std::size_t> takenOfJob;
+        std::vector<planning::Order> left;
+        for (planning::Order &order : waiting) {
+            const bool fits =
+                taken.size() < MaxOrdersPerCall && takenOfJob[order.run.task.job] < limitOfJob;
+            takenOfJob[order.run.task.job] += fits ? 1 : 0;
+            (fits ? taken : left).push_back(std::move(order));
+        }
+        waiting = std::move(left);
+    };
+    take(MaxOrdersOfJobPerCall);
+    take(MaxOrdersPerCall);
+    return taken;
+}
+
 AgentLink::AgentLink(std::string agent, http::Endpoint address, Term term, rpc::Client &client,
                      Callbacks callbacks)
     : m_agent(std::move(agent))
@@ -234,8 +254,9 @@
             m_mutex.Await(absl::Condition(this, &AgentLink::hasWork));
             if (m_stopping)
                 return;
-            call = m_pending;
-            m_pending.orders.clear();
+            call.workerIncarnation = m_pending.workerIncarnation;
+            call.acknowledged = m_pending.acknowledged;
+            call.orders = takeOrders(m_pending.orders);
             m_acknowledge = false;
             call.term = m_term;
             call.renewUntilMs = permitUntilMs();
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -317,6 +317,7 @@
     const bool reserved = round.inUrgentReserve[static_cast<std::size_t>(index)]
         && unit.record->job().terms.priority > 0;
     return worker.accepting && hasLabel(worker, unit.spec->neededLabel)
+        && (unit.spec->gang || round.mayGetStart(index, unit.record))
         && (!reserved || mayUseUrgentReserve(unit, worker, round.now));
 }
 
@@ -373,7 +374,8 @@
             shared.reset();
             continue;
         }
-        if (!canShare)
+        const int worker = round.indexOf(task.worker);
+        if (!canShare || (worker != Round::NoWorker && !round.mayGetStart(worker, unit.record)))
             shared.reset();
     }
 }
@@ -443,6 +445,7 @@
             m_tasksByWorker[worker].insert(key);
             round.free(index) = round.free(index) - unit.spec->perTask;
             round.recordRun(index, true, task->isSuspect());
+            round.recordJobRun(index, unit.record, false);
             round.plan.orders.push_back({Order::Kind::Start,
                                          worker,
                                          {key, task->run},
--- a/src/planning/planninground.cpp
+++ b/src/planning/planninground.cpp
@@ -30,6 +30,27 @@
     onProbation[index] = onProbation[index] || (recent && suspect);
 }
 
+void Planner::Round::recordJobRun(int worker, const JobRecord *record, bool confirmed)
+{
+    JobRuns &runs = jobRuns[{worker, record}];
+    ++runs.active;
+    if (confirmed)
+        return;
+    ++runs.unconfirmed;
+    ++unconfirmedStarts[static_cast<std::size_t>(worker)];
+}
+
+bool Planner::Round::mayGetStart(int worker, const JobRecord *record) const
+{
+    const auto found = jobRuns.find({worker, record});
+    if (found == jobRuns.end())
+        return true;
+    const JobRuns &runs = found->second;
+    return runs.active < MaxRunsOfJobOnWorker && runs.unconfirmed < MaxUnconfirmedStartsOfJob
+        && (runs.unconfirmed == 0
+            || unconfirmedStarts[static_cast<std::size_t>(worker)] < MaxUnconfirmedStarts);
+}
+
 void Planner::indexWorkers(Round &round) const
 {
     std::vector<std::string> rackNames;
@@ -54,6 +75,7 @@
     round.busy.resize(round.workers.size());
     round.hasRecentStart.resize(round.workers.size());
     round.onProbation.resize(round.workers.size());
+    round.unconfirmedStarts.resize(round.workers.size());
     for (const auto &[key, demand] : m_heldByEndingMembers)
         round.deduct(key, demand, 1);
 }
@@ -76,6 +98,7 @@
                         continue;
                     round.free(worker) = round.free(worker) - spec.perTask;
                     round.recordRun(worker, task.startedRecently(round.now), task.isSuspect());
+                    round.recordJobRun(worker, record, task.running || task.stopRequested);
                 }
             }
         }
--- a/src/planning/planninground.h
+++ b/src/planning/planninground.h
@@ -44,6 +44,13 @@
 struct Planner::Round
 {
     static constexpr int NoWorker = -1;
+    // An agent must carry out the starts that wait for it before they are revoked. A job of many
+    // tasks therefore waits for confirmations, and jobs that have no such starts do not wait for
+    // it. Gangs start as a whole and are exempt.
+    static constexpr int MaxUnconfirmedStarts = 64;
+    static constexpr int MaxUnconfirmedStartsOfJob = 16;
+    // Bounds the list of a worker's runs, which its agent sends with each change.
+    static constexpr int MaxRunsOfJobOnWorker = 500;
 
     core::Instant now;
     Plan plan;
@@ -59,6 +66,17 @@
     std::vector<bool> busy;
     std::vector<bool> hasRecentStart;
     std::vector<bool> onProbation;
+    // The number of starts that a worker has not confirmed.
+    std::vector<int> unconfirmedStarts;
+
+    // The active runs of one job on one worker.
+    struct JobRuns
+    {
+        int active = 0;
+        int unconfirmed = 0;
+    };
+
+    std::map<std::pair<int, const JobRecord *>, JobRuns> jobRuns;
     // Workers reserved for upcoming jobs of priority 0.
     std::vector<bool> inUrgentReserve;
     RackIndex racks;
@@ -89,6 +107,10 @@
     const Worker &worker(int index) const { return *workers[static_cast<std::size_t>(index)]; }
     workload::Demand &free(int index) { return freeCapacity[static_cast<std::size_t>(index)]; }
     void recordRun(int worker, bool recent, bool suspect);
+    // Counts an active run of a job.
+    void recordJobRun(int worker, const JobRecord *record, bool confirmed);
+    // Returns true if the worker may get another start of the job.
+    bool mayGetStart(int worker, const JobRecord *record) const;
     // Subtracts `count` tasks from, or with a negative count adds them to, the free capacity of a
     // worker if it is known.
     void deduct(const std::string &worker, const workload::Demand &perTask, int count);
--- a/test/control/tst_largejobs.cpp
+++ b/test/control/tst_largejobs.cpp
@@ -90,6 +90,33 @@
     CHECK(rows->rows.size() == 2);
 }
 
+// Guards against a job whose orders wait until those of another job of many tasks have been sent,
+// so that its starts are revoked before they are carried out.
+TEST_CASE("a call with orders takes some of each job, in their sequence")
+{
+    std::vector<planning::Order> waiting;
+    const auto add = [&waiting](const std::string &job, int index) {
+        planning::Order order;
+        order.run = {{job, 0, 0, index}, 1};
+        waiting.push_back(order);
+    };
+    for (int i = 0; i < 40; ++i)
+        add(LargeJob, i);
+    add(SmallJob, 0);
+    std::vector<int> sequence;
+    for (const planning::Order &order : takeOrders(waiting)) {
+        if (order.run.task.job == LargeJob)
+            sequence.push_back(order.run.task.index);
+    }
+    CHECK(waiting.size() == 41 - MaxOrdersPerCall);
+    CHECK(sequence.size() == MaxOrdersPerCall - 1);
+    for (const planning::Order &order : waiting) {
+        CHECK(order.run.task.job == LargeJob);
+        sequence.push_back(order.run.task.index);
+    }
+    CHECK(std::is_sorted(sequence.begin(), sequence.end()));
+}
+
 // Guards against one job whose progress the store rejects, for whatever reason, stopping all
 // others.
 TEST_CASE("a job whose progress the store rejects is failed, and the others go on")
