Count all waiting jobs before telling their number

Callers were told too small numbers of waiting jobs for some milliseconds after a takeover. Cause: a leader answered as soon as it had read the job table, while its first round was still adding the jobs. Evidence: "a new leader tells the number of waiting jobs only once it has counted all" on the code before: 207, 0 and 0 of 3,000 in three runs. Change: the number is known once the first round has added all jobs; before, callers get 503. Result: 3,000 at once.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -177,7 +177,9 @@
     core::CondVar m_workArrived;
     bool m_workPending ABSL_GUARDED_BY(m_mutex) = false;
     std::map<std::string, View> m_views ABSL_GUARDED_BY(m_mutex);
+    // The job table has been read, and its jobs have been added to the views.
     bool m_loaded ABSL_GUARDED_BY(m_mutex) = false;
+    bool m_viewsComplete ABSL_GUARDED_BY(m_mutex) = false;
     std::atomic<bool> m_stopping = false;
     std::atomic<bool> m_deposed = false;
     std::unique_ptr<TableFollower> m_jobFollower;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -106,7 +106,7 @@
 std::optional<int> Leader::queueLength(const std::string &queue) const
 {
     absl::MutexLock lock(&m_mutex);
-    if (!m_loaded)
+    if (!m_viewsComplete)
         return core::fail(core::ResultCode::NotReady, "the leader is still reading the jobs");
     int count = 0;
     for (const auto &[id, view] : m_views) {
@@ -207,6 +207,11 @@
     }
     for (const StoredRow &row : inbox.jobRows)
         applyJobRow(row, now);
+    {
+        // The first round begins after the job table has been read.
+        absl::MutexLock lock(&m_mutex);
+        m_viewsComplete = true;
+    }
     if (inbox.agents)
         applyAgents(*std::move(inbox.agents));
     for (const OrderResults &results : inbox.results)
--- a/test/control/tst_largejobs.cpp
+++ b/test/control/tst_largejobs.cpp
@@ -1,6 +1,10 @@
 #include "simulatedworker.h"
 #include "testprocesses.h"
 
+#include <oleandercross/workload/codec.h>
+
+#include <absl/strings/str_format.h>
+
 using namespace oleandercross;
 using namespace oleandercross::control;
 using namespace oleandercross::control::testing;
@@ -117,6 +121,27 @@
     CHECK(std::is_sorted(sequence.begin(), sequence.end()));
 }
 
+// Guards against telling callers a number of waiting jobs that counts only those that a new leader
+// has looked at so far.
+TEST_CASE("a new leader tells the number of waiting jobs only once it has counted all")
+{
+    constexpr int JobCount = 3000;
+    FakeRowStore store;
+    for (int i = 0; i < JobCount; ++i) {
+        const workload::Job waiting = job(absl::StrFormat("%016x", i), 1);
+        RowChanges changes;
+        changes.puts.push_back({JobTable, waiting.id, workload::encodeJob(waiting)});
+        REQUIRE(store.commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
+    }
+    EntryProcess entry(store, "front");
+    std::optional<int> count;
+    REQUIRE(waitUntil([&] {
+        count = entry.entry.queueLength("q", nearDeadline());
+        return count.has_value();
+    }));
+    CHECK(*count == JobCount);
+}
+
 // Guards against one job whose progress the store rejects, for whatever reason, stopping all
 // others.
 TEST_CASE("a job whose progress the store rejects is failed, and the others go on")
