Try a task elsewhere that its worker refuses to start

Callers saw a task wait beside idle workers while it was offered every 0.26 s to one that refused each start. Cause: a refusal freed the task but left no trace, so that the placement, which prefers the fullest worker, chose the same one again. Evidence: "a task that a worker refuses to start is tried elsewhere": one worker tried in three rounds on the code before. Change: the workers that refused a task are avoided for it like those on which it failed, and used again if more than half as many refuse as are left. A refusal is no failure: it counts against neither the job's attempts nor the worker. Result: three workers tried in three rounds.

--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -74,8 +74,10 @@
     // if the run started from a checkpoint or the record was restored.
     int rateBasePercent = 0;
     core::Instant rateBaseAt = absl::InfinitePast();
-    // Keys of the workers on which a run of this task failed.
+    // Keys of the workers on which a run of this task failed, and of those that refused to start
+    // one.
     std::set<std::string> workersWithFailedRuns;
+    std::set<std::string> refusingWorkers;
     // The run has saved a new checkpoint.
     bool savedCheckpoint = false;
     // The run did not start from a checkpoint, so its progress allows an estimate of the run time.
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -303,9 +303,11 @@
     std::vector<bool> failed(round.workers.size());
     for (const int index : unit.taskIndices) {
         const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
-        for (const std::string &key : task.workersWithFailedRuns) {
-            if (const int worker = round.indexOf(key); worker != Round::NoWorker)
-                failed[static_cast<std::size_t>(worker)] = true;
+        for (const auto *keys : {&task.workersWithFailedRuns, &task.refusingWorkers}) {
+            for (const std::string &key : *keys) {
+                if (const int worker = round.indexOf(key); worker != Round::NoWorker)
+                    failed[static_cast<std::size_t>(worker)] = true;
+            }
         }
     }
     return failed;
@@ -360,8 +362,8 @@
             return;
         one.taskIndices = {index};
         const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
-        const bool canShare =
-            unit.spec->maxPerWorker == 0 && task.workersWithFailedRuns.empty() && !task.isSuspect();
+        const bool canShare = unit.spec->maxPerWorker == 0 && task.workersWithFailedRuns.empty()
+            && task.refusingWorkers.empty() && !task.isSuspect();
         if (!canShare || !shared) {
             shared = request(one, round);
             if (waited < rackWait)
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -313,6 +313,7 @@
     // Only a confirmed stop proves that the run cannot start later.
     Task *task = find(run.task.job)->task(run.task);
     requestStop(*task, "refused");
+    task->refusingWorkers.insert(worker);
 }
 
 void Planner::requestStop(Task &task, const std::string &reason)
--- a/test/planning/tst_planner.cpp
+++ b/test/planning/tst_planner.cpp
@@ -348,6 +348,26 @@
     CHECK(f.planStarts().size() == 1);
 }
 
+// Guards against a task that is offered again and again to a worker that refuses it, beside idle
+// ones.
+TEST_CASE("a task that a worker refuses to start is tried elsewhere")
+{
+    PlannerFixture f(4);
+    f.planner.addJob(f.job("a", 1, 1, 1, false), f.now);
+    std::set<std::string> tried;
+    for (int i = 0; i < 3; ++i) {
+        const auto starts = f.planStarts();
+        REQUIRE(starts.size() == 1);
+        tried.insert(starts[0].worker);
+        f.planner.startRefused(starts[0].worker, starts[0].run);
+        f.planner.runAbsent(starts[0].worker, starts[0].run);
+        f.advanceTime(absl::Milliseconds(300));
+    }
+    CHECK(tried.size() == 3);
+    // With few workers left that have not refused it, those that have are used again.
+    CHECK(f.planStarts().size() == 1);
+}
+
 // Guards against reusing the capacity of a completed gang's member that its worker still runs.
 TEST_CASE("capacity of a completed gang's member is reused once its worker lists the end")
 {
