Place work by its expected end where workers have uneven speeds

What callers saw: urgent gangs ran at the pace of a slow member and were late while fast workers held work with much slack.

--- a/include/oleandercross/planning/placement.h
+++ b/include/oleandercross/planning/placement.h
@@ -99,6 +99,8 @@
     std::vector<int> penalties;
     // Speed classes by worker index, 0 for the fastest. Faster workers are preferred.
     std::vector<int> speedClasses;
+    // A rack with faster workers is preferred to one that the tasks fill better.
+    bool preferFastRacks = false;
     // Workers on this rack are preferred; RackIndex::NoRack for no preference.
     int preferredRack = RackIndex::NoRack;
     // All tasks must be on the same rack.
@@ -127,5 +129,8 @@
 // `capacities` by worker index.
 bool fitsOnSingleRack(const PlacementRequest &request, const RackIndex &racks,
                       const std::vector<workload::Demand> &capacities);
+// The same on the workers of all racks together.
+bool fitsOnAllRacks(const PlacementRequest &request,
+                    const std::vector<workload::Demand> &capacities);
 
 } // namespace oleandercross::planning
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -180,6 +180,26 @@
     void forEachActiveTask(const std::string &worker,
                            const std::function<void(const workload::TaskKey &, Task &)> &visit);
     PlacementRequest request(const SchedulingUnit &unit, const Round &round) const;
+    // Returns the speed class of each worker for the unit: fast workers come first for urgent work,
+    // and last for work that ends in time on slow ones.
+    static std::vector<int> speedClasses(const SchedulingUnit &unit, const Round &round);
+    // Returns true if tasks may be spread over idle workers to learn their speeds, although this
+    // leaves fewer whole workers for gangs.
+    static bool hasIdleWorkersToMeasure(const Round &round);
+    // Returns true if the unit is expected to end before its deadline if it starts on the worker.
+    static bool endsInTime(const SchedulingUnit &unit, int worker, const Round &round);
+    // Returns the request, restricted in turn to the groups of workers on which a gang is placed
+    // best, so that its members have like speeds. Empty if the workers have like speeds anyway.
+    static std::vector<PlacementRequest> bySpeed(const SchedulingUnit &unit,
+                                                 const PlacementRequest &request,
+                                                 const Round &round);
+    // Returns the request of an urgent unit without the workers on which it would end late, if
+    // workers have uneven speeds; other requests unchanged.
+    static PlacementRequest onWorkersInTime(const SchedulingUnit &unit,
+                                            const PlacementRequest &request, const Round &round);
+    // Returns true if the unit should rather wait than start on workers that make it late.
+    static bool waitsForWorkersInTime(const SchedulingUnit &unit, const PlacementRequest &request,
+                                      const PlacementRequest &inTime, const Round &round);
     // Returns how many more tasks of the step each worker may get.
     static std::vector<int> taskLimits(const SchedulingUnit &unit, const Round &round);
     // Returns true if a pending task of the unit is suspected to crash workers and has been started
@@ -205,7 +225,14 @@
     static bool isAboutToBeLate(const SchedulingUnit &unit, core::Instant now);
     double preemptionBudget(const SchedulingUnit &unit, core::Instant now) const;
     static void deductReservation(const SchedulingUnit &unit, Round &round);
+    // Returns how long the unit waits for its preferred rack, or for a single rack.
+    static absl::Duration longestRackWait(const SchedulingUnit &unit);
+    void placeGang(const SchedulingUnit &unit, Round &round);
     bool tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
+    // Place the unit on free capacity, and on capacity that is freed by pre-emption or is already
+    // reserved for it. Return false if there is none.
+    bool tryFree(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
+    bool tryPreempt(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
     void startTasks(const SchedulingUnit &unit, const std::map<int, int> &tasks, Round &round);
     static void preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round);
 
--- a/src/planning/placement.cpp
+++ b/src/planning/placement.cpp
@@ -221,6 +221,13 @@
     return DomainPlacer(request, racks, freeCapacity, victims, domain).placeTasks();
 }
 
+std::vector<int> allWorkers(std::size_t count)
+{
+    std::vector<int> workers(count);
+    std::iota(workers.begin(), workers.end(), 0);
+    return workers;
+}
+
 // Returns the accelerators of the domain that are free before the placement, minus those that it
 // uses; capacity freed by victims does not count. The smaller, the better the fit.
 std::int64_t leftoverAccelerators(const Placement &placed, const PlacementRequest &request,
@@ -246,6 +253,15 @@
                            });
 }
 
+// Returns the class of the slowest worker, whose pace is that of a gang.
+int slowestClass(const Placement &placed, const PlacementRequest &request)
+{
+    int slowest = std::numeric_limits<int>::min();
+    for (const auto &[worker, count] : placed.tasks)
+        slowest = std::max(slowest, valueAt(request.speedClasses, worker));
+    return slowest;
+}
+
 } // namespace
 
 RackIndex::RackIndex(const std::vector<std::string> &rackNames)
@@ -302,12 +318,12 @@
                                const FreeCapacity &freeCapacity, const VictimIndex *victims)
 {
     if (!request.singleRack) {
-        std::vector<int> all(racks.workerCount());
-        std::iota(all.begin(), all.end(), 0);
-        return placeInDomain(request, racks, freeCapacity, victims, all);
+        return placeInDomain(request, racks, freeCapacity, victims,
+                             allWorkers(racks.workerCount()));
     }
     std::optional<Placement> best;
-    std::tuple<double, int, bool, std::int64_t> bestRank;
+    using Rank = std::tuple<double, int, bool, int, std::int64_t>;
+    Rank bestRank;
     for (std::size_t rack = 0; rack < racks.workersByRack().size(); ++rack) {
         const std::vector<int> &domain = racks.workersByRack()[rack];
         std::optional<Placement> placed =
@@ -316,9 +332,9 @@
             continue;
         const bool offPreferredRack = request.preferredRack != RackIndex::NoRack
             && static_cast<int>(rack) != request.preferredRack;
-        const std::tuple<double, int, bool, std::int64_t> rank = {
-            placed->cost, totalPenalty(*placed, request), offPreferredRack,
-            leftoverAccelerators(*placed, request, freeCapacity, domain)};
+        const Rank rank = {placed->cost, totalPenalty(*placed, request), offPreferredRack,
+                           request.preferFastRacks ? slowestClass(*placed, request) : 0,
+                           leftoverAccelerators(*placed, request, freeCapacity, domain)};
         if (!best || rank < bestRank) {
             best = std::move(placed);
             bestRank = rank;
@@ -337,4 +353,11 @@
                        });
 }
 
+bool fitsOnAllRacks(const PlacementRequest &request,
+                    const std::vector<workload::Demand> &capacities)
+{
+    return maxPlaceableTasks(request, capacities, nullptr, allWorkers(capacities.size()))
+        >= request.tasks;
+}
+
 } // namespace oleandercross::planning
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -231,7 +231,8 @@
     request.preferredRack = round.racks.find(unit.spec->inputRack);
     request.taskLimits.resize(workerCount);
     request.penalties.resize(workerCount);
-    request.speedClasses = round.speedClasses;
+    request.speedClasses = speedClasses(unit, round);
+    request.preferFastRacks = round.unevenSpeeds;
     const std::vector<int> limits = taskLimits(unit, round);
     const std::vector<bool> failedHere = workersWithFailedRuns(unit, round);
     const bool suspect = isSuspect(unit, round.now);
@@ -330,6 +331,35 @@
         round.deduct(worker, unit.spec->perTask, count);
 }
 
+absl::Duration Planner::longestRackWait(const SchedulingUnit &unit)
+{
+    return unit.guaranteed ? GuaranteedRackWait : std::min(MaxRackWait, unit.taskTime);
+}
+
+void Planner::placeGang(const SchedulingUnit &unit, Round &round)
+{
+    PlacementRequest wanted = request(unit, round);
+    wanted.tasks = static_cast<int>(unit.taskIndices.size());
+    wanted.singleRack =
+        unit.spec->sameRack && fitsOnSingleRack(wanted, round.racks, round.capacities);
+    for (const PlacementRequest &restricted : bySpeed(unit, wanted, round)) {
+        if (tryFree(unit, restricted, round))
+            return;
+    }
+    const PlacementRequest inTime = onWorkersInTime(unit, wanted, round);
+    if (waitsForWorkersInTime(unit, wanted, inTime, round)) {
+        tryPreempt(unit, inTime, round);
+        return;
+    }
+    if (tryFree(unit, wanted, round))
+        return;
+    if (tryPreempt(unit, wanted, round) || !wanted.singleRack
+        || round.now - unit.progress->readySince < longestRackWait(unit))
+        return;
+    wanted.singleRack = false;
+    tryPlace(unit, wanted, round);
+}
+
 void Planner::placeUnit(const SchedulingUnit &unit, Round &round)
 {
     // Returns the capacity of the step's own reservation before the step is placed.
@@ -337,20 +367,12 @@
         round.deduct(worker, unit.spec->perTask, -count);
     if (round.now >= unit.progress->reservedUntil)
         unit.progress->reservation.clear();
-    const absl::Duration waited = round.now - unit.progress->readySince;
-    const absl::Duration rackWait =
-        unit.guaranteed ? GuaranteedRackWait : std::min(MaxRackWait, unit.taskTime);
     if (unit.spec->gang) {
-        PlacementRequest wanted = request(unit, round);
-        wanted.tasks = static_cast<int>(unit.taskIndices.size());
-        wanted.singleRack =
-            unit.spec->sameRack && fitsOnSingleRack(wanted, round.racks, round.capacities);
-        if (tryPlace(unit, wanted, round) || !wanted.singleRack || waited < rackWait)
-            return;
-        wanted.singleRack = false;
-        tryPlace(unit, wanted, round);
+        placeGang(unit, round);
         return;
     }
+    const absl::Duration waited = round.now - unit.progress->readySince;
+    const absl::Duration rackWait = longestRackWait(unit);
     auto parallel = std::count_if(unit.progress->tasks.begin(), unit.progress->tasks.end(),
                                   [](const Task &t) { return t.phase == TaskPhase::Active; });
     const int maxParallel = maxParallelTasks(unit, round);
@@ -378,6 +400,10 @@
             continue;
         }
         const int worker = round.indexOf(task.worker);
+        // A worker of unknown speed gets one task of the step before the others.
+        if (worker != Round::NoWorker
+            && shared->speedClasses[static_cast<std::size_t>(worker)] == UnmeasuredClass)
+            shared->speedClasses[static_cast<std::size_t>(worker)] = AverageClass;
         if (!canShare || (worker != Round::NoWorker && !round.mayGetStart(worker, unit.record)))
             shared.reset();
     }
@@ -402,10 +428,20 @@
 
 bool Planner::tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
 {
-    if (const auto placed = place(request, round.racks, round.freeCapacity, nullptr)) {
-        startTasks(unit, placed->tasks, round);
-        return true;
-    }
+    return tryFree(unit, request, round) || tryPreempt(unit, request, round);
+}
+
+bool Planner::tryFree(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
+{
+    const auto placed = place(request, round.racks, round.freeCapacity, nullptr);
+    if (!placed)
+        return false;
+    startTasks(unit, placed->tasks, round);
+    return true;
+}
+
+bool Planner::tryPreempt(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
+{
     if (!unit.progress->reservation.empty()) {
         deductReservation(unit, round);
         return true;
--- a/src/planning/planninground.cpp
+++ b/src/planning/planninground.cpp
@@ -9,6 +9,32 @@
 // Relative speeds above which a worker is in the fast class and up to which it is in the slow one.
 constexpr double MinFastSpeed = 1.1;
 constexpr double MaxSlowSpeed = 0.9;
+// A less certain speed counts as average, since each preference fragments the free capacity.
+constexpr double MinClassConfidence = 0.7;
+// Speeds are uneven if the tenth fastest of a hundred workers has at least this multiple of the
+// speed of the tenth slowest. Below it, choosing workers by speed gains less than the fragmentation
+// that it causes.
+constexpr double UnevenSpeedRatio = 1.6;
+constexpr double OuterFraction = 0.1;
+// Only workers whose speed is at least this certain count, and so many are needed: among few, one
+// or two misjudged ones would decide.
+constexpr double MinConfidence = 0.4;
+constexpr std::size_t MinMeasuredWorkers = 16;
+
+bool areUneven(const std::vector<double> &speeds, const std::vector<double> &confidence)
+{
+    std::vector<double> measured;
+    for (std::size_t i = 0; i < speeds.size(); ++i) {
+        if (confidence[i] >= MinConfidence)
+            measured.push_back(speeds[i]);
+    }
+    if (measured.size() < MinMeasuredWorkers)
+        return false;
+    std::sort(measured.begin(), measured.end());
+    const auto outer =
+        static_cast<std::size_t>(OuterFraction * static_cast<double>(measured.size()));
+    return measured[measured.size() - 1 - outer] >= UnevenSpeedRatio * measured[outer];
+}
 
 } // namespace
 
@@ -25,6 +51,8 @@
 void Planner::Round::recordRun(int worker, bool recent, bool suspect)
 {
     const auto index = static_cast<std::size_t>(worker);
+    if (!busy[index] && workers[index]->accepting)
+        --idleCount;
     busy[index] = true;
     hasRecentStart[index] = hasRecentStart[index] || recent;
     onProbation[index] = onProbation[index] || (recent && suspect);
@@ -60,6 +88,7 @@
         round.workers.push_back(&worker);
         round.capacities.push_back(worker.capacity);
         round.freeCapacity.push_back(worker.capacity - worker.orphanedDemand);
+        round.acceptingCount += worker.accepting ? 1 : 0;
         rackNames.push_back(worker.rack);
         auto same =
             std::find_if(round.workerClasses.begin(), round.workerClasses.end(),
@@ -71,6 +100,7 @@
         ++same->count;
         round.classes.push_back(static_cast<int>(same - round.workerClasses.begin()));
     }
+    round.idleCount = round.acceptingCount;
     round.racks = RackIndex(rackNames);
     round.busy.resize(round.workers.size());
     round.hasRecentStart.resize(round.workers.size());
@@ -110,14 +140,19 @@
     for (const Worker *worker : round.workers) {
         round.suspicionLevels.push_back(m_health.suspicionLevel(worker->key, round.now));
         round.speedClasses.push_back(speedClass(worker->key));
+        round.speeds.push_back(m_speeds.speed(worker->key));
+        round.speedConfidence.push_back(m_speeds.confidence(worker->key));
     }
+    round.unevenSpeeds = areUneven(round.speeds, round.speedConfidence);
     round.inUrgentReserve.resize(round.workers.size());
 }
 
 int Planner::speedClass(const std::string &worker) const
 {
+    if (m_speeds.confidence(worker) < MinClassConfidence)
+        return AverageClass;
     const double speed = m_speeds.speed(worker);
-    return speed > MinFastSpeed ? 0 : speed > MaxSlowSpeed ? 1 : 2;
+    return speed > MinFastSpeed ? FastestClass : speed > MaxSlowSpeed ? AverageClass : SlowestClass;
 }
 
 } // namespace oleandercross::planning
--- a/src/planning/planninground.h
+++ b/src/planning/planninground.h
@@ -30,6 +30,13 @@
     }
 };
 
+// Speed classes, see PlacementRequest::speedClasses. The first is that of a worker of unknown speed
+// for work that may measure it.
+inline constexpr int UnmeasuredClass = -1;
+inline constexpr int FastestClass = 0;
+inline constexpr int AverageClass = 1;
+inline constexpr int SlowestClass = 2;
+
 // Workers of a service with the same capacity.
 struct WorkerClass
 {
@@ -61,6 +68,13 @@
     FreeCapacity freeCapacity;
     std::vector<int> suspicionLevels;
     std::vector<int> speedClasses;
+    std::vector<double> speeds;
+    std::vector<double> speedConfidence;
+    // Accepting workers, and those of them without active runs.
+    std::size_t acceptingCount = 0;
+    std::size_t idleCount = 0;
+    // Some workers take much longer than others for the same work.
+    bool unevenSpeeds = false;
     // Workers with active runs, with runs that started recently, and with such runs of suspected
     // tasks.
     std::vector<bool> busy;
