Trust one measured run of a worker where speeds are uneven

Cause: the bound on confidence that keeps nearly even speeds from fragmenting the cluster also applied where speeds are uneven, where one complete run gives 0.65.

Change: the bound is 0.4 where speeds are uneven, 0.7 otherwise.

--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -210,8 +210,6 @@
     // is recent, and nothing starts beside it until it has run for a while.
     static bool mayShareWorker(bool suspect, int worker, const Round &round);
     static std::vector<bool> workersWithFailedRuns(const SchedulingUnit &unit, const Round &round);
-    // Returns the speed class of the worker, see PlacementRequest.
-    int speedClass(const std::string &worker) const;
     // Returns true if a worker of a suitable class may run the unit's tasks.
     bool isEligible(const SchedulingUnit &unit, int worker, const Round &round) const;
     // Restricts the request to the workers on the rack of the input data, if there are any.
--- a/src/planning/planninground.cpp
+++ b/src/planning/planninground.cpp
@@ -9,7 +9,8 @@
 // Relative speeds above which a worker is in the fast class and up to which it is in the slow one.
 constexpr double MinFastSpeed = 1.1;
 constexpr double MaxSlowSpeed = 0.9;
-// A less certain speed counts as average, since each preference fragments the free capacity.
+// While speeds are nearly even, a less certain one counts as average, since each preference
+// fragments the free capacity.
 constexpr double MinClassConfidence = 0.7;
 // Speeds are uneven if the tenth fastest of a hundred workers has at least this multiple of the
 // speed of the tenth slowest. Below it, choosing workers by speed gains less than the fragmentation
@@ -21,6 +22,11 @@
 constexpr double MinConfidence = 0.4;
 constexpr std::size_t MinMeasuredWorkers = 16;
 
+int speedClass(double speed)
+{
+    return speed > MinFastSpeed ? FastestClass : speed > MaxSlowSpeed ? AverageClass : SlowestClass;
+}
+
 bool areUneven(const std::vector<double> &speeds, const std::vector<double> &confidence)
 {
     std::vector<double> measured;
@@ -139,20 +145,15 @@
 {
     for (const Worker *worker : round.workers) {
         round.suspicionLevels.push_back(m_health.suspicionLevel(worker->key, round.now));
-        round.speedClasses.push_back(speedClass(worker->key));
         round.speeds.push_back(m_speeds.speed(worker->key));
         round.speedConfidence.push_back(m_speeds.confidence(worker->key));
     }
     round.unevenSpeeds = areUneven(round.speeds, round.speedConfidence);
+    const double minConfidence = round.unevenSpeeds ? MinConfidence : MinClassConfidence;
+    for (std::size_t i = 0; i < round.workers.size(); ++i)
+        round.speedClasses.push_back(
+            round.speedConfidence[i] < minConfidence ? AverageClass : speedClass(round.speeds[i]));
     round.inUrgentReserve.resize(round.workers.size());
 }
 
-int Planner::speedClass(const std::string &worker) const
-{
-    if (m_speeds.confidence(worker) < MinClassConfidence)
-        return AverageClass;
-    const double speed = m_speeds.speed(worker);
-    return speed > MinFastSpeed ? FastestClass : speed > MaxSlowSpeed ? AverageClass : SlowestClass;
-}
-
 } // namespace oleandercross::planning
