Start nothing on workers of closed data centres

Callers saw: nothing yet. An operator who closed a data centre had no effect; work was placed there as before.

Cause: the planner knew no data centre of a worker. The heartbeat's field was checked and dropped.

Ruled out: marking the workers as not accepting. An unconfirmed start would be repeated there, and waves would still count them.

Change: `Planner::setClosedDataCentres()`. Closed workers get no placement, no reservation, no place in the urgent reserve, no part in the width of a wave and no repeated start. Runs there that their worker has not confirmed are stopped and placed elsewhere once they are known to be absent; gangs with such a member are stopped whole. A start that the agent refused for the closure is placed elsewhere at once if its order was sent only once. `setStartsSuspended()` is for a leader that does not know what is closed. Gangs of priority 0 prefer warm workers.

--- a/include/oleandercross/planning/cluster.h
+++ b/include/oleandercross/planning/cluster.h
@@ -17,6 +17,7 @@
     std::string agent;
     std::string service;
     std::string rack;
+    std::string dataCentre;
     std::vector<std::string> labels;
     workload::Demand capacity;
     // True if the worker is registered, reachable and not draining.
@@ -24,6 +25,8 @@
     bool draining = false;
     // The earliest time at which a draining worker leaves.
     core::Instant leavesAt = absl::InfiniteFuture();
+    // Until this time the worker is slow because it has started recently.
+    core::Instant warmAt = absl::InfinitePast();
     // Resources held by orphaned runs, which are being stopped, and by members of completed gangs
     // that have not ended yet.
     workload::Demand orphanedDemand;
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -61,6 +61,12 @@
     // Sets the accelerators guaranteed to each account's jobs of priority 0.
     void setGuarantees(std::map<std::string, std::int64_t> accelerators);
 
+    // Replaces the data centres that are closed to new work. Nothing is started on their workers;
+    // confirmed runs there continue.
+    void setClosedDataCentres(std::set<std::string> names);
+    // While starts are suspended, plan() orders no start and stops nothing to make room for one.
+    void setStartsSuspended(bool suspended) { m_startsSuspended = suspended; }
+
     // Adds a job that was accepted `age` ago. Ignored if the job is already recorded.
     void addJob(workload::Job job, core::Instant now, absl::Duration age = absl::ZeroDuration());
     // Adds or replaces a job with progress stored by an earlier leader. Fails if
@@ -98,6 +104,10 @@
     // Handles the worker's refusal to start a run.
     void startRefused(const std::string &worker, const workload::RunKey &run);
 
+    // Handles the agent's refusal of a start because the worker's data centre is closed. The agent
+    // has not sent the start to the worker. The worker is not avoided after the data centre opens.
+    void startRefusedByClosure(const std::string &worker, const workload::RunKey &run);
+
     Plan plan(core::Instant now, std::int64_t unixMs);
 
     // Returns the jobs whose stored form changed since the last call.
@@ -138,6 +148,9 @@
     // The following functions are the phases of plan(), in sequence.
     void indexWorkers(Round &round) const;
     void collectActiveRuns(Round &round);
+    // Requests stops of runs on workers of closed data centres that the worker has not confirmed,
+    // since their starts may still be carried out.
+    static void stopUnconfirmedRunsOnClosedWorkers(const Round &round);
     // Excludes workers with stalled runs, and stops a stalled run if little progress is lost and
     // another worker has free capacity.
     void handleStalledRuns(const Round &round);
@@ -147,6 +160,13 @@
     void chooseUrgentReserve(Round &round) const;
     void placeUnit(const SchedulingUnit &unit, Round &round);
 
+    bool isClosed(const Worker &worker) const;
+    // Drops the unit's reservation if a part of it is on a worker of a closed data centre. The rest
+    // would keep capacity from other units without letting this one start.
+    static void dropClosedReservation(const SchedulingUnit &unit, const Round &round);
+    // Returns true for a cold worker and a gang of priority 0, which waits for its slowest member.
+    static bool isColdForUrgentGang(const SchedulingUnit &unit, const Worker &worker,
+                                    core::Instant now);
     bool isStalled(const ActiveRun &run) const;
     bool hasFreeCapacityElsewhere(const ActiveRun &run, const Round &round) const;
     void orderStop(const ActiveRun &run, bool gangIncomplete, Round &round);
@@ -207,6 +227,8 @@
     PlannerOptions m_options;
     std::map<std::string, std::int64_t> m_guarantees;
     std::map<std::string, std::int64_t> m_urgentNeeds;
+    std::set<std::string> m_closedDataCentres;
+    bool m_startsSuspended = false;
     std::map<std::string, JobRecord> m_jobs;
     // The jobs that have not ended or have active tasks, and ended ones until the next round.
     std::map<std::string, JobRecord *> m_openJobs;
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -47,15 +47,20 @@
     round.now = now;
     indexWorkers(round);
     collectActiveRuns(round);
+    stopUnconfirmedRunsOnClosedWorkers(round);
     handleStalledRuns(round);
     rankWorkers(round);
     orderStops(round);
     std::vector<SchedulingUnit> units = readyUnits(round);
-    for (const SchedulingUnit &unit : units)
+    for (const SchedulingUnit &unit : units) {
+        dropClosedReservation(unit, round);
         deductReservation(unit, round);
+    }
     chooseUrgentReserve(round);
-    for (const SchedulingUnit &unit : units)
-        placeUnit(unit, round);
+    for (const SchedulingUnit &unit : units) {
+        if (!m_startsSuspended)
+            placeUnit(unit, round);
+    }
     round.plan.next = now + PlanPeriod;
     return std::move(round.plan);
 }
@@ -109,6 +114,8 @@
         return;
     if (round.now - task.startedAt >= m_options.startTimeout) {
         requestStop(task, "start had no effect");
+    } else if (m_startsSuspended || round.isClosed(run.worker)) {
+        return;
     } else if (round.now - task.orderSentAt >= m_options.orderRepeat) {
         task.orderSentAt = round.now;
         round.plan.orders.push_back({Order::Kind::Start, task.worker, run.key(),
@@ -124,7 +131,7 @@
     std::int64_t largest = 0;
     for (std::size_t i = 0; i < workerCount; ++i) {
         const auto index = static_cast<int>(i);
-        if (!round.workers[i]->accepting)
+        if (!round.isOpen(index))
             continue;
         freeOfRack[static_cast<std::size_t>(round.racks.rackOf(index))] +=
             round.freeCapacity[i].accelerators;
@@ -248,7 +255,8 @@
         const int suspicionLevel = round.suspicionLevels[i];
         request.penalties[i] = suspicionLevel + (failedHere[i] ? 2 : 0)
             + (!usesReserve && round.inUrgentReserve[i] ? 1 : 0)
-            + (suspect && round.busy[i] ? 1 : 0);
+            + (suspect && round.busy[i] ? 1 : 0)
+            + (isColdForUrgentGang(unit, round.worker(worker), round.now) ? 1 : 0);
         // A gang needs many workers at once and can seldom avoid one, so that a worker on which it
         // failed only gets a penalty.
         if (suspicionLevel == 2 || (failedHere[i] && !unit.spec->gang)) {
@@ -318,7 +326,7 @@
     const Worker &worker = round.worker(index);
     const bool reserved = round.inUrgentReserve[static_cast<std::size_t>(index)]
         && unit.record->job().terms.priority > 0;
-    return worker.accepting && hasLabel(worker, unit.spec->neededLabel)
+    return round.isOpen(index) && hasLabel(worker, unit.spec->neededLabel)
         && (unit.spec->gang || round.mayGetStart(index, unit.record))
         && (!reserved || mayUseUrgentReserve(unit, worker, round.now));
 }
--- a/src/planning/planninground.cpp
+++ b/src/planning/planninground.cpp
@@ -61,6 +61,7 @@
         round.capacities.push_back(worker.capacity);
         round.freeCapacity.push_back(worker.capacity - worker.orphanedDemand);
         rackNames.push_back(worker.rack);
+        round.closed.push_back(isClosed(worker));
         auto same =
             std::find_if(round.workerClasses.begin(), round.workerClasses.end(),
                          [&worker = worker](const WorkerClass &c) {
@@ -68,7 +69,7 @@
                          });
         if (same == round.workerClasses.end())
             same = round.workerClasses.insert(same, {worker.service, worker.capacity, 0});
-        ++same->count;
+        same->count += round.closed.back() ? 0 : 1;
         round.classes.push_back(static_cast<int>(same - round.workerClasses.begin()));
     }
     round.racks = RackIndex(rackNames);
--- a/src/planning/planninground.h
+++ b/src/planning/planninground.h
@@ -35,6 +35,7 @@
 {
     std::string_view service;
     workload::Demand capacity;
+    // The number of workers outside closed data centres.
     int count = 0;
 };
 
@@ -59,6 +60,8 @@
     std::vector<const Worker *> workers;
     std::vector<workload::Demand> capacities;
     FreeCapacity freeCapacity;
+    // Workers of closed data centres.
+    std::vector<bool> closed;
     std::vector<int> suspicionLevels;
     std::vector<int> speedClasses;
     // Workers with active runs, with runs that started recently, and with such runs of suspected
@@ -105,6 +108,9 @@
         return found == indices.end() ? NoWorker : found->second;
     }
     const Worker &worker(int index) const { return *workers[static_cast<std::size_t>(index)]; }
+    bool isClosed(int index) const { return closed[static_cast<std::size_t>(index)]; }
+    // Returns true if new work may start on the worker.
+    bool isOpen(int index) const { return worker(index).accepting && !isClosed(index); }
     workload::Demand &free(int index) { return freeCapacity[static_cast<std::size_t>(index)]; }
     void recordRun(int worker, bool recent, bool suspect);
     // Counts an active run of a job.
--- a/src/planning/stalls.cpp
+++ b/src/planning/stalls.cpp
@@ -34,7 +34,7 @@
 {
     for (std::size_t i = 0; i < round.workers.size(); ++i) {
         const Worker &worker = *round.workers[i];
-        if (static_cast<int>(i) != run.worker && worker.accepting
+        if (static_cast<int>(i) != run.worker && round.isOpen(static_cast<int>(i))
             && fits(run.spec->perTask, round.freeCapacity[i])
             && worker.service == run.record->job().terms.service
             && hasLabel(worker, run.spec->neededLabel)
