--- a/support/platformstandin.py
+++ b/support/platformstandin.py
@@ -172,6 +172,9 @@
                "value": base64.b64encode(json.dumps(value).encode()).decode()}
         self.transact({"setKeys": [row]})
 
+    def remove(self, table, key):
+        self.transact({"remove": [{"table": table, "part": "", "key": key}]})
+
 
 class Run:
     def __init__(self, order, step, now):
@@ -191,8 +194,8 @@
     STOP_SECONDS = 0.15
     GANG_START_SECONDS = 3.0
 
-    def __init__(self, name, host, port, rack, capacity, step_of, on_event, seed):
-        self.name, self.host, self.port, self.rack = name, host, port, rack
+    def __init__(self, name, host, port, rack, zone, capacity, step_of, on_event, seed):
+        self.name, self.host, self.port, self.rack, self.zone = name, host, port, rack, zone
         self.capacity, self.step_of, self.on_event = capacity, step_of, on_event
         self.random = random.Random(seed)
         self.changed = threading.Condition()
@@ -243,7 +246,7 @@
             self.sequence += 1
             return self.id, {
                 **({"drainRemainingMs": remaining_ms} if draining else {}),
-                "service": "service", "addr": f"{self.host}:{self.port}", "zone": "brum",
+                "service": "service", "addr": f"{self.host}:{self.port}", "zone": self.zone,
                 "version": "v1", "slots": 8, "state": "draining" if draining else "ready",
                 "coldLeftMs": 0, "capacity": self.capacity, "labels": ["a", self.rack],
                 "clockMs": int(self.now() * 1000), "seq": self.sequence, "born": self.started_at_ms}
