Close data centres in the random test of the planner

Callers saw: nothing; a start on a closed worker, or a task that runs twice after a refusal, under random faults could go unnoticed.

Change: the random test closes a data centre at times, lets agents refuse starts for it, and checks that none is ordered there. The workers of the planner's fixture are in data centres.

--- a/test/planning/plannerfixture.h
+++ b/test/planning/plannerfixture.h
@@ -8,7 +8,7 @@
 namespace oleandercross::planning::testing {
 
 // A planner with identical workers of 32 cores, 64000 MiB of memory and 8 accelerators, three per
-// rack, and helpers for jobs and orders.
+// rack and data centre, and helpers for jobs and orders.
 struct PlannerFixture
 {
     explicit PlannerFixture(int workers = 6, PlannerOptions options = {})
@@ -25,6 +25,7 @@
         worker.agent = worker.key;
         worker.service = "service";
         worker.rack = "r" + std::to_string(index / 3);
+        worker.dataCentre = "d" + std::to_string(index / 3);
         worker.labels = {"a", worker.rack};
         worker.capacity = {32000, 64000, 8};
         worker.accepting = true;
--- a/test/planning/tst_closures.cpp
+++ b/test/planning/tst_closures.cpp
@@ -10,22 +10,9 @@
 
 namespace {
 
-// Workers 0 to 2 are in data centre "a", workers 3 to 5 in "b".
-struct TwoDataCentres : PlannerFixture
+struct ClosureFixture : PlannerFixture
 {
-    explicit TwoDataCentres(int workers = 6)
-        : PlannerFixture(0)
-    {
-        for (int i = 0; i < workers; ++i)
-            planner.updateWorker(workerOf(i));
-    }
-
-    static Worker workerOf(int index)
-    {
-        Worker w = worker(index);
-        w.dataCentre = index < 3 ? "a" : "b";
-        return w;
-    }
+    using PlannerFixture::PlannerFixture;
 
     static std::set<std::string> workersOf(const std::vector<Order> &orders)
     {
@@ -48,14 +35,14 @@
 {
     const bool gang = GENERATE(false, true);
     CAPTURE(gang);
-    TwoDataCentres f;
-    f.planner.setClosedDataCentres({"a", "unknown"});
+    ClosureFixture f;
+    f.planner.setClosedDataCentres({"d0", "unknown"});
     f.planner.addJob(f.job("j", 1, 3, 8, gang), f.now);
     const auto starts = f.planStarts();
     CHECK(f.workersOf(starts) == WorkersOfB);
     f.planner.addJob(f.job("k", 1, 3, 8, gang), f.now);
     CHECK(f.planStarts().empty());
-    f.planner.setClosedDataCentres({"a", "b"});
+    f.planner.setClosedDataCentres({"d0", "d1"});
     f.confirm(starts);
     for (const Order &start : starts)
         f.end(start, RunEnd::Completed);
@@ -69,11 +56,11 @@
 // against pre-emption that frees capacity which must not be used.
 TEST_CASE("confirmed runs in a closed data centre continue and are no victims")
 {
-    TwoDataCentres f(3);
+    ClosureFixture f(3);
     f.planner.setGuarantees({{"account", 24}});
     f.planner.addJob(f.job("j", 2, 24, 1, false), f.now);
     f.confirm(f.planStarts());
-    f.planner.setClosedDataCentres({"a"});
+    f.planner.setClosedDataCentres({"d0"});
     f.planner.addJob(f.job("u", 0, 3, 8), f.now);
     for (int i = 0; i < 5; ++i) {
         f.advanceTime(absl::Seconds(1));
@@ -85,11 +72,11 @@
 // task is placed elsewhere only after the worker has confirmed that the run does not exist.
 TEST_CASE("an unconfirmed run in a closed data centre is stopped and then placed elsewhere")
 {
-    TwoDataCentres f(1);
+    ClosureFixture f(1);
     f.planner.addJob(f.job("j", 1, 1, 8, false), f.now);
     const Order start = f.planStarts().at(0);
-    f.planner.updateWorker(f.workerOf(4));
-    f.planner.setClosedDataCentres({"a"});
+    f.planner.updateWorker(f.worker(4));
+    f.planner.setClosedDataCentres({"d0"});
     f.advanceTime(absl::Seconds(1));
     const auto orders = f.plan();
     REQUIRE(orders.size() == 1);
@@ -104,15 +91,15 @@
 // Guards against a gang of which some members run and others may not start.
 TEST_CASE("a gang with an unconfirmed member in a closed data centre is stopped whole")
 {
-    TwoDataCentres f(4);
+    ClosureFixture f(4);
     f.planner.addJob(f.job("j", 1, 4, 8), f.now);
     auto starts = f.planStarts();
     REQUIRE(starts.size() == 4);
-    f.planner.updateWorker(f.workerOf(4));
-    f.planner.updateWorker(f.workerOf(5));
-    f.planner.updateWorker(f.workerOf(6));
+    f.planner.updateWorker(f.worker(4));
+    f.planner.updateWorker(f.worker(5));
+    f.planner.updateWorker(f.worker(6));
     f.confirm({starts.begin() + 1, starts.end()});
-    f.planner.setClosedDataCentres({"a"});
+    f.planner.setClosedDataCentres({"d0"});
     const auto stops = f.planStops();
     CHECK(stops.size() == 4);
     for (const Order &stop : stops)
@@ -128,21 +115,21 @@
 {
     const bool listed = GENERATE(false, true);
     CAPTURE(listed);
-    TwoDataCentres before(1);
+    ClosureFixture before(1);
     before.planner.addJob(before.job("j", 1, 1, 8), before.now);
     const Order start = before.planStarts().at(0);
-    TwoDataCentres f(0);
-    f.planner.setClosedDataCentres({"a"});
+    ClosureFixture f(0);
+    f.planner.setClosedDataCentres({"d0"});
     REQUIRE(
         f.planner.restoreJob(before.job("j", 1, 1, 8), before.planner.job("j")->encode(), f.now));
-    Worker worker = f.workerOf(0);
+    Worker worker = f.worker(0);
     worker.accepting = false;
     f.planner.updateWorker(worker);
     CHECK(f.plan().empty());
     f.planner.beginListing("w0");
     if (listed)
         f.planner.runSeen("w0", start.run, {}, 1, f.now);
-    f.planner.updateWorker(f.workerOf(0));
+    f.planner.updateWorker(f.worker(0));
     CHECK(f.planStops().size() == (listed ? 0 : 1));
 }
 
@@ -153,16 +140,16 @@
 {
     const bool repeated = GENERATE(false, true);
     CAPTURE(repeated);
-    TwoDataCentres f(1);
+    ClosureFixture f(1);
     f.planner.addJob(f.job("j", 1, 1, 8, false), f.now);
     const Order start = f.planStarts().at(0);
     if (repeated) {
         f.advanceTime(absl::Seconds(1));
         REQUIRE(f.planStarts().size() == 1);
     }
-    f.planner.updateWorker(f.workerOf(3));
+    f.planner.updateWorker(f.worker(3));
     f.planner.startRefusedByClosure("w0", start.run);
-    f.planner.setClosedDataCentres({"a"});
+    f.planner.setClosedDataCentres({"d0"});
     const auto orders = f.plan();
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].kind == (repeated ? Order::Kind::Stop : Order::Kind::Start));
@@ -178,7 +165,7 @@
 // Guards against capacity that is kept for a gang which may not start on a part of it.
 TEST_CASE("a reservation in a data centre that is closed is dropped")
 {
-    TwoDataCentres f(4);
+    ClosureFixture f(4);
     f.planner.setGuarantees({{"account", 32}});
     f.planner.addJob(f.job("j", 2, 32, 1, false), f.now);
     f.confirm(f.planStarts());
@@ -190,7 +177,7 @@
             f.end(stop, RunEnd::Stopped);
     }
     CHECK(f.planStarts().empty());
-    f.planner.setClosedDataCentres({"a"});
+    f.planner.setClosedDataCentres({"d0"});
     const auto starts = f.planStarts();
     CHECK(starts.size() == 8);
     CHECK(f.workersOf(starts) == std::set<std::string>{"w3"});
@@ -209,12 +196,12 @@
     };
     const Case c = GENERATE(values<Case>({
         {0, 1, {}, 12},
-        {0, 1, {"a"}, 6},
+        {0, 1, {"d0"}, 6},
         {1, 8, {}, 4},
-        {1, 8, {"a"}, 2},
+        {1, 8, {"d0"}, 2},
     }));
     CAPTURE(c.priority, c.closed);
-    TwoDataCentres f;
+    ClosureFixture f;
     for (int i = 0; i < 8; ++i) {
         workload::Job earlier = f.job("earlier" + std::to_string(i), 0, 1, 8);
         earlier.steps[0].estimateMs = 500;
@@ -233,7 +220,7 @@
 // room for starts which do not follow.
 TEST_CASE("nothing is started or pre-empted while starts are suspended")
 {
-    TwoDataCentres f(3);
+    ClosureFixture f(3);
     f.planner.setGuarantees({{"account", 24}});
     f.planner.addJob(f.job("j", 2, 24, 1, false), f.now);
     const auto starts = f.planStarts();
@@ -252,8 +239,8 @@
 {
     const bool roomOnWarmWorkers = GENERATE(false, true);
     CAPTURE(roomOnWarmWorkers);
-    TwoDataCentres f(3);
-    Worker cold = f.workerOf(0);
+    ClosureFixture f(3);
+    Worker cold = f.worker(0);
     cold.warmAt = f.now + absl::Seconds(5);
     f.planner.updateWorker(cold);
     f.planner.addJob(f.job("j", 0, roomOnWarmWorkers ? 2 : 3, 8), f.now);
--- a/test/planning/tst_plannerfuzz.cpp
+++ b/test/planning/tst_plannerfuzz.cpp
@@ -31,6 +31,11 @@
         if (chance(0.02) && !m_jobs.empty())
             m_fixture.planner.cancelJob("j" + std::to_string(randomIndex(m_jobs.size())),
                                         m_fixture.now);
+        if (chance(0.02)) {
+            m_closed = chance(0.5) ? std::set<std::string>{"d" + std::to_string(randomIndex(2))}
+                                   : std::set<std::string>{};
+            m_fixture.planner.setClosedDataCentres(m_closed);
+        }
         for (const Order &order : m_fixture.plan())
             execute(order);
         endRandomRun();
@@ -80,6 +85,12 @@
                                        m_fixture.now);
             return;
         }
+        CHECK_FALSE(m_closed.contains(m_fixture.planner.workers().at(order.worker).dataCentre));
+        if (chance(0.02) && found == running.end()) {
+            m_closedRuns.insert({order.worker, order.run});
+            m_fixture.planner.startRefusedByClosure(order.worker, order.run);
+            return;
+        }
         if (chance(0.1) || m_closedRuns.contains({order.worker, order.run}))
             return;
         if (found == running.end()) {
@@ -156,13 +167,15 @@
     std::map<std::string, std::vector<Running>> m_running;
     // Runs that ended or were stopped; their worker does not start them again.
     std::set<std::pair<std::string, workload::RunKey>> m_closedRuns;
+    std::set<std::string> m_closed;
     std::set<workload::TaskKey> m_completed;
     std::map<std::string, int> m_failures;
 };
 
 } // namespace
 
-// The faults are lost orders and failed runs. A completed task must not run again either.
+// The faults are lost orders, failed runs, and starts that agents refuse for a closed data centre,
+// of which one is closed for a while. A completed task must not run again either.
 TEST_CASE("no worker exceeds its capacity and no task runs twice under random faults")
 {
     const unsigned seed = GENERATE(range(1U, 21U));
