--- a/test/control/tst_closeddatacentres.cpp
+++ b/test/control/tst_closeddatacentres.cpp
@@ -176,6 +176,33 @@
         CHECK(count == 1);
 }
 
+// Guards against a leader that counts a start which an agent refused for a closure as executed, or
+// its worker as refusing.
+TEST_CASE("a leader starts a task again that an agent refused for a closure")
+{
+    testing::FakeRowStore store;
+    testing::SimulatedWorker worker;
+    AgentProcess agent(store, worker, "side");
+    agent.agent.heartbeat(worker.report("i-1", 1000));
+    EntryProcess entry(store, "front");
+    REQUIRE(entry.entry.submit(job("5c0e7a21d94b36f8", 1), nearDeadline())
+            == SubmitOutcome::Accepted);
+    REQUIRE(entry.reaches("5c0e7a21d94b36f8", planning::JobState::Running));
+    // The agent knows a closure of which the leader has not heard yet.
+    WatchCall tell;
+    tell.term.epoch = decodeLeadership(*store.value(LeaderTable, LeaderKey))->epoch;
+    tell.closed = {1000, {{"brum", 1000}}};
+    REQUIRE(agent.agent.watch(tell));
+    REQUIRE(entry.entry.submit(job("5c0e7a21d94b36f9", 1), nearDeadline())
+            == SubmitOutcome::Accepted);
+    REQUIRE(waitUntil([&] { return entry.metrics.value("starts_refused_closed") > 0; }));
+    CHECK(worker.starts().size() == 1);
+    tell.closed = {1001, {}};
+    REQUIRE(agent.agent.watch(tell));
+    CHECK(waitUntil([&] { return worker.starts().size() == 2; }));
+    CHECK(entry.metrics.value("starts_refused") == 0);
+}
+
 // Guards against a leader that stores progress but no longer hears what the operator closes, and
 // starts work later than the platform allows.
 TEST_CASE("a leader starts nothing while its set of closed data centres is too old")
