Limit how long agents may start runs with a set of closed data centres

Callers saw: nothing yet. By reading: an order that is held in one connection for longer than the bound could start a run in a closed data centre, while other calls renewed the agent's permit with the same old set.

Cause: only the leader knew the age of its set. Permits do not stop when it is old, since they extend the leases of running work.

Ruled out: withholding permits while the set is old, which would end running work; a shorter permit, which would end it at each short outage.

Change: `watch` and `orders` carry `startsUntil`, the time at which the store confirmed the set plus the bound minus 600 ms, on the agent's clock. The agent sends no start later. It counts in its term only, as the permit does. Agents adopt the set and the limit in one critical section. Without a bound in the settings there is no limit.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -55,7 +55,8 @@
     core::Instant lastContact() const;
 
 private:
-    bool accept(const char *call, const Term &term, std::int64_t renewUntilMs);
+    template <typename Call>
+    bool accept(const char *name, const Call &call);
     void raiseTerm() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void logReceived(const OrderCall &call, bool applicable);
     void renewLoop();
@@ -64,7 +65,7 @@
     void registerWorker(const WorkerReport &candidate, const WorkerRuns &runs)
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Keeps the newest set of closed data centres that a leader has sent.
-    void adoptClosures(const ClosedDataCentres &closed);
+    void adoptClosures(const ClosedDataCentres &closed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Returns true if a start of the run may have reached the worker.
     bool mayHaveStarted(const workload::RunKey &run) const;
     void dropUnknownServices(const std::vector<std::string> &services);
@@ -108,6 +109,8 @@
     std::vector<WorkerReport> m_candidates ABSL_GUARDED_BY(m_mutex);
     std::vector<std::string> m_unknownServices ABSL_GUARDED_BY(m_mutex);
     ClosedDataCentres m_closed ABSL_GUARDED_BY(m_mutex);
+    // See WatchCall::startsUntilMs.
+    std::int64_t m_startsUntilMs ABSL_GUARDED_BY(m_mutex) = 0;
     // When the worker's latest heartbeat arrived.
     core::Instant m_heartbeatAt ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
     std::int64_t m_acknowledged ABSL_GUARDED_BY(m_mutex) = 0;
--- a/include/oleandercross/control/agentlink.h
+++ b/include/oleandercross/control/agentlink.h
@@ -44,6 +44,8 @@
         std::function<bool()> mayRenewPermit;
         // Returns the closed data centres, which every call carries.
         std::function<std::shared_ptr<const ClosedDataCentres>()> closedDataCentres;
+        // Returns the time until which an agent with these may send starts.
+        std::function<core::Instant()> startsUntil;
         // Returns false while it is not known well enough which data centres are closed. Starts are
         // then not sent; their results are NotApplicable.
         std::function<bool()> mayOrderStarts;
@@ -91,6 +93,9 @@
     void recordState(const AgentState &state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Removes the starts from a call that must not contain any.
     void dropStarts(OrderCall &call);
+    // Adds the closed data centres, and for how long they hold.
+    template <typename Call>
+    void addClosures(Call &call) const;
     // Sends the acknowledgement of a call without an answer again.
     void repeatAcknowledgement(const OrderCall &call);
     bool hasWork() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -2,6 +2,7 @@
 
 #include <oleandercross/control/closeddatacentres.h>
 #include <oleandercross/control/workerport.h>
+#include <oleandercross/core/json.h>
 #include <oleandercross/planning/planner.h>
 
 #include <json/value.h>
@@ -37,6 +38,9 @@
 // Returns the worker's fencing token of a term; later terms have larger tokens.
 std::int64_t fencingToken(const Term &term);
 
+// The agent may send starts as long as it has a permit.
+inline constexpr std::int64_t NoStartLimit = core::MaxExactInt;
+
 // Requests the state of an agent's worker and waits for a change. Agents refuse calls of an older
 // epoch.
 struct WatchCall
@@ -55,6 +59,9 @@
     // The closed data centres that the leader knows. Their version is -1 in calls of leaders that
     // do not send them.
     ClosedDataCentres closed = {};
+    // The agent may send starts to the worker registered in this term until this time, on its own
+    // clock. Later `closed` is too old.
+    std::int64_t startsUntilMs = NoStartLimit;
 };
 
 // The state of a worker as its agent reports it.
@@ -99,8 +106,9 @@
     // Ended runs up to this number are stored by the leader.
     std::int64_t acknowledged = 0;
     std::vector<planning::Order> orders;
-    // See WatchCall::closed.
+    // See WatchCall.
     ClosedDataCentres closed = {};
+    std::int64_t startsUntilMs = NoStartLimit;
 };
 
 enum class OrderResult {
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -27,8 +27,8 @@
     absl::Duration retention = absl::Seconds(300);
     // The operator's table, which is read for the closed data centres.
     std::string configTable = {};
-    // Nothing is started while the set of closed data centres is older than this.
-    absl::Duration maxClosureAge = absl::InfiniteDuration();
+    // A start later than this after a data centre was closed is an error.
+    absl::Duration closureBound = absl::InfiniteDuration();
 };
 
 // Schedules all jobs of the installation while this process is the leader. It follows the accepted
@@ -101,6 +101,8 @@
     void applyClosures(core::Instant now);
     // Returns true if it is known well enough which data centres are closed.
     bool mayOrderStarts(core::Instant now) const;
+    // Returns the time until which agents may send the starts that are ordered now.
+    core::Instant startsUntil() const;
     static void logRefusedStart(const planning::Order &order, OrderResult result);
     // Returns how long ago a job that has just been read was accepted.
     absl::Duration jobAge(const workload::Job &job, core::Instant now) const;
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -215,6 +215,7 @@
     m_state.term = m_term;
     m_state.listed = false;
     m_renewUntilMs = 0;
+    m_startsUntilMs = 0;
     markChanged();
 }
 
@@ -235,7 +236,6 @@
 
 void Agent::adoptClosures(const ClosedDataCentres &closed)
 {
-    absl::MutexLock lock(&m_mutex);
     if (closed.version <= m_closed.version)
         return;
     const bool closedBefore = m_state.worker && m_closed.contains(m_state.worker->dataCentre);
@@ -248,19 +248,24 @@
         .with("source", "leader");
 }
 
-bool Agent::accept(const char *call, const Term &term, std::int64_t renewUntilMs)
+template <typename Call>
+bool Agent::accept(const char *name, const Call &call)
 {
+    const Term &term = call.term;
+    const std::int64_t renewUntilMs = call.renewUntilMs;
     absl::MutexLock lock(&m_mutex);
     if (term.epoch < m_term.epoch) {
         core::fail(core::ResultCode::StaleEpoch, "the call is from the leader of an earlier epoch");
         return false;
     }
     m_lastContact = m_clock.now();
+    adoptClosures(call.closed);
     const std::int64_t now = absl::ToUnixMillis(m_lastContact);
     if (term.epoch > m_term.epoch) {
         telemetry::Event("leader_adopted").with("epoch", term.epoch).with("term", term.number);
         m_term = term;
         m_state.term = m_term;
+        m_startsUntilMs = 0;
         m_stateChanged.signalAll();
     } else if (term > m_term) {
         telemetry::Event("term_adopted").with("epoch", term.epoch).with("term", term.number);
@@ -268,19 +273,21 @@
         m_state.term = m_term;
         m_state.listed = false;
         m_renewUntilMs = 0;
+        m_startsUntilMs = 0;
         markChanged();
     }
     if (term != m_term)
         return true;
     if (m_renewUntilMs <= now && now < renewUntilMs) {
         telemetry::Event("permit_renewed")
-            .with("call", call)
+            .with("call", name)
             .with("epoch", term.epoch)
             .with("term", term.number)
             .with("permit_until", renewUntilMs)
             .with("expired_ms", m_renewUntilMs == 0 ? std::int64_t{-1} : now - m_renewUntilMs);
     }
     m_renewUntilMs = std::max(m_renewUntilMs, renewUntilMs);
+    m_startsUntilMs = std::max(m_startsUntilMs, call.startsUntilMs);
     return true;
 }
 
@@ -292,9 +299,8 @@
 
 std::optional<AgentState> Agent::watch(const WatchCall &call)
 {
-    if (!accept("watch", call.term, call.renewUntilMs))
+    if (!accept("watch", call))
         return std::nullopt;
-    adoptClosures(call.closed);
     dropUnknownServices(call.unknownServices);
     const core::Instant until = m_clock.now() + call.wait;
     absl::MutexLock lock(&m_mutex);
@@ -507,9 +513,8 @@
 std::optional<std::vector<OrderResult>> Agent::execute(const OrderCall &call)
 {
     const core::Instant receivedAt = m_clock.now();
-    if (!accept("orders", call.term, call.renewUntilMs))
+    if (!accept("orders", call))
         return std::nullopt;
-    adoptClosures(call.closed);
     WorkerReport worker;
     bool applicable = false;
     {
@@ -602,6 +607,9 @@
     if (m_state.worker->draining)
         return core::fail(core::ResultCode::Draining, "the worker is draining");
     const core::Instant now = m_clock.now();
+    if (absl::ToUnixMillis(now) >= m_startsUntilMs)
+        return core::fail(core::ResultCode::StaleConfiguration,
+                          "the leader's set of closed data centres is too old");
     const auto expired = [now](const auto &start) { return start.second <= now; };
     std::erase_if(m_sentStarts, expired);
     std::erase_if(m_refusedStarts, expired);
--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -196,6 +196,21 @@
     }
 }
 
+template <typename Call>
+void AgentLink::addClosures(Call &call) const
+{
+    // Read before the set, so that the set is not older.
+    const core::Instant until = m_callbacks.startsUntil();
+    call.closed = *m_callbacks.closedDataCentres();
+    if (until == absl::InfiniteFuture())
+        return;
+    absl::MutexLock lock(&m_mutex);
+    // The agent read its clock before its answer arrived.
+    call.startsUntilMs = m_agentClockMs == 0
+        ? 0
+        : m_agentClockMs + absl::ToInt64Milliseconds(until - m_lastResponseTime);
+}
+
 bool AgentLink::watchOnce(WatchCall &call)
 {
     {
@@ -209,7 +224,7 @@
         call.renewUntilMs = permitUntilMs();
         call.unknownServices = m_rejectedServices;
     }
-    call.closed = *m_callbacks.closedDataCentres();
+    addClosures(call);
     const auto answer = m_client.call(m_address, "watch", addressedTo(m_agent, toJson(call)),
                                       call.wait + ResponseMargin);
     std::optional<AgentState> state;
@@ -278,7 +293,7 @@
             call.term = m_term;
             call.renewUntilMs = permitUntilMs();
         }
-        call.closed = *m_callbacks.closedDataCentres();
+        addClosures(call);
         if (!m_callbacks.mayOrderStarts())
             dropStarts(call);
         const core::Instant sentAt = m_clock.now();
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -106,10 +106,13 @@
     return row;
 }
 
-void putClosed(Json::Value &value, const ClosedDataCentres &closed)
+template <typename Call>
+void putClosed(Json::Value &value, const Call &call)
 {
-    if (closed.version >= 0)
-        value["closed"] = toJson(closed);
+    if (call.closed.version >= 0)
+        value["closed"] = toJson(call.closed);
+    if (call.startsUntilMs != NoStartLimit)
+        value["startsUntil"] = static_cast<Json::Int64>(call.startsUntilMs);
 }
 
 // Returns a set without a version if the call has none. Fails with BadField.
@@ -185,7 +188,7 @@
     value["wait"] = toMilliseconds(call.wait);
     for (const std::string &service : call.unknownServices)
         value["unknownServices"].append(service);
-    putClosed(value, call.closed);
+    putClosed(value, call);
     return value;
 }
 
@@ -203,6 +206,7 @@
             call.unknownServices.push_back(service.asString());
     }
     call.closed = closedIn(value).value_or(ClosedDataCentres{});
+    call.startsUntilMs = core::intMember(value, "startsUntil", NoStartLimit);
     return call;
 }
 
@@ -304,7 +308,7 @@
         row.append(order.checkpoint);
         value["orders"].append(row);
     }
-    putClosed(value, call.closed);
+    putClosed(value, call);
     return value;
 }
 
@@ -314,10 +318,13 @@
     const auto renewUntilMs = core::requiredInt(value, "renewUntil");
     const auto acknowledged = core::requiredInt(value, "acknowledged");
     auto closed = closedIn(value);
-    if (!term || !renewUntilMs || !acknowledged || !closed)
+    const auto startsUntilMs =
+        core::optionalInt(value, "startsUntil", NoStartLimit, {-core::MaxExactInt});
+    if (!term || !renewUntilMs || !acknowledged || !closed || !startsUntilMs)
         return std::nullopt;
     OrderCall call;
     call.closed = *std::move(closed);
+    call.startsUntilMs = *startsUntilMs;
     call.term = *term;
     call.renewUntilMs = *renewUntilMs;
     call.workerIncarnation = core::stringMember(value, "life");
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -53,6 +53,7 @@
             return !m_deposed && m_clock.now() - m_log->lastCommit() < MaxCommitAgeForPermits;
         };
         callbacks.closedDataCentres = [this] { return m_closures->current(); };
+        callbacks.startsUntil = [this] { return startsUntil(); };
         callbacks.mayOrderStarts = [this] { return mayOrderStarts(m_clock.now()); };
         m_links.emplace(agent,
                         std::make_unique<AgentLink>(agent, address,
--- a/src/control/leaderclosures.cpp
+++ b/src/control/leaderclosures.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr absl::Duration LoadRetryDelay = absl::Milliseconds(100);
+// The part of the bound after which the set of closed data centres is too old for new starts.
+constexpr double MaxAgeFraction = 0.5;
+// An agent's two attempts to start a run take up to 550 ms, and begin this long before the bound.
+constexpr absl::Duration StartMargin = absl::Milliseconds(600);
 
 } // namespace
 
@@ -30,7 +34,15 @@
 
 bool Leader::mayOrderStarts(core::Instant now) const
 {
-    return !m_closures->enabled() || now - m_closures->confirmedAt() <= m_options.maxClosureAge;
+    return !m_closures->enabled()
+        || now - m_closures->confirmedAt() <= m_options.closureBound * MaxAgeFraction;
+}
+
+core::Instant Leader::startsUntil() const
+{
+    if (!m_closures->enabled() || m_options.closureBound == absl::InfiniteDuration())
+        return absl::InfiniteFuture();
+    return m_closures->confirmedAt() + m_options.closureBound - StartMargin;
 }
 
 void Leader::applyClosures(core::Instant now)
--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -222,6 +222,8 @@
          OrderResult::NotApplicable},
         {"an earlier term", [](Agent &, OrderCall &call) { --call.term.number; },
          OrderResult::NotApplicable},
+        {"a set of closed data centres that is too old",
+         [](Agent &, OrderCall &call) { call.startsUntilMs = 1; }, OrderResult::NotApplicable},
         {"a deregistered worker", [](Agent &agent, OrderCall &) { agent.deregister("i-1"); },
          OrderResult::NotApplicable},
         {"a draining worker",
