--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <oleandercross/control/closeddatacentres.h>
 #include <oleandercross/control/workerport.h>
+#include <oleandercross/core/json.h>
 #include <oleandercross/planning/planner.h>
 
 #include <json/value.h>
@@ -36,6 +38,9 @@
 // Returns the worker's fencing token of a term; later terms have larger tokens.
 std::int64_t fencingToken(const Term &term);
 
+// The agent may send starts as long as it has a permit.
+inline constexpr std::int64_t NoStartLimit = core::MaxExactInt;
+
 // Requests the state of an agent's worker and waits for a change. Agents refuse calls of an older
 // epoch.
 struct WatchCall
@@ -51,6 +56,12 @@
     absl::Duration wait;
     // Services that no configuration names; reports that name them are from another writer.
     std::vector<std::string> unknownServices;
+    // The closed data centres that the leader knows. Their version is -1 in calls of leaders that
+    // do not send them.
+    ClosedDataCentres closed = {};
+    // The agent may send starts to the worker registered in this term until this time, on its own
+    // clock. Later `closed` is too old.
+    std::int64_t startsUntilMs = NoStartLimit;
 };
 
 // The state of a worker as its agent reports it.
@@ -95,6 +106,9 @@
     // Ended runs up to this number are stored by the leader.
     std::int64_t acknowledged = 0;
     std::vector<planning::Order> orders;
+    // See WatchCall.
+    ClosedDataCentres closed = {};
+    std::int64_t startsUntilMs = NoStartLimit;
 };
 
 enum class OrderResult {
@@ -108,6 +122,8 @@
     // The orders are for another incarnation of the worker or an earlier term, the worker is lost,
     // or the agent has no valid permit.
     NotApplicable,
+    // The data centre of the worker is closed, and this agent has not sent the start to the worker.
+    DataCentreClosed,
 };
 
 const char *toString(OrderResult result);
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -111,6 +111,7 @@
         telemetry::Event("worker_draining")
             .with("worker", report.id)
             .with("leaves_in_ms", absl::ToInt64Milliseconds(report.drainRemaining));
+    m_heartbeatAt = m_clock.now();
     const bool stateChanged =
         report.draining != m_state.worker->draining || report.capacity != m_state.worker->capacity;
     m_state.worker = report;
@@ -184,8 +185,10 @@
         .with("address", toString(candidate.address))
         .with("service", candidate.service)
         .with("rack", candidate.rack)
+        .with("data_centre", candidate.dataCentre)
         .with("term", m_term.number);
     m_state.worker = candidate;
+    m_heartbeatAt = m_clock.now();
     m_state.workerLost = false;
     m_state.workerCrashed = false;
     m_state.runs = {};
@@ -197,6 +200,8 @@
     m_startsListed = -1;
     // The worker lists its runs in a new term, after which it refuses the starts of earlier ones.
     m_lateStarts.clear();
+    m_sentStarts.clear();
+    m_refusedStarts.clear();
     m_failingSince = absl::InfiniteFuture();
     m_workerClockMs = runs.clockMs;
     m_workerClockAt = m_clock.now();
@@ -210,6 +215,7 @@
     m_state.term = m_term;
     m_state.listed = false;
     m_renewUntilMs = 0;
+    m_startsUntilMs = 0;
     markChanged();
 }
 
@@ -228,19 +234,38 @@
     raiseTerm();
 }
 
-bool Agent::accept(const char *call, const Term &term, std::int64_t renewUntilMs)
+void Agent::adoptClosures(const ClosedDataCentres &closed)
 {
+    if (closed.version <= m_closed.version)
+        return;
+    const bool closedBefore = m_state.worker && m_closed.contains(m_state.worker->dataCentre);
+    m_closed = closed;
+    if (!m_state.worker || m_closed.contains(m_state.worker->dataCentre) == closedBefore)
+        return;
+    telemetry::Event(closedBefore ? "data_centre_opened" : "data_centre_closed")
+        .with("data_centre", m_state.worker->dataCentre)
+        .with("version", m_closed.version)
+        .with("source", "leader");
+}
+
+template <typename Call>
+bool Agent::accept(const char *name, const Call &call)
+{
+    const Term &term = call.term;
+    const std::int64_t renewUntilMs = call.renewUntilMs;
     absl::MutexLock lock(&m_mutex);
     if (term.epoch < m_term.epoch) {
         core::fail(core::ResultCode::StaleEpoch, "the call is from the leader of an earlier epoch");
         return false;
     }
     m_lastContact = m_clock.now();
+    adoptClosures(call.closed);
     const std::int64_t now = absl::ToUnixMillis(m_lastContact);
     if (term.epoch > m_term.epoch) {
         telemetry::Event("leader_adopted").with("epoch", term.epoch).with("term", term.number);
         m_term = term;
         m_state.term = m_term;
+        m_startsUntilMs = 0;
         m_stateChanged.signalAll();
     } else if (term > m_term) {
         telemetry::Event("term_adopted").with("epoch", term.epoch).with("term", term.number);
@@ -248,19 +273,21 @@
         m_state.term = m_term;
         m_state.listed = false;
         m_renewUntilMs = 0;
+        m_startsUntilMs = 0;
         markChanged();
     }
     if (term != m_term)
         return true;
     if (m_renewUntilMs <= now && now < renewUntilMs) {
         telemetry::Event("permit_renewed")
-            .with("call", call)
+            .with("call", name)
             .with("epoch", term.epoch)
             .with("term", term.number)
             .with("permit_until", renewUntilMs)
             .with("expired_ms", m_renewUntilMs == 0 ? std::int64_t{-1} : now - m_renewUntilMs);
     }
     m_renewUntilMs = std::max(m_renewUntilMs, renewUntilMs);
+    m_startsUntilMs = std::max(m_startsUntilMs, call.startsUntilMs);
     return true;
 }
 
@@ -272,7 +299,7 @@
 
 std::optional<AgentState> Agent::watch(const WatchCall &call)
 {
-    if (!accept("watch", call.term, call.renewUntilMs))
+    if (!accept("watch", call))
         return std::nullopt;
     dropUnknownServices(call.unknownServices);
     const core::Instant until = m_clock.now() + call.wait;
@@ -288,6 +315,9 @@
     state.clockMs = nowMs();
     const core::Instant now = m_clock.now();
     state.runListAge = now - m_workerClockAt;
+    if (state.worker)
+        state.worker->warmUpRemaining =
+            std::max(absl::ZeroDuration(), state.worker->warmUpRemaining - (now - m_heartbeatAt));
     for (const auto &[run, until] : m_lateStarts) {
         if (m_state.workerLost && now < until)
             state.lateStarts.push_back(run);
@@ -483,7 +513,7 @@
 std::optional<std::vector<OrderResult>> Agent::execute(const OrderCall &call)
 {
     const core::Instant receivedAt = m_clock.now();
-    if (!accept("orders", call.term, call.renewUntilMs))
+    if (!accept("orders", call))
         return std::nullopt;
     WorkerReport worker;
     bool applicable = false;
@@ -533,6 +563,9 @@
 {
     for (const absl::Duration timeout : StartAttemptTimeouts) {
         const std::optional<StartOrder> start = beginStart(worker, order, term);
+        if (!start && core::lastReason().code == core::ResultCode::DataCentreClosed)
+            return mayHaveStarted(order.run) ? OrderResult::Unanswered
+                                             : OrderResult::DataCentreClosed;
         if (!start)
             return core::lastReason().code == core::ResultCode::Draining
                 ? OrderResult::Refused
@@ -551,6 +584,15 @@
     return OrderResult::Unanswered;
 }
 
+bool Agent::mayHaveStarted(const workload::RunKey &run) const
+{
+    absl::MutexLock lock(&m_mutex);
+    const auto same = [&run](const auto &task) { return task.run == run; };
+    const WorkerRuns &runs = m_state.runs;
+    return m_sentStarts.contains(run) || std::any_of(runs.running.begin(), runs.running.end(), same)
+        || std::any_of(runs.ended.begin(), runs.ended.end(), same);
+}
+
 std::optional<StartOrder> Agent::beginStart(const WorkerReport &worker,
                                             const planning::Order &order, const Term &term)
 {
@@ -564,6 +606,21 @@
         return core::fail(core::ResultCode::ConnectionFailed, "the worker may have exited");
     if (m_state.worker->draining)
         return core::fail(core::ResultCode::Draining, "the worker is draining");
+    const core::Instant now = m_clock.now();
+    if (absl::ToUnixMillis(now) >= m_startsUntilMs)
+        return core::fail(core::ResultCode::StaleConfiguration,
+                          "the leader's set of closed data centres is too old");
+    const auto expired = [now](const auto &start) { return start.second <= now; };
+    std::erase_if(m_sentStarts, expired);
+    std::erase_if(m_refusedStarts, expired);
+    const core::Instant copiesUntil = now + MaxCallDelay + MaxReportDelay;
+    if (m_closed.contains(m_state.worker->dataCentre) || m_refusedStarts.contains(order.run)) {
+        m_refusedStarts[order.run] = copiesUntil;
+        return core::fail(core::ResultCode::DataCentreClosed,
+                          "318 DataCentreClosed: the data centre " + m_state.worker->dataCentre
+                              + " is closed");
+    }
+    m_sentStarts[order.run] = copiesUntil;
     m_startsUnderWay.insert(order.run);
     ++m_startsSent;
     m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
