Let large answers on slow links arrive instead of asking again

The store's feed was aborted at its deadline of 1.3 s while the answer was arriving, and asked for again, together with three peers at once, whose copies shared the link and were aborted after 0.4 s each. The entry asked in this way from 24.4 s to 31.2 s.

Change: an answer to a read of the store or of a peer's configuration that has begun to arrive may take 2 s longer, if its bytes keep coming; a silent one is given up as before. Peers are asked one after another.

--- a/include/oleandercross/control/rowstore.h
+++ b/include/oleandercross/control/rowstore.h
@@ -145,6 +145,9 @@
 // Returns all partitions of a table.
 std::vector<std::string> partitionsOf(const std::string &table);
 
+// How much longer the answer to a read may take once it has begun to arrive. A configuration of
+// 1,800 queues takes half a second on the slowest links, and longer beside other traffic.
+inline constexpr absl::Duration BulkTransferTime = absl::Seconds(2);
 // The timeout of one call to the store, which responds within a third of a second when it is slow.
 inline constexpr absl::Duration StoreTimeout = absl::Seconds(1);
 
--- a/include/oleandercross/http/clientpool.h
+++ b/include/oleandercross/http/clientpool.h
@@ -27,7 +27,8 @@
     ClientPool(const ClientPool &) = delete;
     ClientPool &operator=(const ClientPool &) = delete;
 
-    // Sends a request and waits at most `timeout` for the complete response. Fails with
+    // Sends a request and waits at most `timeout` for the complete response, or for the first part
+    // of it if the request has a transfer time. Fails with
     // ConnectionFailed if nothing was sent, with ConnectionLost or Timeout if the peer may have
     // received the request, and with BadAnswer if the response is truncated, too large or rejected
     // by `check`. The connection is not reused after a failure, since a late or wrong response
--- a/include/oleandercross/http/message.h
+++ b/include/oleandercross/http/message.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <absl/time/time.h>
+
 #include <compare>
 #include <map>
 #include <optional>
@@ -50,6 +52,9 @@
     std::vector<std::string> captures;
     Headers headers;
     std::string body;
+    // Used by clients: how much longer than the timeout a response may take of which parts have
+    // arrived in time.
+    absl::Duration transferTime;
     // Null if the transport does not provide it. Valid only during the handler call.
     const Connection *connection = nullptr;
 
--- a/include/oleandercross/rpc/rpc.h
+++ b/include/oleandercross/rpc/rpc.h
@@ -49,10 +49,11 @@
     ~Client();
 
     // Calls a method and waits at most `timeout`, which is added to the parameters as the member
-    // "timeLeftMs". Fails with the reason given by the callee or with the reasons of
-    // http::ClientPool::send().
+    // "timeLeftMs". An answer of which parts have arrived in time may take `transferTime` longer.
+    // Fails with the reason given by the callee or with the reasons of http::ClientPool::send().
     std::optional<Json::Value> call(const http::Endpoint &endpoint, const std::string &method,
-                                    Json::Value params, absl::Duration timeout);
+                                    Json::Value params, absl::Duration timeout,
+                                    absl::Duration transferTime = absl::ZeroDuration());
 
     http::Traffic traffic() const;
 
--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -243,21 +243,25 @@
 
 void ConfigReplica::fetchFrom(const std::vector<http::Endpoint> &peers)
 {
-    if (peers.empty())
-        return;
-    Json::Value params(Json::objectValue);
-    {
-        absl::MutexLock lock(&m_mutex);
-        params["have"] = static_cast<Json::Int64>(version());
+    // One after another: several copies of a large configuration at once would delay each other on
+    // a slow link until all of them time out. The later peers send nothing that is known by then.
+    for (const http::Endpoint &peer : peers) {
+        Json::Value params(Json::objectValue);
+        {
+            absl::MutexLock lock(&m_mutex);
+            if (m_stopping)
+                return;
+            params["have"] = static_cast<Json::Int64>(version());
+        }
+        const core::Instant askedAt = m_clock.now();
+        const auto answer =
+            m_client.call(peer, "config", params, m_options.peerTimeout, BulkTransferTime);
+        if (!answer)
+            continue;
+        adoptClosures(*answer, askedAt);
+        if (const Json::Value &config = core::member(*answer, "config"); config.isString())
+            adopt(config.asString(), "peer");
     }
-    const core::Instant askedAt = m_clock.now();
-    rpc::broadcast(m_client, peers, "config", params, m_options.peerTimeout,
-                   [this, askedAt](const Json::Value &answer) {
-                       adoptClosures(answer, askedAt);
-                       if (const Json::Value &config = core::member(answer, "config");
-                           config.isString())
-                           adopt(config.asString(), "peer");
-                   });
 }
 
 } // namespace oleandercross::control
--- a/src/control/relayedstore.cpp
+++ b/src/control/relayedstore.cpp
@@ -146,7 +146,8 @@
                                                absl::Duration timeout)
 {
     for (const http::Endpoint &peer : takeRelayCandidates()) {
-        if (auto answer = m_client.call(peer, method, params, timeout + RelayMargin)) {
+        if (auto answer =
+                m_client.call(peer, method, params, timeout + RelayMargin, BulkTransferTime)) {
             preferRelay(peer);
             return answer;
         }
--- a/src/http/clientpool.cpp
+++ b/src/http/clientpool.cpp
@@ -290,14 +290,23 @@
 
     bool tooLarge = false;
     bool responseStarted = false;
-    message.response_handler = [&responseStarted](const httplib::Response &) {
-        return responseStarted = true;
+    core::Instant deadline = d->clock.now() + timeout;
+    core::Instant lastProgress = d->clock.now();
+    message.response_handler = [&](const httplib::Response &) {
+        responseStarted = true;
+        lastProgress = d->clock.now();
+        if (request.transferTime > absl::ZeroDuration()) {
+            d->watchdog.remove(client, deadline);
+            deadline += request.transferTime;
+            d->watchdog.add(client, deadline);
+        }
+        return true;
     };
     message.progress = [&](std::uint64_t current, std::uint64_t total) {
         tooLarge = std::max(current, total) > d->options.maxBodyBytes;
+        lastProgress = d->clock.now();
         return !tooLarge;
     };
-    const core::Instant deadline = d->clock.now() + timeout;
     d->watchdog.add(client, deadline);
     const httplib::Result result = client->send(message);
     d->watchdog.remove(client, deadline);
@@ -305,7 +314,8 @@
     if (!result) {
         core::ResultCode code = codeOf(result.error());
         const bool lost = code == core::ResultCode::ConnectionLost;
-        const bool late = lost && d->clock.now() >= deadline;
+        const core::Instant end = d->clock.now();
+        const bool late = lost && (end >= deadline || end - lastProgress >= timeout);
         if (late && !tooLarge)
             code = core::ResultCode::Timeout;
         else if (tooLarge || (lost && responseStarted))
--- a/src/rpc/rpc.cpp
+++ b/src/rpc/rpc.cpp
@@ -117,7 +117,8 @@
 }
 
 std::optional<Json::Value> Client::call(const http::Endpoint &endpoint, const std::string &method,
-                                        Json::Value params, absl::Duration timeout)
+                                        Json::Value params, absl::Duration timeout,
+                                        absl::Duration transferTime)
 {
     params["timeLeftMs"] = static_cast<Json::Int64>(absl::ToInt64Milliseconds(timeout));
     core::Reason transportReason;
@@ -128,6 +129,7 @@
         request.path = RpcPath;
         request.headers[AuthHeader] = core::hmacSha256Hex(d->sharedKey, requestBody);
         request.body = requestBody;
+        request.transferTime = transferTime;
         const std::optional<http::Response> response = d->pool.send(endpoint, request, timeout);
         if (!response) {
             transportReason = core::lastReason();
--- a/test/http/tst_clientpool.cpp
+++ b/test/http/tst_clientpool.cpp
@@ -103,6 +103,45 @@
     done.Notify();
 }
 
+// Guards against a large response on a slow link that is aborted and requested again without end,
+// and against a peer that uses the time for the transfer without sending anything.
+TEST_CASE("a response that has begun may take the transfer time longer")
+{
+    struct Case
+    {
+        const char *description;
+        absl::Duration transferTime;
+        bool sendsHeader;
+        bool sendsBody;
+        bool complete;
+    };
+    const auto c = GENERATE(values<Case>({
+        {"without a transfer time", absl::ZeroDuration(), true, true, false},
+        {"with a transfer time", absl::Seconds(5), true, true, true},
+        {"nothing has arrived", absl::Seconds(5), false, false, false},
+        {"no more arrives", absl::Seconds(5), true, false, false},
+    }));
+    CAPTURE(c.description);
+    absl::Notification done;
+    test::RawPeer peer([&](test::RawConnection &connection) {
+        connection.receiveUntil("\r\n\r\n");
+        if (c.sendsHeader)
+            connection.send("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+        for (int i = 0; c.sendsBody && i < 10 && !done.HasBeenNotified(); ++i) {
+            absl::SleepFor(absl::Milliseconds(60));
+            connection.send("x");
+        }
+        done.WaitForNotificationWithTimeout(absl::Seconds(10));
+    });
+    http::ClientPool pool({});
+    http::Request request = getRequest();
+    request.transferTime = c.transferTime;
+    const auto response = pool.send(peer.endpoint(), request, absl::Milliseconds(300));
+    CHECK(response.has_value() == c.complete);
+    CHECK((c.complete || core::lastReason().code == ResultCode::Timeout));
+    done.Notify();
+}
+
 // Guards against taking leftover data of one exchange for the response to the next request.
 TEST_CASE("a connection is reused only when it has no leftover data")
 {
