Encode and restore task times, urgent demand and health marks

Callers saw long waits and wrong placements for some time after each change of leader, since the next leader had learned nothing yet.

WorkEstimates, UrgentDemandForecast and WorkerHealth get a stored form and a restore that checks types and ranges entry by entry. encode() takes the limit of its size and, where values decay, the present time: sums are stored as they have decayed, since a clock of another machine means nothing here. Storing values with the time of day was ruled out for the same reason.

--- a/include/oleandercross/planning/cluster.h
+++ b/include/oleandercross/planning/cluster.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <oleandercross/core/clock.h>
+#include <oleandercross/planning/learnedstate.h>
 #include <oleandercross/workload/job.h>
 
+#include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -85,6 +88,15 @@
     // Returns 0 for a healthy worker, 1 for one to avoid and 2 for one that gets no work.
     int suspicionLevel(const std::string &worker, core::Instant now) const;
 
+    // Returns the keys of the workers with recorded failures or stalls.
+    std::set<std::string> workers() const;
+    // Returns the stored form of the marks that have not aged yet of the selected workers, of at
+    // most `maxBytes`. Marks are as they have decayed until now; stalls have their age.
+    std::string encode(core::Instant now, const WorkerFilter &selects, std::size_t maxBytes) const;
+    // Adds the marks of the stored form. Fails with BadJson or BadField if it, or a part of it, is
+    // unreadable; the other parts are restored.
+    bool restore(const std::string &text, core::Instant now);
+
 private:
     struct Score
     {
--- a/include/oleandercross/planning/estimates.h
+++ b/include/oleandercross/planning/estimates.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -32,6 +33,12 @@
     // Returns the expected run time of a task. An estimate that is not positive counts as missing.
     absl::Duration expectedTime(const std::string &queue, std::int64_t estimateMs) const;
 
+    // Returns the stored form, of at most `maxBytes`. Queues with most samples come first.
+    std::string encode(std::size_t maxBytes) const;
+    // Adds the queues of the stored form. Fails with BadJson or BadField if it, or a part of it, is
+    // unreadable; the other parts are restored.
+    bool restore(const std::string &text, core::Instant now);
+
 private:
     // Running mean and variance; the weight of old samples decays once the sample limit is reached.
     class Moments
@@ -40,10 +47,12 @@
         void add(double value);
         double count() const { return m_count; }
         double mean() const { return m_mean; }
+        double variance() const { return m_count > 0 ? m_squaredDeviations / m_count : 0; }
         // Return the mean and variance, combined with a prior that weighs as much as `samples`
         // samples.
         double meanWithPrior(double mean, double samples) const;
         double varianceWithPrior(double variance, double samples) const;
+        void restore(double count, double mean, double variance);
 
     private:
         double m_count = 0;
@@ -79,6 +88,14 @@
     // these jobs is one standard deviation above its mean.
     double forecastAccelerators(core::Instant now, absl::Duration horizon) const;
 
+    // Returns the stored form, of at most MaxUrgentDemandBytes. It holds the sums as they have
+    // decayed until now.
+    std::string encode(core::Instant now) const;
+    static constexpr std::size_t MaxUrgentDemandBytes = 256;
+    // Replaces the recorded jobs by those of the stored form. Fails with BadJson or BadField,
+    // without a change, if it is unreadable.
+    bool restore(const std::string &text, core::Instant now);
+
 private:
     // Exponentially decaying sums.
     double m_jobs = 0;
--- a/src/planning/cluster.cpp
+++ b/src/planning/cluster.cpp
@@ -1,5 +1,7 @@
 #include <oleandercross/planning/cluster.h>
 
+#include "learnedtext.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
@@ -17,6 +19,12 @@
 constexpr absl::Duration StallExclusionTime = absl::Seconds(3);
 // The factor that a completed run applies to the failures before it.
 constexpr double FailureFractionAfterSuccess = 0.4;
+// Fewer failures than this are not stored.
+constexpr double MinStoredFailureCount = 0.05;
+// The largest number of failures that is stored or restored.
+constexpr double MaxStoredFailureCount = 100;
+// Stands for the age of a stall in the stored form of a worker without a stall.
+constexpr double NoStall = -1;
 
 // The weight, in samples, of the prior assumption that a worker has average speed.
 constexpr double PriorSpeedSampleCount = 2;
@@ -119,4 +127,50 @@
     return failures >= ExcludedFailureCount ? 2 : failures >= SuspectFailureCount ? 1 : 0;
 }
 
+std::set<std::string> WorkerHealth::workers() const
+{
+    std::set<std::string> keys;
+    for (const auto &[worker, score] : m_scores)
+        keys.insert(worker);
+    for (const auto &[worker, stalledAt] : m_stalledAt)
+        keys.insert(worker);
+    return keys;
+}
+
+std::string WorkerHealth::encode(core::Instant now, const WorkerFilter &selects,
+                                 std::size_t maxBytes) const
+{
+    EntryText text(maxBytes);
+    for (const std::string &worker : workers()) {
+        if (!selects(worker))
+            continue;
+        const auto score = m_scores.find(worker);
+        const auto stalled = m_stalledAt.find(worker);
+        const double failures = score == m_scores.end() ? 0 : decayedFailures(score->second, now);
+        const bool isStalled =
+            stalled != m_stalledAt.end() && now - stalled->second < StallExclusionTime;
+        if (failures < MinStoredFailureCount && !isStalled)
+            continue;
+        const double stallAge =
+            isStalled ? std::max(0.0, absl::ToDoubleMilliseconds(now - stalled->second)) : NoStall;
+        text.add(worker, numberArray({std::min(failures, MaxStoredFailureCount), stallAge}));
+    }
+    return text.text();
+}
+
+bool WorkerHealth::restore(const std::string &text, core::Instant now)
+{
+    const double maxStallAge = absl::ToDoubleMilliseconds(StallExclusionTime);
+    return restoreEntries(text, [&](const std::string &worker, const Json::Value &value) {
+        const auto numbers =
+            readNumbers(value, {{0, MaxStoredFailureCount}, {NoStall, maxStallAge}});
+        if (!numbers)
+            return false;
+        m_scores[worker] = {(*numbers)[0], now};
+        if ((*numbers)[1] >= 0)
+            m_stalledAt[worker] = now - absl::Milliseconds((*numbers)[1]);
+        return true;
+    });
+}
+
 } // namespace oleandercross::planning
--- a/src/planning/estimates.cpp
+++ b/src/planning/estimates.cpp
@@ -1,7 +1,11 @@
 #include <oleandercross/planning/estimates.h>
 
+#include "learnedtext.h"
+
 #include <algorithm>
 #include <cmath>
+#include <utility>
+#include <vector>
 
 namespace oleandercross::planning {
 
@@ -24,6 +28,18 @@
 // The time in which the weight of an urgent job halves.
 constexpr absl::Duration UrgentDemandHalfLife = absl::Seconds(10);
 
+// The limits of numbers that are restored. Durations are in milliseconds, work is in
+// accelerator-weighted core seconds.
+constexpr double MaxRestoredMs = 1e13;
+constexpr double MaxRestoredRatio = 1e12;
+constexpr double MaxRestoredWork = 1e18;
+constexpr double MaxRestoredLogVariance = 1e4;
+constexpr double MaxRestoredUrgentJobs = 1e6;
+constexpr double MaxRestoredAccelerators = 1e12;
+// Lower bound of the stored number of urgent jobs, which keeps their typical objective.
+constexpr double MinStoredUrgentJobs = 1e-3;
+constexpr char UrgentJobsName[] = "recent";
+
 } // namespace
 
 void WorkEstimates::Moments::add(double value)
@@ -48,6 +64,13 @@
     return (m_squaredDeviations + variance * samples) / (m_count + samples);
 }
 
+void WorkEstimates::Moments::restore(double count, double mean, double variance)
+{
+    m_count = count;
+    m_mean = mean;
+    m_squaredDeviations = variance * count;
+}
+
 void WorkEstimates::recordEstimate(const std::string &queue, std::int64_t estimateMs)
 {
     if (estimateMs > 0)
@@ -98,6 +121,51 @@
     return absl::Milliseconds(std::exp(expectedLogMs));
 }
 
+std::string WorkEstimates::encode(std::size_t maxBytes) const
+{
+    std::vector<std::pair<double, const std::string *>> queues;
+    for (const auto &[queue, statistics] : m_queues)
+        queues.emplace_back(-statistics.times.count() - statistics.jobWork.count(), &queue);
+    std::stable_sort(queues.begin(), queues.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    EntryText text(maxBytes);
+    for (const auto &[order, queue] : queues) {
+        const QueueStatistics &s = m_queues.at(*queue);
+        // Geometric means instead of means of logarithms, so that a change of a tenth means the
+        // same for each of the numbers.
+        text.add(
+            *queue,
+            numberArray({s.estimates.count(), std::exp(s.estimates.mean()), s.estimates.variance(),
+                         s.times.count(), std::exp(s.times.mean()), s.times.variance(),
+                         s.ratios.count(), std::exp(s.ratios.mean()), s.ratios.variance(),
+                         s.jobWork.count(), s.jobWork.mean(), s.jobWork.variance()}));
+    }
+    return text.text();
+}
+
+bool WorkEstimates::restore(const std::string &text, core::Instant)
+{
+    const NumberRange count{0, MaxSampleCount};
+    const NumberRange ms{1 / MaxRestoredMs, MaxRestoredMs};
+    const NumberRange ratio{1 / MaxRestoredRatio, MaxRestoredRatio};
+    const NumberRange logVariance{0, MaxRestoredLogVariance};
+    const NumberRange work{0, MaxRestoredWork};
+    const NumberRange workVariance{0, MaxRestoredWork * MaxRestoredWork};
+    const std::vector<NumberRange> ranges = {count, ms,    logVariance, count, ms,   logVariance,
+                                             count, ratio, logVariance, count, work, workVariance};
+    return restoreEntries(text, [&](const std::string &queue, const Json::Value &value) {
+        const auto n = readNumbers(value, ranges);
+        if (!n)
+            return false;
+        QueueStatistics &statistics = m_queues[queue];
+        statistics.estimates.restore((*n)[0], std::log((*n)[1]), (*n)[2]);
+        statistics.times.restore((*n)[3], std::log((*n)[4]), (*n)[5]);
+        statistics.ratios.restore((*n)[6], std::log((*n)[7]), (*n)[8]);
+        statistics.jobWork.restore((*n)[9], (*n)[10], (*n)[11]);
+        return true;
+    });
+}
+
 void UrgentDemandForecast::recordJob(std::int64_t accelerators, absl::Duration objective,
                                      core::Instant now)
 {
@@ -130,4 +198,35 @@
     return (expectedJobs + std::sqrt(expectedJobs)) * m_accelerators / m_jobs;
 }
 
+std::string UrgentDemandForecast::encode(core::Instant now) const
+{
+    if (m_jobs <= 0)
+        return "{}";
+    const double decayFactor =
+        std::exp2(-absl::FDivDuration(now - m_updatedAt, UrgentDemandHalfLife));
+    const double jobs =
+        std::clamp(m_jobs * decayFactor, MinStoredUrgentJobs, MaxRestoredUrgentJobs);
+    EntryText text(MaxUrgentDemandBytes);
+    text.add(UrgentJobsName,
+             numberArray({jobs, m_accelerators / m_jobs, std::exp(m_logObjectives / m_jobs)}));
+    return text.text();
+}
+
+bool UrgentDemandForecast::restore(const std::string &text, core::Instant now)
+{
+    return restoreEntries(text, [&](const std::string &name, const Json::Value &value) {
+        const auto numbers = readNumbers(value,
+                                         {{MinStoredUrgentJobs / 2, MaxRestoredUrgentJobs},
+                                          {0, MaxRestoredAccelerators},
+                                          {0.5, MaxRestoredMs}});
+        if (name != UrgentJobsName || !numbers)
+            return false;
+        m_jobs = (*numbers)[0];
+        m_accelerators = m_jobs * (*numbers)[1];
+        m_logObjectives = m_jobs * std::log((*numbers)[2]);
+        m_updatedAt = now;
+        return true;
+    });
+}
+
 } // namespace oleandercross::planning
