Let accounts take turns under contention and collect the learned state

Callers of accounts with long tasks got nothing while other accounts had waiting work: within a priority the value density alone decided the order.

AccountShares compares what each account has had (decaying work, half-life 20 s) with its demand, and gives a factor of 0.5 to 2 for the value density. The factor is 1 unless a task of the priority has waited for over 500 ms. Shares of demand are compared, not amounts: equal amounts would push an account with most of the demand far below the others.

Planner::learnedState() and restoreLearnedState() hold all learned classes as six texts. Jobs that the restored state includes are not recorded again, and workers that do not appear within 15 s are dropped.

--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <oleandercross/planning/accountshares.h>
 #include <oleandercross/planning/cluster.h>
 #include <oleandercross/planning/estimates.h>
 #include <oleandercross/planning/jobrecord.h>
+#include <oleandercross/planning/learnedstate.h>
 #include <oleandercross/planning/placement.h>
 
 #include <functional>
@@ -100,6 +102,13 @@
 
     Plan plan(core::Instant now, std::int64_t unixMs);
 
+    // Returns what the planner has learned, in its stored form.
+    LearnedState learnedState(core::Instant now) const;
+    // Restores what an earlier planner has learned; called before the first job is added. Returns
+    // what is unreadable and was ignored.
+    std::vector<UnreadableLearnedState> restoreLearnedState(const LearnedState &state,
+                                                            core::Instant now);
+
     // Returns the jobs whose stored form changed since the last call.
     std::set<std::string> takeChanged();
 
@@ -133,6 +142,10 @@
                                    const std::string &worker);
     void indexActiveTasks(const JobRecord &record);
     void recordEstimates(const workload::Job &job, core::Instant now);
+    // Returns true if an earlier planner has recorded the job and its records were restored.
+    bool isIncludedInRestoredState(bool hasProgress, absl::Duration age) const;
+    // Drops what was restored for workers that have not appeared since.
+    void dropMissingWorkers(core::Instant now);
     void recordCompletion(const JobRecord &record, const workload::TaskKey &key, core::Instant now);
     static void requestStop(Task &task, const std::string &reason);
     // The following functions are the phases of plan(), in sequence.
@@ -169,6 +182,8 @@
     void estimateTimesAndValue(SchedulingUnit &unit, const Occurrence &occurrence,
                                const Round &round) const;
     void collectUnits(JobRecord &record, const Round &round, std::vector<SchedulingUnit> &units);
+    // Multiplies the value density of the units by the factors of their accounts.
+    void applyAccountShares(const Round &round, std::vector<SchedulingUnit> &units);
     std::map<std::string, std::int64_t> urgentNeeds() const;
     bool withinGuarantee(const std::string &account) const;
     // Visits the active tasks of a worker. The visitor may end their runs.
@@ -221,6 +236,12 @@
     WorkerSpeeds m_speeds;
     std::set<std::string> m_changed;
     UrgentDemandForecast m_urgentDemand;
+    AccountShares m_accountShares;
+    // The records of jobs that an earlier planner made have been restored completely.
+    bool m_estimatesRestored = false;
+    // Workers with restored marks, and when they are dropped unless they have appeared.
+    std::set<std::string> m_restoredWorkers;
+    core::Instant m_restoredWorkersUntil = absl::InfiniteFuture();
 };
 
 } // namespace oleandercross::planning
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -43,6 +43,7 @@
         ++it;
     }
     m_urgentNeeds = urgentNeeds();
+    dropMissingWorkers(now);
     Round round;
     round.now = now;
     indexWorkers(round);
@@ -183,6 +184,7 @@
         if (!ended(record->state()))
             collectUnits(*record, round, units);
     }
+    applyAccountShares(round, units);
     std::stable_sort(
         units.begin(), units.end(),
         [](const SchedulingUnit &a, const SchedulingUnit &b) { return a.sortKey() < b.sortKey(); });
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -31,7 +31,8 @@
 void Planner::addJob(workload::Job job, core::Instant now, absl::Duration age)
 {
     const std::string id = job.id;
-    recordEstimates(job, now);
+    if (!isIncludedInRestoredState(false, age))
+        recordEstimates(job, now);
     const auto added = m_jobs.try_emplace(id, std::move(job), now - age).first;
     m_openJobs.emplace(id, &added->second);
 }
@@ -43,7 +44,8 @@
     if (!record.restore(progress, now))
         return false;
     const std::string id = record.job().id;
-    recordEstimates(record.job(), now);
+    if (!isIncludedInRestoredState(true, age))
+        recordEstimates(record.job(), now);
     const auto restored = m_jobs.insert_or_assign(id, std::move(record)).first;
     m_openJobs.insert_or_assign(id, &restored->second);
     indexActiveTasks(restored->second);
--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -140,4 +140,31 @@
     unit.valueDensity = savedValueFraction * jobValue / std::max(remainingWork, MinWorkCoreSeconds);
 }
 
+void Planner::applyAccountShares(const Round &round, std::vector<SchedulingUnit> &units)
+{
+    ShareDemands demands;
+    const auto demandOf = [&demands](const JobRecord &record) -> ShareDemand & {
+        return demands[{record.job().terms.priority, record.job().account}];
+    };
+    const JobRecord *previous = nullptr;
+    ShareDemand *demand = nullptr;
+    for (const ActiveRun &run : round.activeRuns) {
+        if (run.record != previous) {
+            previous = run.record;
+            demand = &demandOf(*run.record);
+        }
+        demand->occupiedCores += weightedCores(run.spec->perTask);
+    }
+    for (const SchedulingUnit &unit : units) {
+        ShareDemand &waiting = demandOf(*unit.record);
+        waiting.waitingWork += weightedCores(unit.spec->perTask)
+            * absl::ToDoubleSeconds(unit.taskTime) * static_cast<double>(unit.taskIndices.size());
+        waiting.longestWait = std::max(waiting.longestWait, round.now - unit.progress->readySince);
+    }
+    m_accountShares.update(demands, round.now);
+    for (SchedulingUnit &unit : units)
+        unit.valueDensity *=
+            m_accountShares.factor({unit.record->job().terms.priority, unit.record->job().account});
+}
+
 } // namespace oleandercross::planning
