Store what the leader has learned and read it at a takeover

The next leader started without task times, urgent demand, health marks and shares of accounts, so callers got worse service for a while after each change of leader.

LearnedRows keeps what is stored and when it was checked. Reading is tried three times and then given up, since a takeover must not wait for quality. A transaction of its own was ruled out: it would cost calls to a partition that a slow store limits to six a second.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -2,6 +2,7 @@
 
 #include <oleandercross/control/agentlink.h>
 #include <oleandercross/control/leaderlog.h>
+#include <oleandercross/control/learnedrows.h>
 #include <oleandercross/control/tablefollower.h>
 #include <oleandercross/core/condvar.h>
 #include <oleandercross/planning/planner.h>
@@ -88,6 +89,8 @@
 
     void run();
     bool load();
+    // Reads what earlier leaders have learned. Without it the planner learns again.
+    void loadLearnedState();
     // Returns how long ago a job that has just been read was accepted.
     absl::Duration jobAge(const workload::Job &job, core::Instant now) const;
     Inbox takeInbox(core::Instant until);
@@ -118,7 +121,8 @@
     // Returns true if a configuration or a job names the service, or if none has been read yet.
     bool isKnownService(const std::string &service) const;
     void handleUnresponsiveWorkers(core::Instant now);
-    // Changes of one job's progress that are stored in one transaction.
+    // Changes of one job's progress that are stored in one transaction, or the changes of the
+    // learned state with NoJob in place of a job.
     struct ProgressWrite
     {
         std::string job;
@@ -126,9 +130,14 @@
         std::vector<StoredRow> removals;
     };
 
-    // Stores the changed progress. The rows of several jobs share a transaction, within the limits
-    // of the store. Returns false if this process is not the leader any more, or stops.
+    // Stores the changed progress, and the learned state if it is due and has room. The rows of
+    // several jobs share a transaction, within the limits of the store. Returns false if this
+    // process is not the leader any more, or stops.
     bool store(const std::set<std::string> &changed, core::Instant now);
+    // Adds the changes of the learned state to the last transaction of a round if it has room for
+    // them beside these rows and bytes.
+    void addLearnedRows(std::vector<ProgressWrite> &writes, std::size_t rowCount, std::size_t bytes,
+                        core::Instant now);
     static ProgressWrite progressWrite(const std::string &job,
                                        const planning::ProgressGroup &group);
     // Stores the changes in one transaction. If the store rejects it, divides it to find the jobs
@@ -154,6 +163,7 @@
 
     // Used by the planning thread only.
     planning::Planner m_planner;
+    LearnedRows m_learnedRows;
     // The stored progress of jobs whose rows have not been read yet.
     std::map<std::string, planning::ProgressRows> m_progress;
     std::map<std::string, std::unique_ptr<AgentLink>> m_links;
--- a/include/oleandercross/control/rowstore.h
+++ b/include/oleandercross/control/rowstore.h
@@ -129,6 +129,7 @@
 inline constexpr char ProgressTable[] = "progress";
 inline constexpr char LeaderTable[] = "leader";
 inline constexpr char MemberTable[] = "members";
+inline constexpr char LearnedTable[] = "learned";
 // The only row of the leader table.
 inline constexpr char LeaderKey[] = "leader";
 // Appended to a job's id to form the key of the row in the job table that cancels the job.
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -32,6 +32,11 @@
 constexpr absl::Duration FullCleanupPeriod = absl::Seconds(1);
 // Stands between a job's id and the name of a part of its progress in the key of a row.
 constexpr char ProgressSeparator[] = "/";
+// Stands in place of a job's id where rows of the learned state are stored.
+constexpr char NoJob[] = "";
+// The learned state is worth little delay of a takeover.
+constexpr int MaxLearnedStateReads = 3;
+constexpr absl::Duration LoadRetryPause = absl::Milliseconds(100);
 
 } // namespace
 
@@ -139,8 +144,9 @@
             break;
         }
         telemetry::Event("leader_load_retried").with("reason", core::lastReason().message);
-        absl::SleepFor(absl::Milliseconds(100));
+        absl::SleepFor(LoadRetryPause);
     }
+    loadLearnedState();
     const auto appendJobRows = [this](const std::vector<StoredRow> &rows) {
         absl::MutexLock lock(&m_mutex);
         m_inbox.jobRows.insert(m_inbox.jobRows.end(), rows.begin(), rows.end());
@@ -161,6 +167,24 @@
     return !m_stopping;
 }
 
+void Leader::loadLearnedState()
+{
+    for (int reads = 0; reads < MaxLearnedStateReads && !m_stopping; ++reads) {
+        if (const auto page = m_store.table(LearnedTable, StoreTimeout)) {
+            const planning::LearnedState state = m_learnedRows.takeStored(page->rows);
+            for (const auto &[key, reason] : m_planner.restoreLearnedState(state, m_clock.now()))
+                telemetry::Event("learned_state_unreadable")
+                    .with("key", key)
+                    .with("reason", reason);
+            return;
+        }
+        absl::SleepFor(LoadRetryPause);
+    }
+    telemetry::Event("learned_state_unreadable")
+        .with("key", "")
+        .with("reason", core::lastReason().message);
+}
+
 void Leader::run()
 {
     telemetry::Event("leadership_taken").with("epoch", epoch());
@@ -351,7 +375,32 @@
             writes.push_back(std::move(write));
         }
     }
-    return commitWrites(writes, rejected) && (rejected.empty() || failRejected(rejected, now));
+    addLearnedRows(writes, rowCount, bytes, now);
+    if (!commitWrites(writes, rejected))
+        return false;
+    if (rejected.erase(NoJob) > 0) {
+        telemetry::Event("learned_state_rejected");
+        m_learnedRows.rejected(now);
+    } else if (!writes.empty() && writes.back().job == NoJob) {
+        m_learnedRows.stored(writes.back().puts);
+    }
+    return rejected.empty() || failRejected(rejected, now);
+}
+
+void Leader::addLearnedRows(std::vector<ProgressWrite> &writes, std::size_t rowCount,
+                            std::size_t bytes, core::Instant now)
+{
+    if (!m_learnedRows.due(now))
+        return;
+    ProgressWrite write{NoJob, m_learnedRows.changes(m_planner.learnedState(now), now), {}};
+    for (const StoredRow &row : write.puts)
+        bytes += sentSize(row);
+    rowCount += write.puts.size();
+    if (write.puts.empty() || rowCount > LeaderLog::MaxRowsPerCommit
+        || bytes > LeaderLog::MaxBytesPerCommit)
+        return;
+    m_metrics.add("learned_rows_stored", static_cast<std::int64_t>(write.puts.size()));
+    writes.push_back(std::move(write));
 }
 
 bool Leader::commitWrites(const std::vector<ProgressWrite> &writes, std::set<std::string> &rejected)
--- a/src/control/rowstore.cpp
+++ b/src/control/rowstore.cpp
@@ -40,7 +40,7 @@
 
 std::string partitionOf(const std::string &table, const std::string &key)
 {
-    if (table == LeaderTable || table == ProgressTable)
+    if (table == LeaderTable || table == ProgressTable || table == LearnedTable)
         return LeaderPartition;
     if (table == MemberTable)
         return MemberPartition;
--- a/test/control/tst_rowpartitions.cpp
+++ b/test/control/tst_rowpartitions.cpp
@@ -146,6 +146,7 @@
     };
     const Row row =
         GENERATE(Row{LeaderTable, LeaderKey, ProgressTable, "0123456789abcdef", true},
+                 Row{LeaderTable, LeaderKey, LearnedTable, "speeds-0", true},
                  Row{JobTable, "0123456789abcdef", JobTable, "0123456789abcdef/cancel", true},
                  Row{MemberTable, "front-1", MemberTable, "side-7", true},
                  Row{LeaderTable, LeaderKey, JobTable, "0123456789abcdef", false},
@@ -157,8 +158,8 @@
 // Guards against a job row that a new leader does not read because it is in an unlisted partition.
 TEST_CASE("every row is in one of the partitions of its table")
 {
-    const char *table =
-        GENERATE(as<const char *>(), JobTable, ProgressTable, LeaderTable, MemberTable, "op");
+    const char *table = GENERATE(as<const char *>(), JobTable, ProgressTable, LeaderTable,
+                                 MemberTable, LearnedTable, "op");
     const std::vector<std::string> partitions = partitionsOf(table);
     std::mt19937_64 random(5);
     std::set<std::string> used;
