Count similar shares of accounts as equal and measure the learned rows

Shares of accounts differ by chance, and the factor changed the order by value for such differences too. Ratios from 0.8 to 1.25 now count as 1.

--- a/bench/dayschedulers.cpp
+++ b/bench/dayschedulers.cpp
@@ -36,6 +36,10 @@
         m_planner.runAbsent(worker, run);
     }
     planning::Plan plan(core::Instant now) override { return m_planner.plan(now, 0); }
+    planning::LearnedState learnedState(core::Instant now) const override
+    {
+        return m_planner.learnedState(now);
+    }
     std::vector<std::string> takeCompleted() override
     {
         std::vector<std::string> completed;
--- a/bench/dayschedulers.h
+++ b/bench/dayschedulers.h
@@ -27,6 +27,8 @@
     virtual void runAbsent(const std::string &worker, const workload::RunKey &run) = 0;
     // Returns the start and stop orders that are due.
     virtual planning::Plan plan(core::Instant now) = 0;
+    // Returns what a leader would store of what the scheduler has learned.
+    virtual planning::LearnedState learnedState(core::Instant) const { return {}; }
     // Returns the jobs that completed since the last call.
     virtual std::vector<std::string> takeCompleted() = 0;
 };
--- a/bench/daysimulation.cpp
+++ b/bench/daysimulation.cpp
@@ -2,6 +2,8 @@
 
 #include "dayschedulers.h"
 
+#include <oleandercross/control/learnedrows.h>
+
 #include <absl/strings/str_cat.h>
 #include <xxhash.h>
 
@@ -107,6 +109,7 @@
             const planning::Plan plan = m_scheduler->plan(m_now);
             m_planTimes.push_back(m_clock.now() - planBegin);
             m_nextPlan = plan.next;
+            checkLearnedState();
             for (const planning::Order &order : plan.orders) {
                 addToDigest(order);
                 execute(order);
@@ -117,6 +120,22 @@
     }
 
 private:
+    void checkLearnedState()
+    {
+        if (!m_learnedRows.due(m_now))
+            return;
+        const core::Instant begin = m_clock.now();
+        const planning::LearnedState state = m_scheduler->learnedState(m_now);
+        const std::vector<control::StoredRow> rows = m_learnedRows.changes(state, m_now);
+        m_learnedCheckTimes.push_back(m_clock.now() - begin);
+        m_learnedRows.stored(rows);
+        m_learnedRowCount += static_cast<int>(rows.size());
+        for (const control::StoredRow &row : rows) {
+            m_learnedBytes += control::sentSize(row);
+            m_largestLearnedText = std::max(m_largestLearnedText, row.value.size());
+        }
+    }
+
     double uniform(double from, double to)
     {
         return std::uniform_real_distribution<>(from, to)(m_random);
@@ -434,6 +453,11 @@
         result.wastedWorkFraction = m_wastedWork / std::max(m_totalWork, 1e-9);
         result.planTimes = m_planTimes;
         result.orderDigest = m_orderDigest;
+        result.learnedRows = m_learnedRowCount;
+        result.learnedBytes = m_learnedBytes;
+        result.largestLearnedText = m_largestLearnedText;
+        result.learnedCheckTimes = m_learnedCheckTimes;
+        result.length = m_scenario.submissionPeriod + m_scenario.completionPeriod;
         return result;
     }
 
@@ -455,6 +479,11 @@
     const core::BootClock m_clock;
     std::vector<absl::Duration> m_planTimes;
     std::uint64_t m_orderDigest = 0;
+    control::LearnedRows m_learnedRows;
+    int m_learnedRowCount = 0;
+    std::size_t m_learnedBytes = 0;
+    std::size_t m_largestLearnedText = 0;
+    std::vector<absl::Duration> m_learnedCheckTimes;
 };
 
 } // namespace
--- a/bench/daysimulation.h
+++ b/bench/daysimulation.h
@@ -79,6 +79,14 @@
     double wastedWorkFraction = 0;
     // How long each call of the scheduler's plan() took on this machine.
     std::vector<absl::Duration> planTimes;
+    // The rows of the learned state that a leader would write, their bytes as sent and the size of
+    // the largest text, and how long each check for changes took on this machine.
+    int learnedRows = 0;
+    std::size_t learnedBytes = 0;
+    std::size_t largestLearnedText = 0;
+    std::vector<absl::Duration> learnedCheckTimes;
+    // The length of the day in virtual time.
+    absl::Duration length;
     // A digest of all orders in sequence; equal digests mean equal decisions.
     std::uint64_t orderDigest = 0;
 };
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -379,7 +379,8 @@
     if (!commitWrites(writes, rejected))
         return false;
     if (rejected.erase(NoJob) > 0) {
-        telemetry::Event("learned_state_rejected");
+        telemetry::Event("learned_state_rejected")
+            .with("pause_s", absl::ToInt64Seconds(LearnedRows::RejectionPause));
         m_learnedRows.rejected(now);
     } else if (!writes.empty() && writes.back().job == NoJob) {
         m_learnedRows.stored(writes.back().puts);
--- a/src/planning/accountshares.cpp
+++ b/src/planning/accountshares.cpp
@@ -21,6 +21,9 @@
 // The limits of the factor.
 constexpr double MaxFactor = 2;
 constexpr double MinFactor = 1 / MaxFactor;
+// Shares whose ratio is within this factor of 1 count as equal: accounts differ by chance, and each
+// change of the order by value costs value.
+constexpr double EqualShareRatio = 1.25;
 // Added to both shares, so that accounts that have had nothing yet do not differ by chance.
 constexpr double ShareOffset = 0.02;
 // Less usage than this is forgotten, in accelerator-weighted core seconds.
@@ -78,7 +81,9 @@
     const Usage &usage = found->second;
     const double own = usage.had / (usage.had + usage.waitingWork);
     const double all = contention->second.had / contention->second.demanded;
-    return std::clamp((all + ShareOffset) / (own + ShareOffset), MinFactor, MaxFactor);
+    const double ratio = (all + ShareOffset) / (own + ShareOffset);
+    const double excess = ratio / std::clamp(ratio, 1 / EqualShareRatio, EqualShareRatio);
+    return std::clamp(excess, MinFactor, MaxFactor);
 }
 
 std::string AccountShares::encode(core::Instant now, std::size_t maxBytes) const
--- a/src/planning/learnedstate.cpp
+++ b/src/planning/learnedstate.cpp
@@ -95,10 +95,11 @@
     const auto noteFailure = [&unreadable](const std::string &key) {
         unreadable.push_back({key, core::lastReason().message});
     };
-    for (const auto &[key, text] : state) {
+    for (const auto &entry : state) {
+        const std::string &key = entry.first;
         if (!isLearnedKey(key))
             continue;
-        const std::optional<Json::Value> row = readRow(text);
+        const std::optional<Json::Value> row = readRow(entry.second);
         if (!row) {
             noteFailure(key);
             continue;
