--- a/bench/daysimulation.cpp
+++ b/bench/daysimulation.cpp
@@ -128,7 +128,7 @@
         const planning::LearnedState state = m_scheduler->learnedState(m_now);
         const std::vector<control::StoredRow> rows = m_learnedRows.changes(state, m_now);
         m_learnedCheckTimes.push_back(m_clock.now() - begin);
-        m_learnedRows.stored(rows);
+        m_learnedRows.stored(rows, m_now);
         m_learnedRowCount += static_cast<int>(rows.size());
         for (const control::StoredRow &row : rows) {
             m_learnedBytes += control::sentSize(row);
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -383,7 +383,7 @@
             .with("pause_s", absl::ToInt64Seconds(LearnedRows::RejectionPause));
         m_learnedRows.rejected(now);
     } else if (!writes.empty() && writes.back().job == NoJob) {
-        m_learnedRows.stored(writes.back().puts);
+        m_learnedRows.stored(writes.back().puts, now);
     }
     return rejected.empty() || failRejected(rejected, now);
 }
--- a/src/control/learnedrows.cpp
+++ b/src/control/learnedrows.cpp
@@ -42,7 +42,7 @@
             continue;
         state[row.key] = row.value;
     }
-    stored(rows);
+    keep(rows);
     return state;
 }
 
@@ -59,7 +59,17 @@
     return changed;
 }
 
-void LearnedRows::stored(const std::vector<StoredRow> &rows)
+void LearnedRows::stored(const std::vector<StoredRow> &rows, core::Instant now)
+{
+    keep(rows);
+    std::size_t bytes = 0;
+    for (const StoredRow &row : rows)
+        bytes += sentSize(row);
+    m_nextCheck =
+        std::max(m_nextCheck, now + absl::Seconds(static_cast<double>(bytes) / MaxBytesPerSecond));
+}
+
+void LearnedRows::keep(const std::vector<StoredRow> &rows)
 {
     for (const StoredRow &row : rows) {
         if (row.removed || row.value.size() > planning::MaxLearnedRowBytes)
--- a/test/control/tst_learnedrows.cpp
+++ b/test/control/tst_learnedrows.cpp
@@ -95,7 +95,7 @@
     REQUIRE(first.size() == 1);
     // Rows that were not stored are still to be written.
     CHECK(rows.changes(accounts(c.before), Start) == first);
-    rows.stored(first);
+    rows.stored(first, Start);
     CHECK(rows.changes(accounts(c.after), Start).empty() != c.changed);
 }
 
@@ -106,6 +106,10 @@
     rows.changes(accounts(""), Start);
     CHECK_FALSE(rows.due(Start + absl::Milliseconds(1999)));
     CHECK(rows.due(Start + absl::Seconds(2)));
+    // Large rows are written less often.
+    rows.stored({{LearnedTable, "accounts", std::string(30000, 'x')}}, Start);
+    CHECK_FALSE(rows.due(Start + absl::Seconds(4)));
+    CHECK(rows.due(Start + absl::Seconds(6)));
     rows.rejected(Start);
     CHECK_FALSE(rows.due(Start + absl::Seconds(59)));
     CHECK(rows.due(Start + absl::Minutes(1)));
