--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -6,6 +6,7 @@
 #include <oleandercross/planning/jobrecord.h>
 #include <oleandercross/planning/learnedstate.h>
 #include <oleandercross/planning/placement.h>
+#include <oleandercross/planning/workerspeeds.h>
 
 #include <functional>
 #include <map>
@@ -147,6 +148,10 @@
     // Drops what was restored for workers that have not appeared since.
     void dropMissingWorkers(core::Instant now);
     void recordCompletion(const JobRecord &record, const workload::TaskKey &key, core::Instant now);
+    // Records the pace of a run that has done `fraction` of its task after `elapsed`, unless it
+    // says nothing about the speeds of its workers.
+    void recordPace(const JobRecord &record, const workload::TaskKey &key, double fraction,
+                    absl::Duration elapsed, core::Instant now);
     static void requestStop(Task &task, const std::string &reason);
     // The following functions are the phases of plan(), in sequence.
     void indexWorkers(Round &round) const;
@@ -190,6 +195,26 @@
     void forEachActiveTask(const std::string &worker,
                            const std::function<void(const workload::TaskKey &, Task &)> &visit);
     PlacementRequest request(const SchedulingUnit &unit, const Round &round) const;
+    // Returns the speed class of each worker for the unit: fast workers come first for urgent work,
+    // and last for work that ends in time on slow ones.
+    static std::vector<int> speedClasses(const SchedulingUnit &unit, const Round &round);
+    // Returns true if tasks may be spread over idle workers to learn their speeds, although this
+    // leaves fewer whole workers for gangs.
+    static bool hasIdleWorkersToMeasure(const Round &round);
+    // Returns true if the unit is expected to end before its deadline if it starts on the worker.
+    static bool endsInTime(const SchedulingUnit &unit, int worker, const Round &round);
+    // Returns the request, restricted in turn to the groups of workers on which a gang is placed
+    // best, so that its members have like speeds. Empty if the workers have like speeds anyway.
+    static std::vector<PlacementRequest> bySpeed(const SchedulingUnit &unit,
+                                                 const PlacementRequest &request,
+                                                 const Round &round);
+    // Returns the request of an urgent unit without the workers on which it would end late, if
+    // workers have uneven speeds; other requests unchanged.
+    static PlacementRequest onWorkersInTime(const SchedulingUnit &unit,
+                                            const PlacementRequest &request, const Round &round);
+    // Returns true if the unit should rather wait than start on workers that make it late.
+    static bool waitsForWorkersInTime(const SchedulingUnit &unit, const PlacementRequest &request,
+                                      const PlacementRequest &inTime, const Round &round);
     // Returns how many more tasks of the step each worker may get.
     static std::vector<int> taskLimits(const SchedulingUnit &unit, const Round &round);
     // Returns true if a pending task of the unit is suspected to crash workers and has been started
@@ -200,8 +225,6 @@
     // is recent, and nothing starts beside it until it has run for a while.
     static bool mayShareWorker(bool suspect, int worker, const Round &round);
     static std::vector<bool> workersWithFailedRuns(const SchedulingUnit &unit, const Round &round);
-    // Returns the speed class of the worker, see PlacementRequest.
-    int speedClass(const std::string &worker) const;
     // Returns true if a worker of a suitable class may run the unit's tasks.
     bool isEligible(const SchedulingUnit &unit, int worker, const Round &round) const;
     // Restricts the request to the workers on the rack of the input data, if there are any.
@@ -215,7 +238,14 @@
     static bool isAboutToBeLate(const SchedulingUnit &unit, core::Instant now);
     double preemptionBudget(const SchedulingUnit &unit, core::Instant now) const;
     static void deductReservation(const SchedulingUnit &unit, Round &round);
+    // Returns how long the unit waits for its preferred rack, or for a single rack.
+    static absl::Duration longestRackWait(const SchedulingUnit &unit);
+    void placeGang(const SchedulingUnit &unit, Round &round);
     bool tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
+    // Place the unit on free capacity, and on capacity that is freed by pre-emption or is already
+    // reserved for it. Return false if there is none.
+    bool tryFree(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
+    bool tryPreempt(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
     void startTasks(const SchedulingUnit &unit, const std::map<int, int> &tasks, Round &round);
     static void preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round);
 
