Keep the speeds of workers at a change of leader

The next leader treated all workers as average until it had measured runs of its own, so that work with little slack went to slow workers.

The rows speeds-0 to speeds-3 hold speed and weight of each worker. A restored speed is one more observation of the worker in the fit, made at the takeover; it decays with the half-life of the others and is dropped with them.

--- a/include/oleandercross/planning/workerspeeds.h
+++ b/include/oleandercross/planning/workerspeeds.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <oleandercross/core/clock.h>
+#include <oleandercross/planning/learnedstate.h>
 
 #include <absl/time/time.h>
 
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -59,6 +61,15 @@
     // Returns how certain the speed is, from 0 without observations to 1.
     double confidence(const std::string &worker) const;
 
+    // Returns the keys of the workers with a speed.
+    std::set<std::string> workers() const;
+    // Returns the stored form of the speeds of the selected workers, of at most `maxBytes`.
+    std::string encode(const WorkerFilter &selects, std::size_t maxBytes) const;
+    // Adds the speeds of the stored form. Each counts as an observation made now, whose weight
+    // decays like that of the others. Fails with BadJson or BadField if the form, or a part of it,
+    // is unreadable; the other parts are restored.
+    bool restore(const std::string &text, core::Instant now);
+
 private:
     struct Step
     {
@@ -71,6 +82,11 @@
     {
         double logSpeed = 0;
         double weight = 0;
+        // A restored observation, and its weight at the time of the fit.
+        double restoredLogSpeed = 0;
+        double restoredWeight = 0;
+        core::Instant restoredAt = absl::InfinitePast();
+        double priorWeight = 0;
     };
 
     struct Sample;
--- a/src/planning/learnedstate.cpp
+++ b/src/planning/learnedstate.cpp
@@ -82,8 +82,9 @@
             return (m_workers.contains(worker) || m_restoredWorkers.contains(worker))
                 && XXH64(worker.data(), worker.size(), 0) % SpeedsRowCount == i;
         };
-        state[speedsKey(i)] = rowText(
-            {{"health", m_health.encode(now, inRow, (MaxLearnedRowBytes - RowOverheadBytes) / 2)}});
+        constexpr std::size_t MaxPartBytes = (MaxLearnedRowBytes - RowOverheadBytes) / 2;
+        state[speedsKey(i)] = rowText({{"speeds", m_speeds.encode(inRow, MaxPartBytes)},
+                                       {"health", m_health.encode(now, inRow, MaxPartBytes)}});
     }
     return state;
 }
@@ -117,10 +118,12 @@
         } else if (key == AccountsKey) {
             restorePart("had", m_accountShares);
         } else {
+            restorePart("speeds", m_speeds);
             restorePart("health", m_health);
         }
     }
     m_restoredWorkers = m_health.workers();
+    m_restoredWorkers.merge(m_speeds.workers());
     m_restoredWorkersUntil = now + MissingWorkerTimeout;
     return unreadable;
 }
@@ -135,8 +138,10 @@
     if (m_restoredWorkers.empty() || now < m_restoredWorkersUntil)
         return;
     for (const std::string &worker : m_restoredWorkers) {
-        if (!m_workers.contains(worker))
-            m_health.removeWorker(worker);
+        if (m_workers.contains(worker))
+            continue;
+        m_health.removeWorker(worker);
+        m_speeds.removeWorker(worker);
     }
     m_restoredWorkers.clear();
 }
--- a/src/planning/workerspeeds.cpp
+++ b/src/planning/workerspeeds.cpp
@@ -1,5 +1,7 @@
 #include <oleandercross/planning/workerspeeds.h>
 
+#include "learnedtext.h"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -35,6 +37,10 @@
 // member are unlikely to be the cause of its pace.
 constexpr double SlowestMemberScale = 0.1;
 constexpr double MaxLogSpeed = 1.4;
+// Speeds with less weight than this are not stored.
+constexpr double MinStoredWeight = 0.05;
+// The limits of restored speeds, which allow for the rounding of stored ones.
+constexpr double MaxRestoredSpeed = 5;
 
 // Returns the weight of an observation that deviates from the fit.
 double robustWeight(double deviation)
@@ -134,6 +140,10 @@
         }
         ++index;
     }
+    for (auto &[worker, speed] : m_speeds) {
+        if (speed.priorWeight > 0 && indices.try_emplace(worker, speeds.size()).second)
+            speeds.push_back(&speed);
+    }
     return samples;
 }
 
@@ -160,7 +170,9 @@
 void WorkerSpeeds::fitSpeeds(const std::vector<Sample> &samples, const std::vector<Work> &work,
                              const std::vector<Speed *> &speeds)
 {
-    std::vector<Work> sums(speeds.size());
+    std::vector<Work> sums;
+    for (const Speed *speed : speeds)
+        sums.push_back({speed->restoredLogSpeed * speed->priorWeight, speed->priorWeight});
     for (const Sample &sample : samples) {
         // Only the other observations of the step predict the duration of this one.
         const Work others{work[sample.step].sum - sample.logWork() * sample.usedWeight,
@@ -198,8 +210,13 @@
     if (now < m_nextFit)
         return;
     dropOldObservations(now);
-    for (auto &[name, speed] : m_speeds)
+    for (auto &[name, speed] : m_speeds) {
+        const absl::Duration age = now - speed.restoredAt;
         speed.weight = 0;
+        speed.priorWeight = age > MaxObservationAge
+            ? 0
+            : speed.restoredWeight * std::exp2(-absl::FDivDuration(age, ObservationHalfLife));
+    }
     std::vector<Speed *> speeds;
     std::vector<Sample> samples = collectSamples(now, speeds);
     std::vector<Work> work;
@@ -212,6 +229,42 @@
         now + FitPeriod * (1 + static_cast<std::int64_t>(samples.size() / SamplesPerFitPeriod));
 }
 
+std::set<std::string> WorkerSpeeds::workers() const
+{
+    std::set<std::string> keys;
+    for (const auto &[worker, speed] : m_speeds)
+        keys.insert(worker);
+    return keys;
+}
+
+std::string WorkerSpeeds::encode(const WorkerFilter &selects, std::size_t maxBytes) const
+{
+    EntryText text(maxBytes);
+    for (const auto &[worker, speed] : m_speeds) {
+        if (speed.weight >= MinStoredWeight && selects(worker))
+            text.add(worker, numberArray({std::exp(speed.logSpeed), speed.weight}));
+    }
+    return text.text();
+}
+
+bool WorkerSpeeds::restore(const std::string &text, core::Instant now)
+{
+    return restoreEntries(text, [&](const std::string &worker, const Json::Value &value) {
+        const auto numbers =
+            readNumbers(value, {{1 / MaxRestoredSpeed, MaxRestoredSpeed}, {0, MaxWeight}});
+        if (!numbers || (*numbers)[1] < MinStoredWeight)
+            return false;
+        Speed &speed = m_speeds[worker];
+        speed.logSpeed = std::clamp(std::log((*numbers)[0]), -MaxLogSpeed, MaxLogSpeed);
+        speed.weight = (*numbers)[1];
+        // The stored speed is the observed one combined with the assumption of average speed.
+        speed.restoredLogSpeed = speed.logSpeed * (speed.weight + PriorWeight) / speed.weight;
+        speed.restoredWeight = speed.weight;
+        speed.restoredAt = now;
+        return true;
+    });
+}
+
 double WorkerSpeeds::speed(const std::string &worker) const
 {
     const auto found = m_speeds.find(worker);
--- a/test/planning/tst_learnedstate.cpp
+++ b/test/planning/tst_learnedstate.cpp
@@ -98,6 +98,41 @@
     CHECK(after.workers() == std::set<std::string>{"failed twice", "stalled"});
 }
 
+TEST_CASE("a restored speed counts like an observation and decays", "[planning][learned]")
+{
+    WorkerSpeeds before;
+    for (int step = 0; step < 8; ++step) {
+        const StepKey key{"j", 0, step};
+        for (const char *worker : {"slow", "a", "b", "c"}) {
+            const double seconds = std::string(worker) == "slow" ? 10 : 4;
+            before.observe(key, worker[0], {{worker}, absl::Seconds(seconds), 1, Start});
+        }
+    }
+    before.update(Start);
+    REQUIRE(before.speed("slow") < 0.7);
+    WorkerSpeeds after;
+    const core::Instant otherNow = Start + absl::Hours(5);
+    REQUIRE(after.restore(before.encode(acceptAll, MaxLearnedRowBytes), otherNow));
+    for (const absl::Duration age : {absl::ZeroDuration(), absl::Milliseconds(1)}) {
+        CHECK(after.speed("slow") == Approx(before.speed("slow")).epsilon(0.02));
+        CHECK(after.confidence("slow") == Approx(before.confidence("slow")).epsilon(0.02));
+        after.update(otherNow + age);
+    }
+    after.update(otherNow + absl::Seconds(30));
+    CHECK(after.speed("slow") > before.speed("slow"));
+    CHECK(after.confidence("slow") < before.confidence("slow"));
+    // The worker has recovered: observations outweigh what was restored.
+    const core::Instant later = otherNow + absl::Seconds(30);
+    for (int step = 0; step < 8; ++step) {
+        for (const char *worker : {"slow", "a", "b", "c"})
+            after.observe({"k", 0, step}, worker[0], {{worker}, absl::Seconds(4), 1, later});
+    }
+    after.update(later + absl::Seconds(5));
+    CHECK(after.speed("slow") > 0.85);
+    after.update(otherNow + absl::Minutes(5));
+    CHECK(after.speed("slow") == 1);
+}
+
 // Guards against a row of another writer that ends the leader or gives it absurd estimates.
 TEST_CASE("unreadable entries are left out and the others are restored", "[planning][learned]")
 {
@@ -200,8 +235,9 @@
         {"accounts", "\xff", 1},
         {"estimates", "[1]", 1},
         {"estimates", R"({"format":1,"taskTimes":[],"urgentDemand":{"recent":[1e99,1,1]}})", 2},
-        {"speeds-0", R"({"format":1,"health":{"w":[1]}})", 1},
-        {"speeds-1", R"({"format":1,"health":{"w":[1,99999]}})", 1},
+        {"speeds-0", R"({"format":1,"speeds":{},"health":{"w":[1]}})", 1},
+        {"speeds-1", R"({"format":1,"speeds":{"w":[0,1]},"health":{"w":[1,99999]}})", 2},
+        {"speeds-2", R"({"format":1,"speeds":{"w":[1,-1],"x":[9,1]},"health":{}})", 1},
         {"of another version", "x", 0},
     }));
     CAPTURE(c.key, c.text.substr(0, 60));
@@ -225,7 +261,8 @@
 TEST_CASE("what was learned about workers that do not appear is dropped", "[planning][learned]")
 {
     PlannerFixture fixture(1);
-    const std::string marks = R"({"w0":[100,-1],"gone":[100,-1]})";
+    const std::string marks =
+        R"({"w0":[100,-1],"gone":[100,-1]},"speeds":{"w0":[2,9],"gone-too":[2,9]})";
     for (int i = 0; i < 4; ++i) {
         const std::string row = R"({"format":1,"health":)" + marks + "}";
         fixture.planner.restoreLearnedState({{absl::StrCat("speeds-", i), row}}, fixture.now);
@@ -235,14 +272,16 @@
         for (const auto &[key, text] : fixture.planner.learnedState(fixture.now)) {
             const auto row = core::parseJson(text);
             REQUIRE(row);
-            for (const std::string &worker : (*row)["health"].getMemberNames())
-                workers.insert(worker);
+            for (const char *part : {"health", "speeds"}) {
+                for (const std::string &worker : (*row)[part].getMemberNames())
+                    workers.insert(worker);
+            }
         }
         return workers;
     };
     fixture.advanceTime(absl::Seconds(10));
     fixture.plan();
-    CHECK(storedWorkers() == std::set<std::string>{"w0", "gone"});
+    CHECK(storedWorkers() == std::set<std::string>{"w0", "gone", "gone-too"});
     fixture.advanceTime(absl::Seconds(10));
     fixture.plan();
     CHECK(storedWorkers() == std::set<std::string>{"w0"});
@@ -258,18 +297,19 @@
         worker.key = absl::StrCat("side-of-worker-", i, "/incarnation-of-", i, "/1780000000123");
         fixture.planner.updateWorker(worker);
         std::string &part = marks[i % marks.size()];
-        absl::StrAppend(&part, part.empty() ? "" : ",", "\"", worker.key, "\":[12.3456,1234.56]");
+        absl::StrAppend(&part, part.empty() ? "" : ",", "\"", worker.key, "\":[1.23456,1.23456]");
     }
     for (std::size_t i = 0; i < marks.size(); ++i)
         fixture.planner.restoreLearnedState(
-            {{absl::StrCat("speeds-", i), R"({"format":1,"health":{)" + marks[i] + "}}"}},
+            {{absl::StrCat("speeds-", i),
+              R"({"format":1,"health":{)" + marks[i] + R"(},"speeds":{)" + marks[i] + "}}"}},
             fixture.now);
     std::size_t entries = 0;
     for (const auto &[key, text] : fixture.planner.learnedState(fixture.now)) {
         CHECK(text.size() <= MaxLearnedRowBytes);
         const auto row = core::parseJson(text);
         REQUIRE(row);
-        entries += (*row)["health"].size();
+        entries += (*row)["health"].size() + (*row)["speeds"].size();
     }
-    CHECK(entries == 510);
+    CHECK(entries == 1020);
 }
