--- a/include/oleandercross/planning/accountshares.h
+++ b/include/oleandercross/planning/accountshares.h
@@ -45,6 +45,10 @@
     // takes the demands from now on.
     void update(const ShareDemands &demands, core::Instant now);
 
+    // Returns true if a task of any priority has waited for long, so that factors may differ
+    // from 1.
+    bool contended() const;
+
     // Returns the factor for the value density of the account's work: above 1 if the account has
     // had less of its demand than the accounts with waiting work together, below 1 if it has had
     // more; from 0.5 to 2. It is 1 if no task of the priority has waited for long.
--- a/src/planning/accountshares.cpp
+++ b/src/planning/accountshares.cpp
@@ -71,6 +71,13 @@
     });
 }
 
+bool AccountShares::contended() const
+{
+    return std::any_of(m_contention.begin(), m_contention.end(), [](const auto &entry) {
+        return entry.second.longestWait > MinContendedWait;
+    });
+}
+
 double AccountShares::factor(const ShareKey &key) const
 {
     const auto contention = m_contention.find(key.priority);
--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -143,28 +143,37 @@
 void Planner::applyAccountShares(const Round &round, std::vector<SchedulingUnit> &units)
 {
     ShareDemands demands;
-    const auto demandOf = [&demands](const JobRecord &record) -> ShareDemand & {
-        return demands[{record.job().terms.priority, record.job().account}];
+    const auto keyOf = [](const JobRecord &record) {
+        return ShareKey{record.job().terms.priority, record.job().account};
     };
+    // Runs and steps of a job are next to each other.
     const JobRecord *previous = nullptr;
     ShareDemand *demand = nullptr;
-    for (const ActiveRun &run : round.activeRuns) {
-        if (run.record != previous) {
-            previous = run.record;
-            demand = &demandOf(*run.record);
-        }
-        demand->occupiedCores += weightedCores(run.spec->perTask);
-    }
+    const auto demandOf = [&](const JobRecord *record) -> ShareDemand & {
+        if (record != previous)
+            demand = &demands[keyOf(*record)];
+        previous = record;
+        return *demand;
+    };
+    for (const ActiveRun &run : round.activeRuns)
+        demandOf(run.record).occupiedCores += weightedCores(run.spec->perTask);
     for (const SchedulingUnit &unit : units) {
-        ShareDemand &waiting = demandOf(*unit.record);
+        ShareDemand &waiting = demandOf(unit.record);
         waiting.waitingWork += weightedCores(unit.spec->perTask)
             * absl::ToDoubleSeconds(unit.taskTime) * static_cast<double>(unit.taskIndices.size());
         waiting.longestWait = std::max(waiting.longestWait, round.now - unit.progress->readySince);
     }
     m_accountShares.update(demands, round.now);
-    for (SchedulingUnit &unit : units)
-        unit.valueDensity *=
-            m_accountShares.factor({unit.record->job().terms.priority, unit.record->job().account});
+    if (!m_accountShares.contended())
+        return;
+    previous = nullptr;
+    double factor = 1;
+    for (SchedulingUnit &unit : units) {
+        if (unit.record != previous)
+            factor = m_accountShares.factor(keyOf(*unit.record));
+        previous = unit.record;
+        unit.valueDensity *= factor;
+    }
 }
 
 } // namespace oleandercross::planning
--- a/src/planning/workerspeeds.cpp
+++ b/src/planning/workerspeeds.cpp
@@ -171,6 +171,7 @@
                              const std::vector<Speed *> &speeds)
 {
     std::vector<Work> sums;
+    sums.reserve(speeds.size());
     for (const Speed *speed : speeds)
         sums.push_back({speed->restoredLogSpeed * speed->priorWeight, speed->priorWeight});
     for (const Sample &sample : samples) {
