--- a/src/control/agentlink.cpp
+++ b/src/control/agentlink.cpp
@@ -196,6 +196,21 @@
     }
 }
 
+template <typename Call>
+void AgentLink::addClosures(Call &call) const
+{
+    // Read before the set, so that the set is not older.
+    const core::Instant until = m_callbacks.startsUntil();
+    call.closed = *m_callbacks.closedDataCentres();
+    if (until == absl::InfiniteFuture())
+        return;
+    absl::MutexLock lock(&m_mutex);
+    // The agent read its clock before its answer arrived.
+    call.startsUntilMs = m_agentClockMs == 0
+        ? 0
+        : m_agentClockMs + absl::ToInt64Milliseconds(until - m_lastResponseTime);
+}
+
 bool AgentLink::watchOnce(WatchCall &call)
 {
     {
@@ -209,6 +224,7 @@
         call.renewUntilMs = permitUntilMs();
         call.unknownServices = m_rejectedServices;
     }
+    addClosures(call);
     const auto answer = m_client.call(m_address, "watch", addressedTo(m_agent, toJson(call)),
                                       call.wait + ResponseMargin);
     std::optional<AgentState> state;
@@ -245,6 +261,22 @@
     m_acknowledge = m_acknowledge || m_pending.workerIncarnation == call.workerIncarnation;
 }
 
+void AgentLink::dropStarts(OrderCall &call)
+{
+    std::vector<planning::Order> starts;
+    std::vector<planning::Order> others;
+    for (planning::Order &order : call.orders)
+        (order.kind == planning::Order::Kind::Start ? starts : others).push_back(std::move(order));
+    call.orders = std::move(others);
+    if (starts.empty())
+        return;
+    telemetry::Event("starts_withheld")
+        .with("agent", m_agent)
+        .with("starts", static_cast<std::int64_t>(starts.size()));
+    const std::vector<OrderResult> results(starts.size(), OrderResult::NotApplicable);
+    m_callbacks.onResults(m_agent, call.workerIncarnation, std::move(starts), results);
+}
+
 void AgentLink::orderLoop()
 {
     while (true) {
@@ -261,6 +293,9 @@
             call.term = m_term;
             call.renewUntilMs = permitUntilMs();
         }
+        addClosures(call);
+        if (!m_callbacks.mayOrderStarts())
+            dropStarts(call);
         const core::Instant sentAt = m_clock.now();
         const auto answer =
             m_client.call(m_address, "orders", addressedTo(m_agent, toJson(call)), OrderTimeout);
--- a/src/planning/planninground.cpp
+++ b/src/planning/planninground.cpp
@@ -96,6 +96,7 @@
         round.freeCapacity.push_back(worker.capacity - worker.orphanedDemand);
         round.acceptingCount += worker.accepting ? 1 : 0;
         rackNames.push_back(worker.rack);
+        round.closed.push_back(isClosed(worker));
         auto same =
             std::find_if(round.workerClasses.begin(), round.workerClasses.end(),
                          [&worker = worker](const WorkerClass &c) {
@@ -103,7 +104,7 @@
                          });
         if (same == round.workerClasses.end())
             same = round.workerClasses.insert(same, {worker.service, worker.capacity, 0});
-        ++same->count;
+        same->count += round.closed.back() ? 0 : 1;
         round.classes.push_back(static_cast<int>(same - round.workerClasses.begin()));
     }
     round.idleCount = round.acceptingCount;
