--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -3,6 +3,7 @@
 #include <oleandercross/control/agentlink.h>
 #include <oleandercross/control/closeddatacentres.h>
 #include <oleandercross/control/leaderlog.h>
+#include <oleandercross/control/learnedrows.h>
 #include <oleandercross/control/tablefollower.h>
 #include <oleandercross/core/condvar.h>
 #include <oleandercross/planning/planner.h>
@@ -94,6 +95,8 @@
 
     void run();
     bool load();
+    // Reads what earlier leaders have learned. Without it the planner learns again.
+    void loadLearnedState();
     // Reads the rows that close data centres, so that the first round knows those that were closed
     // before this leader was elected. Returns false if the leader stops.
     bool loadClosures();
@@ -134,7 +137,8 @@
     // Returns true if a configuration or a job names the service, or if none has been read yet.
     bool isKnownService(const std::string &service) const;
     void handleUnresponsiveWorkers(core::Instant now);
-    // Changes of one job's progress that are stored in one transaction.
+    // Changes of one job's progress that are stored in one transaction, or the changes of the
+    // learned state with NoJob in place of a job.
     struct ProgressWrite
     {
         std::string job;
@@ -142,9 +146,14 @@
         std::vector<StoredRow> removals;
     };
 
-    // Stores the changed progress. The rows of several jobs share a transaction, within the limits
-    // of the store. Returns false if this process is not the leader any more, or stops.
+    // Stores the changed progress, and the learned state if it is due and has room. The rows of
+    // several jobs share a transaction, within the limits of the store. Returns false if this
+    // process is not the leader any more, or stops.
     bool store(const std::set<std::string> &changed, core::Instant now);
+    // Adds the changes of the learned state to the last transaction of a round if it has room for
+    // them beside these rows and bytes.
+    void addLearnedRows(std::vector<ProgressWrite> &writes, std::size_t rowCount, std::size_t bytes,
+                        core::Instant now);
     static ProgressWrite progressWrite(const std::string &job,
                                        const planning::ProgressGroup &group);
     // Stores the changes in one transaction. If the store rejects it, divides it to find the jobs
@@ -171,6 +180,7 @@
 
     // Used by the planning thread only.
     planning::Planner m_planner;
+    LearnedRows m_learnedRows;
     // The closed data centres that the planner has, null before it has any, and whether starts are
     // suspended.
     std::shared_ptr<const ClosedDataCentres> m_appliedClosures;
