Round the age of a peer's set of closed data centres up

Callers saw: nothing. The whole test run found a peer that took its set for 74 µs newer than the store had confirmed it.

Cause: the age in the answer to `config` was cut to whole milliseconds. Ruled out: the order of the two reads in the test, since the time only rises. Change: the age is rounded up.

--- a/src/control/configreplica.cpp
+++ b/src/control/configreplica.cpp
@@ -56,8 +56,9 @@
             const core::Instant confirmedAt = m_closures->confirmedAt();
             answer["closures"] = toJson(*m_closures->current());
             if (confirmedAt != absl::InfinitePast())
-                answer["closuresAge"] = static_cast<Json::Int64>(
-                    absl::ToInt64Milliseconds(m_clock.now() - confirmedAt));
+                // Rounded up, so that the peer does not count the set as newer than it is.
+                answer["closuresAge"] = static_cast<Json::Int64>(absl::ToInt64Milliseconds(
+                    absl::Ceil(m_clock.now() - confirmedAt, absl::Milliseconds(1))));
         }
         absl::MutexLock lock(&m_mutex);
         if (version() > core::intMember(params, "have", -1))
