--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -109,6 +109,10 @@
     const JobRecord *job(const std::string &id) const;
     const std::map<std::string, JobRecord> &jobs() const { return m_jobs; }
     const Workers &workers() const { return m_workers; }
+    // Returns the jobs that have not ended or have active tasks, and may return ended ones until
+    // the next round.
+    const std::map<std::string, JobRecord *> &openJobs() const { return m_openJobs; }
+    const WorkEstimates &estimates() const { return m_estimates; }
     // Returns the keys with this prefix of all workers and of all incarnations that have active
     // tasks.
     std::set<std::string> workerKeys(const std::string &prefix = {});
--- a/src/planning/schedulingunit.h
+++ b/src/planning/schedulingunit.h
@@ -6,6 +6,10 @@
 
 namespace oleandercross::planning {
 
+// A step is expected to use at most 1 / WaveCapacityDivisor of the service's task slots at a time;
+// a larger step runs in several waves.
+inline constexpr int WaveCapacityDivisor = 4;
+
 // The pending tasks of one step of one occurrence, ready to be placed.
 struct Planner::SchedulingUnit
 {
--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -26,9 +26,6 @@
 constexpr double MinWorkCoreSeconds = 1e-3;
 // Slack of this multiple of a job's remaining critical path reduces its urgency to 1/e.
 constexpr double SlackScale = 2;
-// A step is expected to use at most 1 / WaveCapacityDivisor of the service's task slots at a time;
-// a larger step runs in several waves.
-constexpr int WaveCapacityDivisor = 4;
 // A paced step runs with this multiple of the parallel tasks that its deadline requires, since runs
 // get lost and estimates err.
 constexpr double PaceMargin = 1.5;
