Refuse jobs that would end long after their objective

Cause: an entry accepted every job that the store took.

Change: the leader hands out its forecast with leader-health, and control::Admission decides with it. Before an entry refuses, it stores a marker in the job's row on the condition that the row does not exist, so that a late insert of the first attempt cannot be applied. A marker that exists is written again, since an attempt to replace it may be on its way. A submission replaces a marker only if its version is one that the entry knew the store to have reached before; otherwise the marker may belong to a repetition of the submission that was told that the job does not run. leader-health carries the version of the leader's last transaction for this. The leader removes markers on the condition of their versions.

Ruled out: a marker without the second write, and replacing any marker. With each, a test shows a job stored after its refusal.

--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <oleandercross/control/admission.h>
 #include <oleandercross/control/configreplica.h>
 #include <oleandercross/control/leader.h>
 #include <oleandercross/control/members.h>
@@ -35,12 +36,31 @@
     Accepted,
     // The job is not stored and will not be stored later.
     NotAccepted,
+    // The job is not stored and will not be stored later, since the forecast says that it would
+    // end long after it has lost its value.
+    Refused,
     // The job does not fit into a row of the store.
     TooLarge,
     // The job may have been stored, or may still be stored.
     Unknown,
 };
 
+// What a caller is told about its submission.
+struct Submission
+{
+    // Converts an outcome without a time.
+    Submission(SubmitOutcome result, absl::Duration retry = absl::ZeroDuration())
+        : outcome(result)
+        , retryAfter(retry)
+    { }
+
+    SubmitOutcome outcome;
+    // When a refused job may be submitted again, in whole seconds.
+    absl::Duration retryAfter;
+
+    friend bool operator==(const Submission &, const Submission &) = default;
+};
+
 enum class CancelOutcome {
     // The cancellation is stored; the job may have ended before.
     Cancelled,
@@ -94,7 +114,10 @@
     // Returns the current configuration, or null before the first one has been read.
     std::shared_ptr<const workload::Catalog> catalog() const { return m_config.catalog(); }
 
-    SubmitOutcome submit(const workload::Job &job, core::Instant deadline);
+    Submission submit(const workload::Job &job, core::Instant deadline);
+    // Returns the newest forecast that the leader has sent, or its own if this entry leads. None if
+    // the load is small or no healthy leader is known.
+    DatedForecast forecast() const;
     JobStatus state(const std::string &job, core::Instant deadline);
     // Cancels a job. An empty account may cancel the jobs of every account.
     CancelOutcome cancel(const std::string &job, const std::string &account,
@@ -121,6 +144,32 @@
     std::size_t rank() const;
     std::shared_ptr<Leader> leader() const;
     std::optional<http::Endpoint> leaderAddress() const;
+    // Applies the answer of the leader to a call that was made at `calledAt`.
+    void applyLeaderHealth(const Json::Value &answer, core::Instant calledAt);
+    void clearForecast();
+    std::optional<Refusal> refusalOf(const workload::Job &job) const;
+    Submission refuse(const workload::Job &job, const Refusal &refusal, core::Instant deadline);
+    void raiseKnownVersion(std::int64_t version);
+
+    struct RowWrite
+    {
+        enum class Outcome { Written, JobExists, MarkerExists, NotWritten, Unknown };
+
+        Outcome outcome = Outcome::Unknown;
+        // The version of the written row or of the existing job.
+        std::int64_t version = 0;
+    };
+
+    // Writes the row of a job that does not exist. Replaces a marker only if its version is at most
+    // `maxMarkerVersion`, otherwise returns MarkerExists; no earlier attempt of this call can be
+    // applied then.
+    RowWrite writeJobRow(const std::string &job, const std::string &value,
+                         std::int64_t maxMarkerVersion, core::Instant deadline);
+    // Returns the row that a condition on it conflicted with, an empty inner optional if it has
+    // been removed. Fails with StoreUnavailable.
+    std::optional<std::optional<StoredRow>> conflictingRow(const CommitResult &result,
+                                                           const std::string &job,
+                                                           absl::Duration timeout);
     std::optional<JobStatus> queryLeader(const std::string &job, core::Instant deadline);
     JobStatus stateFromStore(const std::string &job, core::Instant deadline);
 
@@ -138,6 +187,10 @@
     std::shared_ptr<Leader> m_leader ABSL_GUARDED_BY(m_mutex);
     // The leader row as this entry last read or wrote it; empty if it is not known.
     std::optional<Leadership> m_leadership ABSL_GUARDED_BY(m_mutex);
+    Admission m_admission ABSL_GUARDED_BY(m_mutex);
+    DatedForecast m_forecast ABSL_GUARDED_BY(m_mutex);
+    // A version that the store is known to have reached.
+    std::atomic<std::int64_t> m_knownVersion = 0;
     // Signalled when a stopping leader has released the leadership.
     core::CondVar m_handoverReceived;
     bool m_handedOver ABSL_GUARDED_BY(m_mutex) = false;
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <oleandercross/control/admission.h>
 #include <oleandercross/control/agentlink.h>
 #include <oleandercross/control/leaderlog.h>
 #include <oleandercross/control/tablefollower.h>
@@ -22,7 +23,7 @@
     planning::PlannerOptions planner;
     // The length of the worker leases that agents request.
     absl::Duration lease = absl::Seconds(6);
-    // How long ended jobs are kept in the store.
+    // How long ended jobs and the markers of refused ones are kept in the store.
     absl::Duration retention = absl::Seconds(300);
 };
 
@@ -56,6 +57,11 @@
     // NotReady until the jobs have been read.
     std::optional<int> queueLength(const std::string &queue) const;
 
+    // Returns the newest forecast of the load; none if there is little.
+    DatedForecast forecast() const;
+    // Returns a version that the store had before this call.
+    std::int64_t storeVersion() const { return m_log->version(); }
+
     // Returns true once another process has become the leader, or may have.
     bool deposed() const { return m_deposed; }
     // Returns true if this leader has recently committed a transaction.
@@ -97,6 +103,7 @@
     void applyServices(const workload::Catalog &catalog);
     void clearRejectedServices();
     void applyJobRow(const StoredRow &row, core::Instant now);
+    void updateForecast(core::Instant now);
     void applyAgents(std::map<std::string, http::Endpoint> agents);
     void applyState(const std::string &agent, const AgentState &state, core::Instant now);
     void logIgnoredEnd(const std::string &incarnation, const EndedTask &ended) const;
@@ -140,6 +147,7 @@
     void acknowledgeEndedRuns();
     void send(std::vector<planning::Order> orders);
     bool removeOldJobs(core::Instant now);
+    void removeOldMarkers(core::Instant now);
     LeaderLog::Outcome commit(const std::vector<StoredRow> &puts,
                               const std::vector<StoredRow> &removals);
     static bool leads(LeaderLog::Outcome outcome);
@@ -172,11 +180,24 @@
     std::map<std::string, core::Instant> m_incarnationSeenAt;
     core::Instant m_nextCleanup = absl::InfinitePast();
 
+    struct Marker
+    {
+        std::int64_t version = 0;
+        core::Instant seenAt;
+    };
+
+    // The markers of refused jobs in the store, by job.
+    std::map<std::string, Marker> m_markers;
+    core::Instant m_nextMarkerCleanup = absl::InfinitePast();
+    planning::LoadForecaster m_forecaster;
+    core::Instant m_nextForecast = absl::InfinitePast();
+
     mutable absl::Mutex m_mutex;
     Inbox m_inbox ABSL_GUARDED_BY(m_mutex);
     core::CondVar m_workArrived;
     bool m_workPending ABSL_GUARDED_BY(m_mutex) = false;
     std::map<std::string, View> m_views ABSL_GUARDED_BY(m_mutex);
+    DatedForecast m_forecast ABSL_GUARDED_BY(m_mutex);
     // The job table has been read, and its jobs have been added to the views.
     bool m_loaded ABSL_GUARDED_BY(m_mutex) = false;
     bool m_viewsComplete ABSL_GUARDED_BY(m_mutex) = false;
--- a/include/oleandercross/control/leaderlog.h
+++ b/include/oleandercross/control/leaderlog.h
@@ -69,6 +69,8 @@
     // Returns when the latest confirmed transaction was sent first. Another process can have become
     // the leader at any time after that, however late the confirmation arrived.
     core::Instant lastCommit() const;
+    // Returns the version of the leader row after the latest confirmed transaction.
+    std::int64_t version() const;
 
     // The sum of sentSize() that changes of different jobs may have in one commit. Half of the
     // store's limit, so that transactions can also be relayed by peers.
@@ -91,7 +93,7 @@
     absl::Mutex m_commitMutex;
     mutable absl::Mutex m_mutex;
     Leadership m_leadership;
-    std::int64_t m_version = 0;
+    std::int64_t m_version ABSL_GUARDED_BY(m_mutex) = 0;
     core::Instant m_lastCommit ABSL_GUARDED_BY(m_mutex) = absl::InfinitePast();
 };
 
--- a/include/oleandercross/control/rowstore.h
+++ b/include/oleandercross/control/rowstore.h
@@ -133,6 +133,15 @@
 inline constexpr char LeaderKey[] = "leader";
 // Appended to a job's id to form the key of the row in the job table that cancels the job.
 inline constexpr char CancelSuffix[] = "/cancel";
+// The value of a job's row after an entry refused the job. The row keeps a late insert of an
+// earlier submission from being applied, and is no job.
+inline constexpr char RefusalMarker[] = R"({"refused":true})";
+
+// Returns true if the value of a row in the job table is a RefusalMarker.
+inline bool isRefusalMarker(const std::string &value)
+{
+    return value == RefusalMarker;
+}
 
 // The store executes the transactions of one partition one after another and refuses further ones
 // while too many are waiting. Rows that are written independently are therefore in different
--- a/src/control/election.cpp
+++ b/src/control/election.cpp
@@ -84,15 +84,21 @@
         m_probedAddress = address;
         m_negativeProbeCount = 0;
     }
-    if (!address)
+    if (!address) {
+        clearForecast();
         return false;
+    }
+    const core::Instant calledAt = m_clock.now();
     const auto answer =
         m_client.call(*address, "leader-health", Json::Value(Json::objectValue), ProbeTimeout);
     const bool negative =
         answer ? !core::boolMember(*answer, "leads") : http::wasConnectionRefused(*address);
     m_negativeProbeCount = negative ? m_negativeProbeCount + 1 : 0;
+    if (negative || (answer && !core::boolMember(*answer, "healthy")))
+        clearForecast();
     if (!answer || !core::boolMember(*answer, "healthy"))
         return false;
+    applyLeaderHealth(*answer, calledAt);
     Leadership leadership;
     {
         absl::MutexLock lock(&m_mutex);
@@ -103,6 +109,30 @@
     return true;
 }
 
+void Entry::clearForecast()
+{
+    absl::MutexLock lock(&m_mutex);
+    m_forecast = {};
+}
+
+void Entry::applyLeaderHealth(const Json::Value &answer, core::Instant calledAt)
+{
+    raiseKnownVersion(core::intMember(answer, "storeVersion"));
+    const Json::Value &value = core::member(answer, "forecast");
+    if (value.isNull())
+        return clearForecast();
+    auto forecast = planning::loadForecastFromJson(value);
+    const auto ageMs = core::requiredInt(answer, "forecastAgeMs");
+    if (!forecast || !ageMs) {
+        telemetry::Event("forecast_unreadable").with("reason", core::lastReason().message);
+        return clearForecast();
+    }
+    // The leader computed the age after it received the call, so the forecast is not older.
+    absl::MutexLock lock(&m_mutex);
+    m_forecast = {std::make_shared<const planning::LoadForecast>(*std::move(forecast)),
+                  calledAt - absl::Milliseconds(*ageMs)};
+}
+
 void Entry::requestStepDown(const Leadership &leadership)
 {
     const bool hasLargerShare = static_cast<double>(m_options.self.milliCores)
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -8,6 +8,9 @@
 
 #include <absl/time/clock.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace oleandercross::control {
 
 namespace {
@@ -19,6 +22,8 @@
 // respond.
 constexpr absl::Duration SubmitTimeout = absl::Milliseconds(600);
 constexpr absl::Duration RetryDelay = absl::Milliseconds(40);
+// When a caller may repeat a submission that met the marker of a later one.
+constexpr absl::Duration MinRetryDelayOfCallers = absl::Seconds(1);
 
 } // namespace
 
@@ -56,6 +61,15 @@
         Json::Value answer(Json::objectValue);
         answer["leads"] = ownLeader != nullptr && !ownLeader->deposed();
         answer["healthy"] = ownLeader != nullptr && ownLeader->healthy();
+        if (!ownLeader)
+            return answer;
+        answer["storeVersion"] = static_cast<Json::Int64>(ownLeader->storeVersion());
+        const DatedForecast newest = ownLeader->forecast();
+        if (newest.forecast) {
+            answer["forecast"] = planning::toJson(*newest.forecast);
+            answer["forecastAgeMs"] = static_cast<Json::Int64>(
+                absl::ToInt64Milliseconds(m_clock.now() - newest.computedAt) + 1);
+        }
         return answer;
     });
     server.add("job-state", [this](const Json::Value &params) -> std::optional<Json::Value> {
@@ -166,13 +180,115 @@
             }};
 }
 
-SubmitOutcome Entry::submit(const workload::Job &job, core::Instant deadline)
+DatedForecast Entry::forecast() const
+{
+    const std::shared_ptr<Leader> ownLeader = leader();
+    if (ownLeader)
+        return ownLeader->healthy() ? ownLeader->forecast() : DatedForecast{};
+    absl::MutexLock lock(&m_mutex);
+    return m_forecast;
+}
+
+std::optional<Refusal> Entry::refusalOf(const workload::Job &job) const
+{
+    const DatedForecast newest = forecast();
+    const auto current = catalog();
+    if (!newest.forecast || !current)
+        return std::nullopt;
+    const bool guaranteed = job.terms.priority == 0
+        && std::any_of(current->accounts.begin(), current->accounts.end(),
+                       [&job](const workload::Account &account) {
+                           return account.name == job.account && account.guaranteedAccelerators > 0;
+                       });
+    absl::MutexLock lock(&m_mutex);
+    return m_admission.decide(job, newest, m_clock.now(), guaranteed);
+}
+
+void Entry::raiseKnownVersion(std::int64_t version)
 {
-    RowChanges changes;
-    changes.conditions.push_back({JobTable, job.id, 0});
-    changes.puts.push_back({JobTable, job.id, workload::encodeJob(job)});
-    if (changes.puts.front().value.size() > MaxRowBytes)
+    std::int64_t known = m_knownVersion;
+    while (known < version && !m_knownVersion.compare_exchange_weak(known, version)) { }
+}
+
+Submission Entry::submit(const workload::Job &job, core::Instant deadline)
+{
+    // Markers up to this version were written before this submission arrived. A later one may
+    // belong to a repetition of it that was told that the job does not run.
+    const std::int64_t knownVersion = m_knownVersion;
+    const std::string value = workload::encodeJob(job);
+    if (value.size() > MaxRowBytes)
         return SubmitOutcome::TooLarge;
+    if (const std::optional<Refusal> refusal = refusalOf(job))
+        return refuse(job, *refusal, deadline);
+    const RowWrite write = writeJobRow(job.id, value, knownVersion, deadline);
+    switch (write.outcome) {
+    case RowWrite::Outcome::Written:
+    case RowWrite::Outcome::JobExists:
+        telemetry::Event("job_accepted")
+            .with("job", job.id)
+            .with("queue", job.queue)
+            .with("account", job.account)
+            .with("version", write.version)
+            .with("known_before", write.outcome == RowWrite::Outcome::JobExists);
+        {
+            absl::MutexLock lock(&m_mutex);
+            m_admission.recordAcceptance(job.id);
+        }
+        return SubmitOutcome::Accepted;
+    case RowWrite::Outcome::MarkerExists:
+        telemetry::Event("job_refused")
+            .with("job", job.id)
+            .with("queue", job.queue)
+            .with("reason", "refused meanwhile");
+        return {SubmitOutcome::Refused, MinRetryDelayOfCallers};
+    case RowWrite::Outcome::NotWritten:
+        return SubmitOutcome::NotAccepted;
+    case RowWrite::Outcome::Unknown:
+        break;
+    }
+    return SubmitOutcome::Unknown;
+}
+
+Submission Entry::refuse(const workload::Job &job, const Refusal &refusal, core::Instant deadline)
+{
+    // A marker that exists is written again, so that a late replacement of it cannot be applied.
+    const RowWrite write =
+        writeJobRow(job.id, RefusalMarker, std::numeric_limits<std::int64_t>::max(), deadline);
+    if (write.outcome == RowWrite::Outcome::JobExists) {
+        telemetry::Event("job_accepted")
+            .with("job", job.id)
+            .with("queue", job.queue)
+            .with("account", job.account)
+            .with("version", write.version)
+            .with("known_before", true);
+        return SubmitOutcome::Accepted;
+    }
+    if (write.outcome == RowWrite::Outcome::NotWritten)
+        return SubmitOutcome::NotAccepted;
+    if (write.outcome != RowWrite::Outcome::Written)
+        return SubmitOutcome::Unknown;
+    m_metrics.add("jobs_refused_by_forecast");
+    telemetry::Event("job_refused")
+        .with("job", job.id)
+        .with("queue", job.queue)
+        .with("account", job.account)
+        .with("reason", "forecast")
+        .with("version", write.version)
+        .with("priority", job.terms.priority)
+        .with("wait_ms", absl::ToInt64Milliseconds(refusal.forecast.wait))
+        .with("critical_path_ms", absl::ToInt64Milliseconds(refusal.forecast.criticalPath))
+        .with("objective_ms", absl::ToInt64Milliseconds(refusal.forecast.objective))
+        .with("retry_after_s", absl::ToInt64Seconds(refusal.retryAfter))
+        .with("refused_before", refusal.earlierRefusals);
+    absl::MutexLock lock(&m_mutex);
+    m_admission.recordRefusal(job.id);
+    return {SubmitOutcome::Refused, refusal.retryAfter};
+}
+
+Entry::RowWrite Entry::writeJobRow(const std::string &job, const std::string &value,
+                                   std::int64_t maxMarkerVersion, core::Instant deadline)
+{
+    std::int64_t expectedVersion = 0;
     std::optional<core::Instant> inDoubtSince;
     while (true) {
         const core::Instant now = m_clock.now();
@@ -180,32 +296,52 @@
         const bool timedOut = left <= absl::ZeroDuration()
             || (inDoubtSince && now - *inDoubtSince >= m_options.inDoubtTimeout);
         if (timedOut)
-            return inDoubtSince ? SubmitOutcome::Unknown : SubmitOutcome::NotAccepted;
+            return {inDoubtSince ? RowWrite::Outcome::Unknown : RowWrite::Outcome::NotWritten};
+        RowChanges changes;
+        changes.conditions.push_back({JobTable, job, expectedVersion});
+        changes.puts.push_back({JobTable, job, value});
         const CommitResult result = m_store.commit(changes, std::min(left, SubmitTimeout));
-        if (result.outcome == CommitOutcome::Applied || result.outcome == CommitOutcome::Conflict) {
-            telemetry::Event("job_accepted")
-                .with("job", job.id)
-                .with("queue", job.queue)
-                .with("account", job.account)
-                .with("version", result.version)
-                .with("known_before", result.outcome == CommitOutcome::Conflict);
-            return SubmitOutcome::Accepted;
+        if (result.outcome == CommitOutcome::Applied) {
+            raiseKnownVersion(result.version);
+            return {RowWrite::Outcome::Written, result.version};
+        }
+        if (result.outcome == CommitOutcome::Conflict) {
+            const auto row = conflictingRow(result, job, std::min(left, SubmitTimeout));
+            if (row && *row && !isRefusalMarker((*row)->value))
+                return {RowWrite::Outcome::JobExists, (*row)->version};
+            if (row && *row && (*row)->version > maxMarkerVersion)
+                return {RowWrite::Outcome::MarkerExists, (*row)->version};
+            if (row) {
+                expectedVersion = *row ? (*row)->version : 0;
+                continue;
+            }
         }
         telemetry::Event("job_store_failed")
-            .with("job", job.id)
+            .with("job", job)
             .with("outcome", toString(result.outcome))
             .with("reason", result.reason);
         if (result.outcome == CommitOutcome::Rejected)
-            return SubmitOutcome::NotAccepted;
-        // No attempt can have stored the job, so the caller can be refused immediately.
+            return {RowWrite::Outcome::NotWritten};
+        // No attempt can have stored the row, so the caller can be refused immediately.
         if (result.outcome == CommitOutcome::Refused && !inDoubtSince)
-            return SubmitOutcome::NotAccepted;
+            return {RowWrite::Outcome::NotWritten};
         if (!inDoubtSince)
             inDoubtSince = m_clock.now();
         absl::SleepFor(RetryDelay);
     }
 }
 
+std::optional<std::optional<StoredRow>> Entry::conflictingRow(const CommitResult &result,
+                                                              const std::string &job,
+                                                              absl::Duration timeout)
+{
+    for (const StoredRow &row : result.current) {
+        if (row.key == job)
+            return std::optional(row);
+    }
+    return m_store.row(JobTable, job, timeout);
+}
+
 std::optional<JobStatus> Entry::queryLeader(const std::string &job, core::Instant deadline)
 {
     if (const std::shared_ptr<Leader> ownLeader = leader()) {
@@ -236,7 +372,7 @@
     const auto row = m_store.row(JobTable, job, std::min(left, StoreTimeout));
     if (!row)
         return {};
-    if (!*row)
+    if (!*row || isRefusalMarker((*row)->value))
         return {JobStatus::Kind::NoSuchJob, {}, {}};
     const auto stored = workload::decodeJob(job, (*row)->value);
     const auto progress = m_store.row(ProgressTable, job, std::min(left, StoreTimeout));
@@ -268,7 +404,7 @@
         if (left <= absl::ZeroDuration())
             return inDoubt ? CancelOutcome::Unknown : CancelOutcome::NotCancelled;
         const auto row = m_store.row(JobTable, job, std::min(left, StoreTimeout));
-        if (row && !*row)
+        if (row && (!*row || isRefusalMarker((*row)->value)))
             return CancelOutcome::NoSuchJob;
         if (row) {
             const auto stored = workload::decodeJob(job, (*row)->value);
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -30,6 +30,13 @@
 constexpr absl::Duration CleanupPeriod = absl::Seconds(10);
 // The same while there are more ended jobs than one commit can remove.
 constexpr absl::Duration FullCleanupPeriod = absl::Seconds(1);
+// The time after which the forecast is computed again.
+constexpr absl::Duration ForecastPeriod = absl::Milliseconds(250);
+// Each removed marker is a condition and a removal.
+constexpr std::size_t MaxMarkersPerCleanup = MaxChanges / 2;
+// Scheduling waits for the removal of markers, so its timeout is below the interval in which the
+// leader writes its row.
+constexpr absl::Duration MarkerCleanupTimeout = absl::Milliseconds(300);
 // Stands between a job's id and the name of a part of its progress in the key of a row.
 constexpr char ProgressSeparator[] = "/";
 
@@ -226,6 +233,7 @@
     if ((!changed.empty() || renew) && !store(changed, now))
         return;
     publish(changed);
+    updateForecast(now);
     acknowledgeEndedRuns();
     // Jobs whose progress was rejected have ended, and their starts are not stored.
     std::erase_if(plan.orders, [this](const planning::Order &order) {
@@ -235,6 +243,7 @@
     send(std::move(plan.orders));
     if (!removeOldJobs(now))
         return;
+    removeOldMarkers(now);
     nextRoundAt = plan.next;
 }
 
@@ -257,6 +266,11 @@
         m_planner.cancelJob(id, now);
         return;
     }
+    if (isRefusalMarker(row.value)) {
+        m_markers[row.key] = {row.version, now};
+        return;
+    }
+    m_markers.erase(row.key);
     if (m_planner.job(row.key))
         return;
     std::optional<workload::Job> job = workload::decodeJob(row.key, row.value);
@@ -406,6 +420,27 @@
     }
 }
 
+void Leader::updateForecast(core::Instant now)
+{
+    if (now < m_nextForecast)
+        return;
+    m_nextForecast = now + ForecastPeriod;
+    const core::Instant begin = m_clock.now();
+    std::optional<planning::LoadForecast> forecast =
+        m_forecaster.update(m_planner.openJobs(), m_planner.workers(), m_planner.estimates(), now);
+    m_metrics.observe("forecast_seconds", m_clock.now() - begin);
+    absl::MutexLock lock(&m_mutex);
+    m_forecast = {};
+    if (forecast)
+        m_forecast = {std::make_shared<const planning::LoadForecast>(*std::move(forecast)), now};
+}
+
+DatedForecast Leader::forecast() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_forecast;
+}
+
 bool Leader::removeOldJobs(core::Instant now)
 {
     if (now < m_nextCleanup)
@@ -441,4 +476,40 @@
     return true;
 }
 
+void Leader::removeOldMarkers(core::Instant now)
+{
+    if (now < m_nextMarkerCleanup)
+        return;
+    m_nextMarkerCleanup = now + CleanupPeriod;
+    RowChanges changes;
+    for (const auto &[id, marker] : m_markers) {
+        if (now - marker.seenAt < m_options.retention)
+            continue;
+        if (changes.removals.size() == MaxMarkersPerCleanup) {
+            m_nextMarkerCleanup = now + FullCleanupPeriod;
+            break;
+        }
+        // A submission may have replaced the marker by a job, which must not be removed.
+        changes.conditions.push_back({JobTable, id, marker.version});
+        changes.removals.push_back({JobTable, id, {}});
+    }
+    if (changes.removals.empty())
+        return;
+    const CommitResult result = m_store.commit(changes, MarkerCleanupTimeout);
+    const bool applied = result.outcome == CommitOutcome::Applied;
+    if (!applied && result.outcome != CommitOutcome::Conflict)
+        return;
+    for (const RowCondition &condition : changes.conditions) {
+        // After a conflict, rows that have changed are dropped, so that the next attempt removes
+        // the others.
+        const bool unchanged = std::any_of(
+            result.current.begin(), result.current.end(), [&condition](const StoredRow &row) {
+                return row.key == condition.key && row.version == condition.version;
+            });
+        if (applied || !unchanged)
+            m_markers.erase(condition.key);
+    }
+    m_nextMarkerCleanup = now + FullCleanupPeriod;
+}
+
 } // namespace oleandercross::control
--- a/src/control/leaderlog.cpp
+++ b/src/control/leaderlog.cpp
@@ -77,6 +77,12 @@
     return m_lastCommit;
 }
 
+std::int64_t LeaderLog::version() const
+{
+    absl::MutexLock lock(&m_mutex);
+    return m_version;
+}
+
 bool LeaderLog::acquire(const std::optional<StoredRow> &last,
                         const std::function<bool()> &shouldAbort)
 {
@@ -86,9 +92,8 @@
     next.sequence = 0;
     if (last)
         next.epoch = epochAfter(*last);
-    m_version = last ? last->version : 0;
     RowChanges changes;
-    changes.conditions.push_back({LeaderTable, LeaderKey, m_version});
+    changes.conditions.push_back({LeaderTable, LeaderKey, last ? last->version : 0});
     changes.puts.push_back({LeaderTable, LeaderKey, encodeLeadership(next)});
     const core::Instant begin = m_clock.now();
     // An attempt with an unknown outcome may still take effect, so it is retried until the outcome
@@ -110,7 +115,7 @@
     Leadership next = m_leadership;
     ++next.sequence;
     RowChanges changes;
-    changes.conditions.push_back({LeaderTable, LeaderKey, m_version});
+    changes.conditions.push_back({LeaderTable, LeaderKey, version()});
     changes.puts = puts;
     changes.puts.push_back({LeaderTable, LeaderKey, encodeLeadership(next)});
     changes.removals = removals;
@@ -176,7 +181,7 @@
     next.holder.clear();
     ++next.sequence;
     RowChanges changes;
-    changes.conditions.push_back({LeaderTable, LeaderKey, m_version});
+    changes.conditions.push_back({LeaderTable, LeaderKey, version()});
     changes.puts.push_back({LeaderTable, LeaderKey, encodeLeadership(next)});
     const CommitResult result = m_store.commit(changes, StoreTimeout);
     telemetry::Event("leadership_released")
--- a/test/control/fakerowstore.h
+++ b/test/control/fakerowstore.h
@@ -31,6 +31,19 @@
         m_faults.insert(m_faults.end(), faults);
     }
 
+    void clearFaults()
+    {
+        absl::MutexLock lock(&m_mutex);
+        m_faults.clear();
+    }
+
+    // Returns the version of the latest transaction.
+    std::int64_t version() const
+    {
+        absl::MutexLock lock(&m_mutex);
+        return m_version;
+    }
+
     // Applies the delayed transactions whose conditions still hold; returns their number.
     int applyDelayed()
     {
--- a/test/control/testprocesses.h
+++ b/test/control/testprocesses.h
@@ -102,11 +102,12 @@
 struct EntryProcess
 {
     EntryProcess(RowStore &store, const std::string &name,
-                 absl::Duration lease = absl::Milliseconds(500))
+                 absl::Duration lease = absl::Milliseconds(500),
+                 absl::Duration retention = LeaderOptions().retention)
         : port(freePort())
         , client({}, Key)
         , server(onLoopback(port), Key)
-        , entry(options(name, lease), store, client, server, metrics,
+        , entry(options(name, lease, retention), store, client, server, metrics,
                 [](const std::string &) { return std::optional(workload::Catalog{}); })
     {
         REQUIRE(server.start());
@@ -119,11 +120,13 @@
         server.stop();
     }
 
-    EntryOptions options(const std::string &name, absl::Duration lease) const
+    EntryOptions options(const std::string &name, absl::Duration lease,
+                         absl::Duration retention) const
     {
         EntryOptions options;
         options.self = {name, MemberRole::Entry, {"127.0.0.1", port}, "life"};
         options.leader.lease = lease;
+        options.leader.retention = retention;
         options.configTable = "op";
         options.configKey = "config";
         return options;
