Find the changed marker without the rows of a conflict

Markers that had not changed could stay in the store until the next change of the leader.

Cause: after a conflict the leader forgot each marker that the store did not list. A store that lists only the rows whose condition failed would not list the unchanged ones.

Change: after a conflict the next transaction removes half as many markers, until the changed one is found and forgotten.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -188,6 +188,9 @@
 
     // The markers of refused jobs in the store, by job.
     std::map<std::string, Marker> m_markers;
+    // Each removed marker is a condition and a removal.
+    static constexpr std::size_t MaxMarkersPerCleanup = MaxChanges / 2;
+    std::size_t m_markersPerCleanup = MaxMarkersPerCleanup;
     core::Instant m_nextMarkerCleanup = absl::InfinitePast();
     planning::LoadForecaster m_forecaster;
     core::Instant m_nextForecast = absl::InfinitePast();
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -32,8 +32,6 @@
 constexpr absl::Duration FullCleanupPeriod = absl::Seconds(1);
 // The time after which the forecast is computed again.
 constexpr absl::Duration ForecastPeriod = absl::Milliseconds(250);
-// Each removed marker is a condition and a removal.
-constexpr std::size_t MaxMarkersPerCleanup = MaxChanges / 2;
 // Scheduling waits for the removal of markers, so its timeout is below the interval in which the
 // leader writes its row.
 constexpr absl::Duration MarkerCleanupTimeout = absl::Milliseconds(300);
@@ -485,7 +483,7 @@
     for (const auto &[id, marker] : m_markers) {
         if (now - marker.seenAt < m_options.retention)
             continue;
-        if (changes.removals.size() == MaxMarkersPerCleanup) {
+        if (changes.removals.size() == m_markersPerCleanup) {
             m_nextMarkerCleanup = now + FullCleanupPeriod;
             break;
         }
@@ -499,14 +497,12 @@
     const bool applied = result.outcome == CommitOutcome::Applied;
     if (!applied && result.outcome != CommitOutcome::Conflict)
         return;
-    for (const RowCondition &condition : changes.conditions) {
-        // After a conflict, rows that have changed are dropped, so that the next attempt removes
-        // the others.
-        const bool unchanged = std::any_of(
-            result.current.begin(), result.current.end(), [&condition](const StoredRow &row) {
-                return row.key == condition.key && row.version == condition.version;
-            });
-        if (applied || !unchanged)
+    // A conflict means that one of the rows has changed. Smaller transactions find it, so that it
+    // does not keep the others.
+    const bool single = changes.conditions.size() == 1;
+    m_markersPerCleanup = applied || single ? MaxMarkersPerCleanup : changes.conditions.size() / 2;
+    if (applied || single) {
+        for (const RowCondition &condition : changes.conditions)
             m_markers.erase(condition.key);
     }
     m_nextMarkerCleanup = now + FullCleanupPeriod;
