--- a/test/planning/tst_progressrows.cpp
+++ b/test/planning/tst_progressrows.cpp
@@ -168,12 +168,29 @@
         } else if (kind == 4) {
             const RunEnd how = chance(0.05) ? RunEnd::Failed : RunEnd::Stopped;
             m_record.end(run, worker, how, drawCheckpoint(), m_now);
-        } else {
+        } else if (mayComplete(run)) {
             noteCompletion(run);
             m_record.end(run, worker, RunEnd::Completed, drawCheckpoint(), m_now);
+        } else {
+            m_record.end(run, worker, RunEnd::Stopped, drawCheckpoint(), m_now);
         }
     }
 
+    // A gang is ordered after the starts of all its members are stored. One that was restored with
+    // only some of them can therefore be stopped but not complete.
+    bool mayComplete(const workload::RunKey &run) const
+    {
+        if (!m_job.steps[static_cast<std::size_t>(run.task.step)].gang)
+            return true;
+        const std::vector<Task> &members = m_record.occurrences()
+                                               .at(run.task.occurrence)
+                                               .steps[static_cast<std::size_t>(run.task.step)]
+                                               .tasks;
+        return std::all_of(members.begin(), members.end(), [&run](const Task &member) {
+            return member.phase == TaskPhase::Active && member.run == run.run;
+        });
+    }
+
     void noteCompletion(const workload::RunKey &run)
     {
         m_newlyCompleted.insert(run.task);
