--- a/bench/dayschedulers.cpp
+++ b/bench/dayschedulers.cpp
@@ -22,9 +22,9 @@
     }
     void beginListing(const std::string &worker) override { m_planner.beginListing(worker); }
     void runSeen(const std::string &worker, const workload::RunKey &run, int percent,
-                 core::Instant now) override
+                 const std::string &checkpoint, core::Instant now) override
     {
-        m_planner.runSeen(worker, run, {}, percent, now);
+        m_planner.runSeen(worker, run, checkpoint, percent, now);
     }
     void runEnded(const std::string &worker, const workload::RunKey &run, planning::RunEnd how,
                   const std::string &checkpoint, core::Instant now) override
@@ -65,7 +65,9 @@
         m_jobs.emplace(job.id, planning::JobRecord(job, now));
     }
     void beginListing(const std::string &) override { }
-    void runSeen(const std::string &, const workload::RunKey &, int, core::Instant) override { }
+    void runSeen(const std::string &, const workload::RunKey &, int, const std::string &,
+                 core::Instant) override
+    { }
     void runEnded(const std::string &worker, const workload::RunKey &run, planning::RunEnd how,
                   const std::string &checkpoint, core::Instant now) override
     {
--- a/bench/dayschedulers.h
+++ b/bench/dayschedulers.h
@@ -19,7 +19,7 @@
     // runs.
     virtual void beginListing(const std::string &worker) = 0;
     virtual void runSeen(const std::string &worker, const workload::RunKey &run, int percent,
-                         core::Instant now) = 0;
+                         const std::string &checkpoint, core::Instant now) = 0;
     virtual void runEnded(const std::string &worker, const workload::RunKey &run,
                           planning::RunEnd how, const std::string &checkpoint,
                           core::Instant now) = 0;
