Count what a stop throws away, and earlier stops

Cause: the cost of a stop counted at most one second of a task with checkpoints, and knew nothing of restores and earlier stops.

Ruled out: dividing the count of a step of single tasks by its tasks.

Change: planning::lostTime() counts the work since the last new checkpoint, the restore and the start-up of a gang, and planning::StopHistory doubles the cost with each stop of the step. A leader that is lost between an order and the end of the run forgets that one stop.

--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -2,6 +2,7 @@
 
 #include <oleandercross/core/clock.h>
 #include <oleandercross/planning/progress.h>
+#include <oleandercross/planning/stopcost.h>
 #include <oleandercross/workload/job.h>
 
 #include <json/value.h>
@@ -78,8 +79,9 @@
     // one.
     std::set<std::string> workersWithFailedRuns;
     std::set<std::string> refusingWorkers;
-    // The run has saved a new checkpoint.
+    // The run has saved a new checkpoint, and when the latest one was reported.
     bool savedCheckpoint = false;
+    core::Instant checkpointedAt = absl::InfinitePast();
     // The run did not start from a checkpoint, so its progress allows an estimate of the run time.
     bool startedWithoutCheckpoint = false;
 
@@ -97,6 +99,7 @@
     // Failed runs of the gang; a run that several members report as failed counts once.
     int gangFailures = 0;
     int lastFailedRun = 0;
+    StopHistory stops;
 
     // The members below are not stored.
     // The run time of a task on a worker of average speed, extrapolated from the run with the most
@@ -167,6 +170,11 @@
     bool cancel(core::Instant now);
     bool fail(core::Instant now);
 
+    // Counts a pre-emption of the task, or of its gang. It is stored with the next change of the
+    // job, at the latest the end of the pre-empted run, so that stop orders wait for no
+    // transaction of their own.
+    void recordPreemption(const workload::TaskKey &key);
+
     // Moves the task's current run to another worker. Returns false if it is not on `from`.
     bool move(const workload::RunKey &key, const std::string &from, const std::string &to);
     // Records a checkpoint of a task. Returns true if it is a new one; an empty or too large one is
@@ -192,6 +200,7 @@
     // Read parts of the stored progress. Rows with a number out of range and rows that name no open
     // occurrence, step or task of this job are ignored.
     void restoreGangFailures(const Json::Value &row);
+    void restorePreemptions(const Json::Value &row);
     void restoreTask(const Json::Value &row);
     void restoreCrashes(const Json::Value &row);
     void restoreDone(const Json::Value &row);
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -22,6 +22,8 @@
     double crossRackFactor = 3;
     // The longest time that a worker takes to stop a task, as given by the platform.
     absl::Duration stopTime = absl::Milliseconds(500);
+    // The time that a run takes to continue from a checkpoint.
+    absl::Duration restoreTime = absl::Milliseconds(600);
     // The time after which an order without effect is repeated.
     absl::Duration orderRepeat = absl::Milliseconds(700);
     // The time after which a start without effect is revoked by a stop.
--- /dev/null
+++ b/include/oleandercross/planning/stopcost.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <absl/time/time.h>
+
+namespace oleandercross::planning {
+
+// How often tasks of a step were pre-empted. Stopping a gang counts once, stopping another task
+// once for each task.
+class StopHistory
+{
+public:
+    StopHistory() = default;
+    explicit StopHistory(int preemptions)
+        : m_preemptions(preemptions)
+    { }
+
+    void recordPreemption() { ++m_preemptions; }
+    int preemptions() const { return m_preemptions; }
+
+    // Returns the factor by which earlier stops raise the cost of the next one: doubled by each
+    // stop, so that stops are not repeated on the same step.
+    double costFactor() const;
+
+private:
+    int m_preemptions = 0;
+};
+
+// The state of an active run that determines how much of its run time a stop throws away.
+struct RunAtRisk
+{
+    bool gang = false;
+    // The time since the decision to start the run.
+    absl::Duration sinceStart;
+    // The time since the run saved its latest new checkpoint; infinite if it has saved none.
+    absl::Duration sinceCheckpoint = absl::InfiniteDuration();
+    // The next run can start from a checkpoint, which may be from an earlier run.
+    bool hasCheckpoint = false;
+    // The time from the decision to start the run until its worker confirmed it; not positive if
+    // unknown.
+    absl::Duration startup;
+};
+
+// Returns the run time that is lost if the run is stopped now: its work since the latest
+// checkpoint, the restore from it, and the start-up of a gang.
+absl::Duration lostTime(const RunAtRisk &run, absl::Duration restoreTime);
+
+} // namespace oleandercross::planning
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -185,6 +185,7 @@
     target->worker = worker;
     target->running = false;
     target->savedCheckpoint = false;
+    target->checkpointedAt = absl::InfinitePast();
     target->runningSince = absl::InfiniteFuture();
     target->stopRequested = false;
     target->orderSentAt = absl::InfinitePast();
@@ -275,6 +276,12 @@
     return true;
 }
 
+void JobRecord::recordPreemption(const workload::TaskKey &key)
+{
+    step(key)->stops.recordPreemption();
+    markChanged({key.job, key.occurrence, key.step, 0});
+}
+
 bool JobRecord::saveCheckpoint(const workload::TaskKey &key, const std::string &checkpoint)
 {
     Task *target = task(key);
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -10,11 +10,6 @@
 
 // The number of cores that count as much as one accelerator when work is compared.
 constexpr double CoresPerAccelerator = 8;
-// Work lost by stopping a task and restoring it from its checkpoint, in seconds of its run time.
-constexpr double CheckpointedStopSeconds = 1.0;
-// Added to the lost run time of a task without checkpoints, so that stopping one that has just
-// started is not free.
-constexpr double UncheckpointedStopSeconds = 0.3;
 // A job may pre-empt up to these multiples of its own work: urgent jobs without a guarantee, other
 // jobs that would be late otherwise, and other jobs with slack.
 constexpr double UrgentStopBudget = 3;
@@ -44,12 +39,16 @@
     return weight * (1 + ProgressWeight * record.completedFraction());
 }
 
-double stopCost(const workload::Step &step, const Task &task, core::Instant now)
+RunAtRisk runAtRisk(const workload::Step &step, const Task &task, core::Instant now)
 {
-    const double elapsed = absl::ToDoubleSeconds(now - task.startedAt);
-    const double lost = step.checkpointable ? std::min(CheckpointedStopSeconds, elapsed)
-                                            : elapsed + UncheckpointedStopSeconds;
-    return lost * weightedCores(step.perTask);
+    RunAtRisk run;
+    run.gang = step.gang;
+    run.sinceStart = now - task.startedAt;
+    run.sinceCheckpoint = now - task.checkpointedAt;
+    run.hasCheckpoint = step.checkpointable && !task.checkpoint.empty();
+    if (task.running)
+        run.startup = task.runningSince - task.startedAt;
+    return run;
 }
 
 } // namespace
@@ -120,7 +119,9 @@
         if (task.stopRequested || endsSoon)
             continue;
         victim.runs.push_back(i);
-        victim.cost += stopCost(*run.spec, task, round.now) * jobWeight;
+        victim.cost += absl::ToDoubleSeconds(
+                           lostTime(runAtRisk(*run.spec, task, round.now), m_options.restoreTime))
+            * weightedCores(run.spec->perTask) * jobWeight * run.progress->stops.costFactor();
     }
     return round.victims.emplace(kind, VictimIndex(std::move(groups), round.workers.size()))
         .first->second;
@@ -151,6 +152,10 @@
 
 void Planner::preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round)
 {
+    if (victim.runs.empty())
+        return;
+    const ActiveRun &first = round.activeRuns[victim.runs.front()];
+    first.record->recordPreemption(first.key().task);
     for (const std::size_t index : victim.runs) {
         const ActiveRun &run = round.activeRuns[index];
         requestStop(*run.task, "pre-empted by " + unit.record->job().id);
--- /dev/null
+++ b/src/planning/stopcost.cpp
@@ -0,0 +1,35 @@
+#include <oleandercross/planning/stopcost.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace oleandercross::planning {
+
+namespace {
+
+// The smallest loss of a run that starts again from the beginning, so that stopping one that has
+// just started is not free. Also the time that the start of a gang takes if it was not measured.
+constexpr absl::Duration MinRestartLoss = absl::Milliseconds(300);
+// The start of a gang takes longer than this only if orders get lost.
+constexpr absl::Duration MaxGangStartup = absl::Seconds(1);
+// Keeps the factor finite; no budget allows a pre-emption at a thousandth of it.
+constexpr int MaxDoublings = 30;
+
+} // namespace
+
+double StopHistory::costFactor() const
+{
+    return std::ldexp(1.0, std::clamp(m_preemptions, 0, MaxDoublings));
+}
+
+absl::Duration lostTime(const RunAtRisk &run, absl::Duration restoreTime)
+{
+    absl::Duration lost = std::min(run.sinceStart, run.sinceCheckpoint);
+    if (run.hasCheckpoint)
+        lost += restoreTime;
+    if (run.gang)
+        return lost + std::clamp(run.startup, MinRestartLoss, MaxGangStartup);
+    return run.hasCheckpoint ? lost : lost + MinRestartLoss;
+}
+
+} // namespace oleandercross::planning
