Leave steps alone that were stopped often

Callers saw a gang of 10 started 8 times and single tasks started 119 times for 21 tasks, and jobs that did not end.

Cause: nothing limits how often a step is stopped, and a stopped step starts again by stopping others, which do the same.

Change: after three pre-emptions of a gang, or three times its tasks of another step, only guaranteed work may stop the step again. A step that was stopped orders stops only while its job is about to miss its deadline and can still meet it; guaranteed work is exempt.

--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -200,6 +200,9 @@
                              core::Instant now) const;
     // Returns true if the job is late or has almost no slack left before its deadline.
     static bool isAboutToBeLate(const SchedulingUnit &unit, core::Instant now);
+    // Returns false if the unit may not start by stopping others: its step was itself pre-empted,
+    // and its job is not about to miss its deadline or misses it anyway.
+    static bool mayOrderStops(const SchedulingUnit &unit, core::Instant now);
     double preemptionBudget(const SchedulingUnit &unit, core::Instant now) const;
     static void deductReservation(const SchedulingUnit &unit, Round &round);
     bool tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
--- a/include/oleandercross/planning/stopcost.h
+++ b/include/oleandercross/planning/stopcost.h
@@ -21,6 +21,10 @@
     // stop, so that stops are not repeated on the same step.
     double costFactor() const;
 
+    // Returns true if the step has been stopped so often that only guaranteed work may stop it
+    // again: a gang three times, another step three times its tasks.
+    bool isExhausted(int tasks, bool gang) const;
+
 private:
     int m_preemptions = 0;
 };
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -417,6 +417,8 @@
         * static_cast<double>(unit.taskIndices.size());
     if (!unit.guaranteed && placed->cost > ownWork * preemptionBudget(unit, round.now))
         return false;
+    if (placed->cost > 0 && !mayOrderStops(unit, round.now))
+        return false;
     for (const std::size_t index : placed->victims)
         preemptGroup(candidates.group(index), unit, round);
     round.victims.clear();
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -106,7 +106,9 @@
             preemptible = mayPreempt(unit, *job);
         }
         const Task &task = *run.task;
-        if (run.worker == Round::NoWorker || (!task.stopRequested && !preemptible))
+        const bool leftAlone =
+            !unit.guaranteed && run.progress->stops.isExhausted(run.spec->tasks, run.spec->gang);
+        if (run.worker == Round::NoWorker || (!task.stopRequested && (!preemptible || leftAlone)))
             continue;
         if (!run.spec->gang || run.progress != gang)
             groups.emplace_back();
@@ -142,6 +144,13 @@
     return now + unit.remainingCriticalPath * (1 + LateSlackFraction) > unit.deadline;
 }
 
+bool Planner::mayOrderStops(const SchedulingUnit &unit, core::Instant now)
+{
+    if (unit.guaranteed || unit.progress->stops.preemptions() == 0)
+        return true;
+    return isAboutToBeLate(unit, now) && !unit.willBeLate(now);
+}
+
 double Planner::preemptionBudget(const SchedulingUnit &unit, core::Instant now) const
 {
     const workload::Job &job = unit.record->job();
--- a/src/planning/stopcost.cpp
+++ b/src/planning/stopcost.cpp
@@ -14,9 +14,16 @@
 constexpr absl::Duration MaxGangStartup = absl::Seconds(1);
 // Keeps the factor finite; no budget allows a pre-emption at a thousandth of it.
 constexpr int MaxDoublings = 30;
+// The number of pre-emptions for each start of the step as a whole after which it is left alone.
+constexpr int MaxPreemptionsPerTask = 3;
 
 } // namespace
 
+bool StopHistory::isExhausted(int tasks, bool gang) const
+{
+    return m_preemptions >= MaxPreemptionsPerTask * (gang ? 1 : tasks);
+}
+
 double StopHistory::costFactor() const
 {
     return std::ldexp(1.0, std::clamp(m_preemptions, 0, MaxDoublings));
