Count the stops of a burst as one stop of a step

Callers of urgent gangs that arrive together on a full cluster would have waited until work ends by itself: of five gangs, one started.

Cause: the cost doubled with each stopped task, so that a step of many single tasks could not be stopped again after the first few.

Change: pre-emptions of a step within 500 ms are one stop for the doubling. The limit of three times the tasks still counts each task. Both counts are stored.

--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -173,7 +173,7 @@
     // Counts a pre-emption of the task, or of its gang. It is stored with the next change of the
     // job, at the latest the end of the pre-empted run, so that stop orders wait for no
     // transaction of their own.
-    void recordPreemption(const workload::TaskKey &key);
+    void recordPreemption(const workload::TaskKey &key, core::Instant now);
 
     // Moves the task's current run to another worker. Returns false if it is not on `from`.
     bool move(const workload::RunKey &key, const std::string &from, const std::string &to);
--- a/include/oleandercross/planning/stopcost.h
+++ b/include/oleandercross/planning/stopcost.h
@@ -1,21 +1,28 @@
 #pragma once
 
+#include <oleandercross/core/clock.h>
+
 #include <absl/time/time.h>
 
 namespace oleandercross::planning {
 
-// How often tasks of a step were pre-empted. Stopping a gang counts once, stopping another task
-// once for each task.
+// How often a step was pre-empted.
 class StopHistory
 {
 public:
     StopHistory() = default;
-    explicit StopHistory(int preemptions)
+    StopHistory(int preemptions, int stops)
         : m_preemptions(preemptions)
+        , m_stops(stops)
     { }
 
-    void recordPreemption() { ++m_preemptions; }
+    // Records that a gang or another task of the step is pre-empted.
+    void recordPreemption(core::Instant now);
+    // Returns the number of pre-empted gangs or other tasks.
     int preemptions() const { return m_preemptions; }
+    // Returns the number of times at which tasks were pre-empted; several at nearly the same time
+    // count once, so that a burst of urgent jobs can pre-empt many tasks of a wide step.
+    int stops() const { return m_stops; }
 
     // Returns the factor by which earlier stops raise the cost of the next one: doubled by each
     // stop, so that stops are not repeated on the same step.
@@ -27,6 +34,8 @@
 
 private:
     int m_preemptions = 0;
+    int m_stops = 0;
+    core::Instant m_stoppedAt = absl::InfinitePast();
 };
 
 // The state of an active run that determines how much of its run time a stop throws away.
--- a/src/planning/jobprogress.cpp
+++ b/src/planning/jobprogress.cpp
@@ -61,7 +61,8 @@
 {
     const int preemptions = progress.stops.preemptions();
     if (preemptions > 0)
-        value["preempted"].append(encodeCounts({occurrence, step, preemptions}));
+        value["preempted"].append(
+            encodeCounts({occurrence, step, preemptions, progress.stops.stops()}));
 }
 
 void appendCrashes(Json::Value &value, const workload::TaskKey &key, const Task &task)
@@ -224,10 +225,10 @@
 
 void JobRecord::restorePreemptions(const Json::Value &row)
 {
-    if (!startsWithCounts(row, 3))
+    if (!startsWithCounts(row, 4))
         return;
     if (StepProgress *target = step({{}, row[0].asInt(), row[1].asInt(), 0}))
-        target->stops = StopHistory(row[2].asInt());
+        target->stops = StopHistory(row[2].asInt(), row[3].asInt());
 }
 
 void JobRecord::restoreTask(const Json::Value &row)
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -276,9 +276,9 @@
     return true;
 }
 
-void JobRecord::recordPreemption(const workload::TaskKey &key)
+void JobRecord::recordPreemption(const workload::TaskKey &key, core::Instant now)
 {
-    step(key)->stops.recordPreemption();
+    step(key)->stops.recordPreemption(now);
     markChanged({key.job, key.occurrence, key.step, 0});
 }
 
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -164,7 +164,7 @@
     if (victim.runs.empty())
         return;
     const ActiveRun &first = round.activeRuns[victim.runs.front()];
-    first.record->recordPreemption(first.key().task);
+    first.record->recordPreemption(first.key().task, round.now);
     for (const std::size_t index : victim.runs) {
         const ActiveRun &run = round.activeRuns[index];
         requestStop(*run.task, "pre-empted by " + unit.record->job().id);
--- a/src/planning/stopcost.cpp
+++ b/src/planning/stopcost.cpp
@@ -12,6 +12,8 @@
 constexpr absl::Duration MinRestartLoss = absl::Milliseconds(300);
 // The start of a gang takes longer than this only if orders get lost.
 constexpr absl::Duration MaxGangStartup = absl::Seconds(1);
+// Pre-emptions within this time are one stop of the step.
+constexpr absl::Duration SameStopTime = absl::Milliseconds(500);
 // Keeps the factor finite; no budget allows a pre-emption at a thousandth of it.
 constexpr int MaxDoublings = 30;
 // The number of pre-emptions for each start of the step as a whole after which it is left alone.
@@ -24,9 +26,18 @@
     return m_preemptions >= MaxPreemptionsPerTask * (gang ? 1 : tasks);
 }
 
+void StopHistory::recordPreemption(core::Instant now)
+{
+    ++m_preemptions;
+    if (now - m_stoppedAt <= SameStopTime)
+        return;
+    ++m_stops;
+    m_stoppedAt = now;
+}
+
 double StopHistory::costFactor() const
 {
-    return std::ldexp(1.0, std::clamp(m_preemptions, 0, MaxDoublings));
+    return std::ldexp(1.0, std::clamp(m_stops, 0, MaxDoublings));
 }
 
 absl::Duration lostTime(const RunAtRisk &run, absl::Duration restoreTime)
