Hold capacity that stops free for the job that asked for it

Callers saw jobs stopped for others that then did not start, since a third job took the capacity.

Cause: a reservation ended 600 ms after the stop time, whether the stops were confirmed or not, and steps of several single tasks had none.

A stop that is overdue then is not counted on again. Steps that may pre-empt take the reservations of less urgent steps before they stop runs, and start on them at once if they are free. Ruled out: holding reservations against more urgent work, which would then wait for up to 5 s. tryPlace() is divided into tryFree() and tryPreempt().

Measured: the test "capacity that stops freed goes to its beneficiary" fails with the earlier duration.

--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -60,6 +60,8 @@
     bool stopRequested = false;
     // The reason of the stop, for the log.
     std::string stopReason;
+    // When the run was pre-empted; infinite future if it was not.
+    core::Instant preemptedAt = absl::InfiniteFuture();
     // When the latest start or stop order for this run was sent; reset when a stop is requested.
     core::Instant orderSentAt = absl::InfinitePast();
     // The time of the decision to start the run, or of the restore.
@@ -111,9 +113,12 @@
     int timedTaskCount = 0;
     absl::Duration meanTaskTime = absl::ZeroDuration();
     core::Instant readySince = absl::InfiniteFuture();
-    // Capacity reserved for this step while pre-empted tasks stop: the number of tasks by worker.
+    // Capacity reserved for this step until the runs that occupy it have ended: the number of tasks
+    // by worker, these runs, and when the latest stop was decided for it; infinite past if nothing
+    // was reserved since the latest start.
     std::map<std::string, int> reservation;
-    core::Instant reservedUntil = absl::InfinitePast();
+    std::vector<workload::RunKey> awaitedRuns;
+    core::Instant reservedAt = absl::InfinitePast();
 };
 
 struct Occurrence
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -204,7 +204,37 @@
     // and its job is not about to miss its deadline or misses it anyway.
     static bool mayOrderStops(const SchedulingUnit &unit, core::Instant now);
     double preemptionBudget(const SchedulingUnit &unit, core::Instant now) const;
+    // Returns how long the runs that a step has pre-empted are waited for.
+    absl::Duration reservationTime(bool guaranteed) const;
+    // Returns true if a pre-empted run should have ended, so that its capacity is not counted on.
+    bool isOverdueStop(const Task &task, bool guaranteed, core::Instant now) const;
+    static int reservedTasks(const StepProgress &progress);
+    static void deductReservations(const std::vector<SchedulingUnit> &units, Round &round);
     static void deductReservation(const SchedulingUnit &unit, Round &round);
+    // Drops the reservation of a step if nothing is awaited any more, or for too long.
+    void dropFinishedReservation(const SchedulingUnit &unit, core::Instant now);
+    static void clearReservation(StepProgress &progress);
+    // Adds the reservations of less urgent steps to the possible victims.
+    void addReservationVictims(const SchedulingUnit &unit, std::vector<VictimGroup> &groups,
+                               const Round &round) const;
+    // Passes a reservation on to the unit.
+    static void takeReservation(const VictimGroup &victim, const SchedulingUnit &unit,
+                                Round &round);
+    // Holds the capacity of a placement until its victims have ended.
+    static void reserve(const SchedulingUnit &unit, const Placement &placed,
+                        const VictimIndex &candidates, Round &round);
+    // Starts the unit if the capacity that was reserved for it in this round is free already, which
+    // is possible if the reservation was taken from a less urgent step.
+    void startOnTakenReservation(const SchedulingUnit &unit, const PlacementRequest &request,
+                                 const std::map<int, int> &tasks, Round &round);
+    // Ends the reservation of tasks that have started.
+    static void releaseReservation(const SchedulingUnit &unit, const std::map<int, int> &tasks,
+                                   const Round &round);
+    // Starts the unit's tasks on free capacity.
+    bool tryFree(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
+    // Orders the stops that the unit needs, and reserves their capacity.
+    bool tryPreempt(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
+    // Starts a gang, or waits for its reservation, or pre-empts for it.
     bool tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
     void startTasks(const SchedulingUnit &unit, const std::map<int, int> &tasks, Round &round);
     static void preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round);
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -188,6 +188,7 @@
     target->checkpointedAt = absl::InfinitePast();
     target->runningSince = absl::InfiniteFuture();
     target->stopRequested = false;
+    target->preemptedAt = absl::InfiniteFuture();
     target->orderSentAt = absl::InfinitePast();
     target->startedAt = now;
     target->percent = 0;
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-// A reservation lasts for the stop time of the pre-empted tasks plus this margin.
-constexpr absl::Duration ReservationMargin = absl::Milliseconds(600);
 // The longest time that a step waits for its preferred rack or for a single rack with free
 // capacity; at most the expected run time of its tasks.
 constexpr absl::Duration MaxRackWait = absl::Milliseconds(2500);
@@ -51,8 +49,7 @@
     rankWorkers(round);
     orderStops(round);
     std::vector<SchedulingUnit> units = readyUnits(round);
-    for (const SchedulingUnit &unit : units)
-        deductReservation(unit, round);
+    deductReservations(units, round);
     chooseUrgentReserve(round);
     for (const SchedulingUnit &unit : units)
         placeUnit(unit, round);
@@ -334,8 +331,7 @@
     // Returns the capacity of the step's own reservation before the step is placed.
     for (const auto &[worker, count] : unit.progress->reservation)
         round.deduct(worker, unit.spec->perTask, -count);
-    if (round.now >= unit.progress->reservedUntil)
-        unit.progress->reservation.clear();
+    dropFinishedReservation(unit, round.now);
     const absl::Duration waited = round.now - unit.progress->readySince;
     const absl::Duration rackWait =
         unit.guaranteed ? GuaranteedRackWait : std::min(MaxRackWait, unit.taskTime);
@@ -357,9 +353,11 @@
     // The request of a task without failed runs, which the other such tasks share if starting one
     // of them does not change the limits of the workers.
     std::optional<PlacementRequest> shared;
+    // The tasks that wait for the step's own reservation, once one does not fit elsewhere.
+    std::optional<int> waiting;
     for (const int index : unit.taskIndices) {
         if (parallel++ >= maxParallel)
-            return;
+            break;
         one.taskIndices = {index};
         const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
         const bool canShare = unit.spec->maxPerWorker == 0 && task.workersWithFailedRuns.empty()
@@ -369,7 +367,14 @@
             if (waited < rackWait)
                 restrictToDataRack(*shared, round);
         }
-        if (!tryPlace(one, *shared, round)) {
+        const bool started = tryFree(one, *shared, round);
+        if (!started && !waiting) {
+            waiting = reservedTasks(*unit.progress);
+            deductReservation(unit, round);
+        }
+        if (!started && (*waiting)-- > 0)
+            continue;
+        if (!started && !tryPreempt(one, *shared, round)) {
             if (!task.isSuspect())
                 return;
             // Other tasks may start where a suspected one may not.
@@ -380,6 +385,8 @@
         if (!canShare || (worker != Round::NoWorker && !round.mayGetStart(worker, unit.record)))
             shared.reset();
     }
+    if (!waiting)
+        deductReservation(unit, round);
 }
 
 void Planner::restrictToDataRack(PlacementRequest &request, const Round &round)
@@ -401,14 +408,24 @@
 
 bool Planner::tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
 {
-    if (const auto placed = place(request, round.racks, round.freeCapacity, nullptr)) {
-        startTasks(unit, placed->tasks, round);
-        return true;
-    }
-    if (!unit.progress->reservation.empty()) {
-        deductReservation(unit, round);
+    if (tryFree(unit, request, round))
         return true;
-    }
+    if (unit.progress->reservation.empty())
+        return tryPreempt(unit, request, round);
+    deductReservation(unit, round);
+    return true;
+}
+
+bool Planner::tryFree(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
+{
+    const auto placed = place(request, round.racks, round.freeCapacity, nullptr);
+    if (placed)
+        startTasks(unit, placed->tasks, round);
+    return placed.has_value();
+}
+
+bool Planner::tryPreempt(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
+{
     const VictimIndex &candidates = victims(unit, round);
     const auto placed = place(request, round.racks, round.freeCapacity, &candidates);
     if (!placed)
@@ -421,14 +438,9 @@
         return false;
     for (const std::size_t index : placed->victims)
         preemptGroup(candidates.group(index), unit, round);
+    reserve(unit, *placed, candidates, round);
     round.victims.clear();
-    if (unit.spec->gang || unit.spec->tasks == 1) {
-        for (const auto &[worker, count] : placed->tasks)
-            unit.progress->reservation.emplace(round.worker(worker).key, count);
-        unit.progress->reservedUntil = round.now + m_options.stopTime + ReservationMargin;
-    }
-    for (const auto &[worker, count] : placed->tasks)
-        round.deduct(round.worker(worker).key, unit.spec->perTask, count);
+    startOnTakenReservation(unit, request, placed->tasks, round);
     return true;
 }
 
@@ -458,8 +470,7 @@
                                          "placed"});
         }
     }
-    unit.progress->reservation.clear();
-    unit.progress->reservedUntil = absl::InfinitePast();
+    releaseReservation(unit, tasks, round);
     m_changed.insert(unit.record->job().id);
 }
 
--- a/src/planning/planninground.h
+++ b/src/planning/planninground.h
@@ -38,6 +38,14 @@
     int count = 0;
 };
 
+// A step for which capacity is reserved.
+struct ReservationHolder
+{
+    const JobRecord *record = nullptr;
+    StepProgress *progress = nullptr;
+    const workload::Step *spec = nullptr;
+};
+
 // The state of one call of plan(). Everything that is looked up for each task or for each pair of a
 // task and a worker is computed once and stored by index, so that the cost of a round is the size
 // of the cluster plus that of the placements, not their product with string lookups.
@@ -86,6 +94,8 @@
     // In the order of their keys.
     std::vector<ActiveRun> activeRuns;
 
+    std::vector<ReservationHolder> reservations;
+
     // Which runs a unit may pre-empt, and whether it waits for runs that end soon.
     struct VictimKind
     {
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -85,7 +85,7 @@
 const VictimIndex &Planner::victims(const SchedulingUnit &unit, Round &round) const
 {
     const Round::VictimKind kind{unit.record->job().terms.priority, unit.guaranteed,
-                                 unit.progress->reservedUntil == absl::InfinitePast()};
+                                 unit.progress->reservedAt == absl::InfinitePast()};
     const auto found = round.victims.find(kind);
     if (found != round.victims.end())
         return found->second;
@@ -108,7 +108,8 @@
         const Task &task = *run.task;
         const bool leftAlone =
             !unit.guaranteed && run.progress->stops.isExhausted(run.spec->tasks, run.spec->gang);
-        if (run.worker == Round::NoWorker || (!task.stopRequested && (!preemptible || leftAlone)))
+        if (run.worker == Round::NoWorker || (!task.stopRequested && (!preemptible || leftAlone))
+            || isOverdueStop(task, unit.guaranteed, round.now))
             continue;
         if (!run.spec->gang || run.progress != gang)
             groups.emplace_back();
@@ -118,13 +119,16 @@
         const bool endsSoon = task.percent > 0 && round.now - task.percentChangedAt < MaxProgressAge
             && remainingTime(task, m_options.stopTime, round.now) < endWait;
         // Capacity that is about to become free has no pre-emption cost.
-        if (task.stopRequested || endsSoon)
+        if (task.stopRequested || endsSoon) {
+            victim.endingRuns.push_back(i);
             continue;
+        }
         victim.runs.push_back(i);
         victim.cost += absl::ToDoubleSeconds(
                            lostTime(runAtRisk(*run.spec, task, round.now), m_options.restoreTime))
             * weightedCores(run.spec->perTask) * jobWeight * run.progress->stops.costFactor();
     }
+    addReservationVictims(unit, groups, round);
     return round.victims.emplace(kind, VictimIndex(std::move(groups), round.workers.size()))
         .first->second;
 }
@@ -168,6 +172,7 @@
     for (const std::size_t index : victim.runs) {
         const ActiveRun &run = round.activeRuns[index];
         requestStop(*run.task, "pre-empted by " + unit.record->job().id);
+        run.task->preemptedAt = round.now;
         run.task->orderSentAt = round.now;
         round.plan.orders.push_back(
             {Order::Kind::Stop, run.task->worker, run.key(), {}, {}, run.task->stopReason});
--- a/test/planning/tst_contention.cpp
+++ b/test/planning/tst_contention.cpp
@@ -60,7 +60,8 @@
     const workload::Job job = f.job("low", 2, 3, 8, gang);
     const std::string count = gang ? "3" : "9";
     REQUIRE(f.planner.restoreJob(
-        job, {{"", R"({"state":"running","next":1,"open":[0],"preempted":[[0,0,)" + count + ",3]]}"}},
+        job,
+        {{"", R"({"state":"running","next":1,"open":[0],"preempted":[[0,0,)" + count + ",3]]}"}},
         f.now));
     f.run(absl::Milliseconds(50));
     REQUIRE(f.starts["low"] == 3);
@@ -69,3 +70,98 @@
     CHECK(f.stops["low"] == (guaranteed ? 3 : 0));
     CHECK(f.starts["u"] == (guaranteed ? 3 : 0));
 }
+
+// Load: stops take longer than promised while another job of the same priority waits, which is
+// worth more. Guards against stops that free room for others than the job that ordered them.
+TEST_CASE("capacity that stops freed goes to its beneficiary", "[planning]")
+{
+    const bool gang = GENERATE(true, false);
+    CAPTURE(gang);
+    ContentionFixture f(3);
+    // A reservation of guaranteed work is shorter; other single tasks would not start together.
+    f.planner.setGuarantees({{"account", gang ? 0 : 48}});
+    f.stopTime = absl::Seconds(gang ? 2 : 1);
+    f.planner.addJob(f.job("low", 2, 3, 8), f.now);
+    f.run(absl::Milliseconds(500));
+    f.planner.addJob(f.job("beneficiary", 0, 3, 8, gang), f.now);
+    f.run(absl::Milliseconds(500));
+    REQUIRE(f.stops["low"] == 3);
+    workload::Job other = f.job("other", 0, 3, 8);
+    other.queue = "short";
+    other.steps[0].estimateMs = 500;
+    f.planner.addJob(other, f.now);
+    f.run(absl::Milliseconds(1700));
+    CHECK(f.starts["beneficiary"] == 3);
+    CHECK(f.starts["other"] == 0);
+}
+
+// Load: a stop is never confirmed. Guards against capacity that is held for ever for a job that
+// cannot start.
+TEST_CASE("a reservation ends five seconds after the last stop order", "[planning]")
+{
+    ContentionFixture f(3);
+    f.runTime = absl::Seconds(100);
+    f.planner.addJob(f.job("low", 2, 3, 8, false), f.now);
+    f.run(absl::Milliseconds(500));
+    f.planner.addJob(f.job("beneficiary", 0, 3, 8), f.now);
+    for (const Order &order : f.plan()) {
+        if (order.worker != "w0")
+            f.execute(order);
+    }
+    // The worker w0 accepts further stop orders without effect.
+    for (auto &[key, run] : f.runs) {
+        if (run.worker == "w0")
+            run.stopsAt = absl::UnixEpoch() + absl::Hours(1000000);
+    }
+    workload::Job other = f.job("other", 1, 2, 8);
+    // Has no slack, so that it may use the workers kept for urgent jobs.
+    other.terms.stretch = 1;
+    f.planner.addJob(other, f.now);
+    f.run(absl::Milliseconds(4900));
+    CHECK(f.starts["other"] == 0);
+    f.run(absl::Milliseconds(500));
+    CHECK(f.starts["other"] == 2);
+}
+
+// Load: guaranteed work arrives while capacity is being freed for other work. Guards against
+// guaranteed work that waits for a reservation, or that stops more than it needs.
+TEST_CASE("guaranteed work takes the reservation of less urgent work", "[planning]")
+{
+    ContentionFixture f(4);
+    f.planner.setGuarantees({{"account", 24}});
+    f.planner.addJob(f.job("keep", 1, 1, 8), f.now);
+    f.planner.addJob(f.job("low", 2, 3, 8), f.now);
+    f.run(absl::Milliseconds(100));
+    workload::Job middle = f.job("middle", 1, 3, 8);
+    middle.terms.stretch = 1;
+    middle.terms.targetMs = 500;
+    f.planner.addJob(middle, f.now);
+    f.run(absl::Milliseconds(200));
+    REQUIRE(f.stops["low"] == 3);
+    f.planner.addJob(f.job("u", 0, 3, 8), f.now);
+    f.run(absl::Milliseconds(500));
+    CHECK(f.starts["u"] == 3);
+    CHECK(f.starts["middle"] == 0);
+    CHECK(f.stops["keep"] == 0);
+}
+
+// Load: a burst of urgent gangs on a full cluster. Guards against gangs of the burst that stop work
+// for each other's room, and against long waits.
+TEST_CASE("a burst of urgent gangs starts within the stop time", "[planning]")
+{
+    ContentionFixture f(12);
+    f.runTime = absl::Seconds(6);
+    f.planner.addJob(f.job("low", 2, 96, 1, false), f.now);
+    f.run(absl::Milliseconds(800));
+    const int full = f.starts["low"];
+    for (int i = 0; i < 5; ++i)
+        f.planner.addJob(f.job("u" + std::to_string(i), 0, 2, 8), f.now);
+    f.run(f.stopTime + absl::Milliseconds(150));
+    for (int i = 0; i < 5; ++i)
+        CHECK(f.starts["u" + std::to_string(i)] == 2);
+    CHECK(full + f.stops["low"] <= 96 + 80);
+    CHECK(f.stops["low"] <= 80);
+    f.run(absl::Seconds(30));
+    CHECK(f.stops["low"] <= 80);
+    CHECK(f.planner.job("low")->state() == JobState::Completed);
+}
