Order stops only if they gain more than they cost

Callers of a loaded deployment saw more work thrown away than urgent jobs gained: jobs were stopped for others that could have waited.

Cause: stops were limited by a multiple of the beneficiary's own work, whatever it gained, and decided for one task after another.

There are no stops if that is below their cost; guaranteed work is exempt and the budgets stay. Without stops, a step still waits for runs that end anyway.

--- a/bench/daysimulation.cpp
+++ b/bench/daysimulation.cpp
@@ -295,7 +295,7 @@
             endRun(key, how);
     }
 
-    absl::Duration lastCheckpoint(const Run &run) const
+    absl::Duration workInCheckpoint(const Run &run) const
     {
         return absl::Floor(run.completedWork, m_scenario.checkpointInterval);
     }
@@ -321,7 +321,7 @@
         if (step.checkpointable && how != planning::RunEnd::Completed)
             savedWork = how == planning::RunEnd::Stopped && m_scenario.savesAtStop
                 ? run.completedWork
-                : std::max(run.restoredWork, lastCheckpoint(run));
+                : std::max(run.restoredWork, workInCheckpoint(run));
         const absl::Duration newWork = run.completedWork - run.restoredWork;
         m_totalWork += weight * absl::ToDoubleSeconds(newWork);
         if (how != planning::RunEnd::Completed)
@@ -358,7 +358,7 @@
                         static_cast<int>(100
                                          * absl::FDivDuration(run.completedWork, run.job->work)),
                         run.job->job.steps[0].checkpointable
-                            ? encodeCheckpoint(std::max(run.restoredWork, lastCheckpoint(run)))
+                            ? encodeCheckpoint(std::max(run.restoredWork, workInCheckpoint(run)))
                             : std::string(),
                         m_now);
             }
--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -119,6 +119,8 @@
     std::map<std::string, int> reservation;
     std::vector<workload::RunKey> awaitedRuns;
     core::Instant reservedAt = absl::InfinitePast();
+    // When stops for this step were last found not to be worth it.
+    core::Instant stopsRejectedAt = absl::InfinitePast();
 };
 
 struct Occurrence
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -15,6 +15,7 @@
 namespace oleandercross::planning {
 
 struct ActiveRun;
+struct ExpectedEnd;
 
 struct PlannerOptions
 {
@@ -193,22 +194,45 @@
     bool isEligible(const SchedulingUnit &unit, int worker, const Round &round) const;
     // Restricts the request to the workers on the rack of the input data, if there are any.
     static void restrictToDataRack(PlacementRequest &request, const Round &round);
-    const VictimIndex &victims(const SchedulingUnit &unit, Round &round) const;
+    const VictimIndex &victims(const SchedulingUnit &unit, bool ordersStops, Round &round) const;
     bool mayPreempt(const SchedulingUnit &unit, const JobRecord &victim) const;
     // Returns true if work of lower priority may run on a worker of the urgent reserve.
     bool mayUseUrgentReserve(const SchedulingUnit &unit, const Worker &worker,
                              core::Instant now) const;
     // Returns true if the job is late or has almost no slack left before its deadline.
     static bool isAboutToBeLate(const SchedulingUnit &unit, core::Instant now);
-    // Returns false if the unit may not start by stopping others: its step was itself pre-empted,
-    // and its job is not about to miss its deadline or misses it anyway.
-    static bool mayOrderStops(const SchedulingUnit &unit, core::Instant now);
+    // Returns false if the unit may not start by stopping others: nothing is gained, or its step
+    // was itself pre-empted and its job is not about to miss its deadline or misses it anyway.
+    bool mayOrderStops(const SchedulingUnit &unit, const PlacementRequest &request,
+                       Round &round) const;
     double preemptionBudget(const SchedulingUnit &unit, core::Instant now) const;
     // Returns how long the runs that a step has pre-empted are waited for.
     absl::Duration reservationTime(bool guaranteed) const;
     // Returns true if a pre-empted run should have ended, so that its capacity is not counted on.
     bool isOverdueStop(const Task &task, bool guaranteed, core::Instant now) const;
     static int reservedTasks(const StepProgress &progress);
+    const std::vector<ExpectedEnd> &expectedEnds(Round &round) const;
+    // Returns when the unit is expected to fit without stops, after the work ahead of it.
+    core::Instant expectedFreeAt(const SchedulingUnit &unit, const PlacementRequest &request,
+                                 Round &round) const;
+    // Returns the value that stops for the unit are expected to save: the fall of the job's value
+    // until capacity becomes free by itself.
+    double preemptionGain(const SchedulingUnit &unit, const PlacementRequest &request,
+                          Round &round) const;
+    // Searches a placement for the unit. With stops, these must be worth their cost.
+    std::optional<Placement> placeWithVictims(const SchedulingUnit &unit,
+                                              const PlacementRequest &request, bool ordersStops,
+                                              Round &round) const;
+    // Returns false if even the cheapest stop for one task costs more than its share of the gain.
+    // Saves the search for all tasks, whose stops cost at least as much for each of them.
+    bool mayPayForTasks(const SchedulingUnit &unit, const PlacementRequest &request,
+                        Round &round) const;
+    // Pre-empts for the unit's pending tasks from `first` on, at most `limit` of them, or for as
+    // many as are worth it.
+    void preemptForTasks(const SchedulingUnit &unit, int first, std::ptrdiff_t limit,
+                         const PlacementRequest &request, Round &round);
+    // Counts the tasks of the unit that wait and have no reserved capacity.
+    static void recordWaiting(const SchedulingUnit &unit, Round &round);
     static void deductReservations(const std::vector<SchedulingUnit> &units, Round &round);
     static void deductReservation(const SchedulingUnit &unit, Round &round);
     // Drops the reservation of a step if nothing is awaited any more, or for too long.
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -51,8 +51,10 @@
     std::vector<SchedulingUnit> units = readyUnits(round);
     deductReservations(units, round);
     chooseUrgentReserve(round);
-    for (const SchedulingUnit &unit : units)
+    for (const SchedulingUnit &unit : units) {
         placeUnit(unit, round);
+        recordWaiting(unit, round);
+    }
     round.plan.next = now + PlanPeriod;
     return std::move(round.plan);
 }
@@ -374,6 +376,10 @@
         }
         if (!started && (*waiting)-- > 0)
             continue;
+        if (!started && canShare) {
+            preemptForTasks(unit, index, maxParallel - parallel + 1, *shared, round);
+            return;
+        }
         if (!started && !tryPreempt(one, *shared, round)) {
             if (!task.isSuspect())
                 return;
@@ -426,16 +432,16 @@
 
 bool Planner::tryPreempt(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
 {
-    const VictimIndex &candidates = victims(unit, round);
-    const auto placed = place(request, round.racks, round.freeCapacity, &candidates);
+    bool ordersStops = mayOrderStops(unit, request, round);
+    auto placed = placeWithVictims(unit, request, ordersStops, round);
+    if (!placed && ordersStops && !unit.guaranteed) {
+        unit.progress->stopsRejectedAt = round.now;
+        ordersStops = false;
+        placed = placeWithVictims(unit, request, ordersStops, round);
+    }
     if (!placed)
         return false;
-    const double ownWork = weightedCores(unit.spec->perTask) * absl::ToDoubleSeconds(unit.taskTime)
-        * static_cast<double>(unit.taskIndices.size());
-    if (!unit.guaranteed && placed->cost > ownWork * preemptionBudget(unit, round.now))
-        return false;
-    if (placed->cost > 0 && !mayOrderStops(unit, round.now))
-        return false;
+    const VictimIndex &candidates = victims(unit, ordersStops, round);
     for (const std::size_t index : placed->victims)
         preemptGroup(candidates.group(index), unit, round);
     reserve(unit, *placed, candidates, round);
--- a/src/planning/planninground.h
+++ b/src/planning/planninground.h
@@ -38,6 +38,14 @@
     int count = 0;
 };
 
+// When a run is expected to end, and what it frees.
+struct ExpectedEnd
+{
+    core::Instant at;
+    int worker = 0;
+    workload::Demand freed;
+};
+
 // A step for which capacity is reserved.
 struct ReservationHolder
 {
@@ -93,15 +101,23 @@
     std::vector<int> classes;
     // In the order of their keys.
     std::vector<ActiveRun> activeRuns;
+    // The priority of the least urgent active run.
+    int lowestPriority = 0;
 
     std::vector<ReservationHolder> reservations;
+    // In ascending order of time. Computed when it is first needed.
+    std::vector<ExpectedEnd> expectedEnds;
+    // The accelerator-weighted cores that the units placed so far wait for, by service.
+    std::map<std::string_view, double> waitingCores;
 
-    // Which runs a unit may pre-empt, and whether it waits for runs that end soon.
+    // Which runs a unit may pre-empt, whether it waits for runs that end soon, and whether it may
+    // order stops or only waits for runs that end anyway.
     struct VictimKind
     {
         int priority = 0;
         bool guaranteed = false;
         bool waitsForEnds = false;
+        bool ordersStops = true;
 
         friend auto operator<=>(const VictimKind &, const VictimKind &) = default;
     };
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -21,22 +21,18 @@
 constexpr double EndWaitFraction = 0.7;
 // If stops take no longer than this, tasks with checkpoints may use the urgent reserve.
 constexpr absl::Duration CheapStopTime = absl::Milliseconds(400);
+// Gain and cost of stops change slowly, and the search for them is the longest part of a round, so
+// that a step for which they were not worth it is not searched again within this time.
+constexpr absl::Duration StopSearchInterval = absl::Milliseconds(200);
 // Progress that has not changed for this time does not predict the end of a task.
 constexpr absl::Duration MaxProgressAge = absl::Milliseconds(1000);
 
-// Returns the cost of losing a core second, relative to work of the lowest priority. The lost
-// resources cost the same for every job, while the value of the work rises with its priority.
+// Returns the cost of losing a core second, relative to work of the lowest priority.
 double stopWeight(const JobRecord &record)
 {
-    constexpr double UrgentWeight = 5;
-    constexpr double MiddleWeight = 1.8;
     constexpr double ProgressWeight = 3;
-    const workload::Job &job = record.job();
-    const double weight = job.terms.priority == 0 ? UrgentWeight
-        : job.terms.priority == 1                 ? MiddleWeight
-                                                  : 1;
     // Prefers jobs far from completion as victims, so that nearly complete jobs can finish.
-    return weight * (1 + ProgressWeight * record.completedFraction());
+    return priorityWeight(record) * (1 + ProgressWeight * record.completedFraction());
 }
 
 RunAtRisk runAtRisk(const workload::Step &step, const Task &task, core::Instant now)
@@ -53,6 +49,16 @@
 
 } // namespace
 
+double priorityWeight(const JobRecord &record)
+{
+    // The lost resources cost the same for every job, while the value of the work rises with its
+    // priority.
+    constexpr double UrgentWeight = 5;
+    constexpr double MiddleWeight = 1.8;
+    const int priority = record.job().terms.priority;
+    return priority == 0 ? UrgentWeight : priority == 1 ? MiddleWeight : 1;
+}
+
 double weightedCores(const workload::Demand &demand)
 {
     return static_cast<double>(demand.milliCores) / 1000
@@ -82,10 +88,11 @@
     return !withinGuarantee(job.account);
 }
 
-const VictimIndex &Planner::victims(const SchedulingUnit &unit, Round &round) const
+const VictimIndex &Planner::victims(const SchedulingUnit &unit, bool ordersStops,
+                                    Round &round) const
 {
     const Round::VictimKind kind{unit.record->job().terms.priority, unit.guaranteed,
-                                 unit.progress->reservedAt == absl::InfinitePast()};
+                                 unit.progress->reservedAt == absl::InfinitePast(), ordersStops};
     const auto found = round.victims.find(kind);
     if (found != round.victims.end())
         return found->second;
@@ -111,13 +118,15 @@
         if (run.worker == Round::NoWorker || (!task.stopRequested && (!preemptible || leftAlone))
             || isOverdueStop(task, unit.guaranteed, round.now))
             continue;
+        const bool endsSoon = task.percent > 0 && round.now - task.percentChangedAt < MaxProgressAge
+            && remainingTime(task, m_options.stopTime, round.now) < endWait;
+        if (!ordersStops && !task.stopRequested && !endsSoon)
+            continue;
         if (!run.spec->gang || run.progress != gang)
             groups.emplace_back();
         gang = run.spec->gang ? run.progress : nullptr;
         VictimGroup &victim = groups.back();
         victim.free(run.worker, run.spec->perTask);
-        const bool endsSoon = task.percent > 0 && round.now - task.percentChangedAt < MaxProgressAge
-            && remainingTime(task, m_options.stopTime, round.now) < endWait;
         // Capacity that is about to become free has no pre-emption cost.
         if (task.stopRequested || endsSoon) {
             victim.endingRuns.push_back(i);
@@ -148,11 +157,20 @@
     return now + unit.remainingCriticalPath * (1 + LateSlackFraction) > unit.deadline;
 }
 
-bool Planner::mayOrderStops(const SchedulingUnit &unit, core::Instant now)
+bool Planner::mayOrderStops(const SchedulingUnit &unit, const PlacementRequest &request,
+                            Round &round) const
 {
-    if (unit.guaranteed || unit.progress->stops.preemptions() == 0)
+    if (unit.guaranteed)
         return true;
-    return isAboutToBeLate(unit, now) && !unit.willBeLate(now);
+    if (unit.record->job().terms.priority >= round.lowestPriority)
+        return false;
+    if (unit.progress->stops.preemptions() > 0
+        && (!isAboutToBeLate(unit, round.now) || unit.willBeLate(round.now)))
+        return false;
+    const absl::Duration sinceRejection = round.now - unit.progress->stopsRejectedAt;
+    if (sinceRejection > absl::ZeroDuration() && sinceRejection < StopSearchInterval)
+        return false;
+    return preemptionGain(unit, request, round) > 0;
 }
 
 double Planner::preemptionBudget(const SchedulingUnit &unit, core::Instant now) const
