Count on checkpoints that are saved within the stop time

Cause: a run that saves a checkpoint every second was counted as losing all work since its last one, although a stop takes 0.9 s in K and the run goes on, and saves, until it takes effect. Other victims were chosen that lose more.

Change: the planner knows the interval of checkpoints (bounds.checkpointIntervalS, unknown if absent). A run that will save one within the stop time costs only what follows it, plus the restore. Ruled out: holding the stop order until the checkpoint is reported. The run then goes on for the whole stop time after the checkpoint, so that more is lost and the beneficiary waits longer.

--- a/bench/dayschedulers.cpp
+++ b/bench/dayschedulers.cpp
@@ -138,12 +138,10 @@
 
 } // namespace
 
-std::unique_ptr<DayScheduler> makeScheduler(absl::Duration stopTime, bool fifo)
+std::unique_ptr<DayScheduler> makeScheduler(const planning::PlannerOptions &options, bool fifo)
 {
     if (fifo)
         return std::make_unique<FirstComeFirstFit>();
-    planning::PlannerOptions options;
-    options.stopTime = stopTime;
     return std::make_unique<PlannerScheduler>(options);
 }
 
--- a/bench/dayschedulers.h
+++ b/bench/dayschedulers.h
@@ -31,8 +31,7 @@
     virtual std::vector<std::string> takeCompleted() = 0;
 };
 
-// Returns the first-come first-fit baseline if `fifo`, otherwise the planner. `stopTime` is the
-// longest time that a worker takes to stop a run.
-std::unique_ptr<DayScheduler> makeScheduler(absl::Duration stopTime, bool fifo);
+// Returns the first-come first-fit baseline if `fifo`, otherwise the planner.
+std::unique_ptr<DayScheduler> makeScheduler(const planning::PlannerOptions &options, bool fifo);
 
 } // namespace oleandercross::bench
--- a/bench/daysimulation.cpp
+++ b/bench/daysimulation.cpp
@@ -39,6 +39,15 @@
         + CoresPerAccelerator * static_cast<double>(demand.accelerators);
 }
 
+planning::PlannerOptions plannerOptions(const DayScenario &scenario)
+{
+    planning::PlannerOptions options;
+    options.stopTime = scenario.stopTime;
+    options.restoreTime = RestoreTime;
+    options.checkpointInterval = scenario.checkpointInterval;
+    return options;
+}
+
 struct SimulatedJob
 {
     workload::Job job;
@@ -82,7 +91,7 @@
     DaySimulation(const DayScenario &scenario, std::uint64_t seed, bool fifo)
         : m_scenario(scenario)
         , m_random(seed)
-        , m_scheduler(makeScheduler(scenario.stopTime, fifo))
+        , m_scheduler(makeScheduler(plannerOptions(scenario), fifo))
     {
         addWorkers();
         generateJobs();
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -25,6 +25,8 @@
     absl::Duration stopTime = absl::Milliseconds(500);
     // The time that a run takes to continue from a checkpoint.
     absl::Duration restoreTime = absl::Milliseconds(600);
+    // How often a run saves a checkpoint; infinite if unknown.
+    absl::Duration checkpointInterval = absl::InfiniteDuration();
     // The time after which an order without effect is repeated.
     absl::Duration orderRepeat = absl::Milliseconds(700);
     // The time after which a start without effect is revoked by a stop.
--- a/include/oleandercross/planning/stopcost.h
+++ b/include/oleandercross/planning/stopcost.h
@@ -51,10 +51,17 @@
     // The time from the decision to start the run until its worker confirmed it; not positive if
     // unknown.
     absl::Duration startup;
+    // The time until the run is expected to save its next checkpoint; infinite if unknown.
+    absl::Duration untilCheckpoint = absl::InfiniteDuration();
 };
 
+// Returns the time until a run is expected to save its next checkpoint: a multiple of the interval
+// after the latest one or, if it has saved none, after its start.
+absl::Duration untilNextCheckpoint(absl::Duration sinceLast, absl::Duration interval);
+
 // Returns the run time that is lost if the run is stopped now: its work since the latest
-// checkpoint, the restore from it, and the start-up of a gang.
-absl::Duration lostTime(const RunAtRisk &run, absl::Duration restoreTime);
+// checkpoint, the restore from it, and the start-up of a gang. Of a run that saves a checkpoint
+// within the stop time, only what follows that checkpoint is lost.
+absl::Duration lostTime(const RunAtRisk &run, absl::Duration restoreTime, absl::Duration stopTime);
 
 } // namespace oleandercross::planning
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -35,7 +35,8 @@
     return priorityWeight(record) * (1 + ProgressWeight * record.completedFraction());
 }
 
-RunAtRisk runAtRisk(const workload::Step &step, const Task &task, core::Instant now)
+RunAtRisk runAtRisk(const workload::Step &step, const Task &task, absl::Duration checkpointInterval,
+                    core::Instant now)
 {
     RunAtRisk run;
     run.gang = step.gang;
@@ -44,6 +45,9 @@
     run.hasCheckpoint = step.checkpointable && !task.checkpoint.empty();
     if (task.running)
         run.startup = task.runningSince - task.startedAt;
+    if (step.checkpointable && task.running)
+        run.untilCheckpoint =
+            untilNextCheckpoint(std::min(run.sinceStart, run.sinceCheckpoint), checkpointInterval);
     return run;
 }
 
@@ -133,8 +137,9 @@
             continue;
         }
         victim.runs.push_back(i);
-        victim.cost += absl::ToDoubleSeconds(
-                           lostTime(runAtRisk(*run.spec, task, round.now), m_options.restoreTime))
+        victim.cost += absl::ToDoubleSeconds(lostTime(
+                           runAtRisk(*run.spec, task, m_options.checkpointInterval, round.now),
+                           m_options.restoreTime, m_options.stopTime))
             * weightedCores(run.spec->perTask) * jobWeight * run.progress->stops.costFactor();
     }
     addReservationVictims(unit, groups, round);
--- a/src/planning/stopcost.cpp
+++ b/src/planning/stopcost.cpp
@@ -40,14 +40,26 @@
     return std::ldexp(1.0, std::clamp(m_stops, 0, MaxDoublings));
 }
 
-absl::Duration lostTime(const RunAtRisk &run, absl::Duration restoreTime)
+absl::Duration untilNextCheckpoint(absl::Duration sinceLast, absl::Duration interval)
+{
+    if (interval <= absl::ZeroDuration() || interval == absl::InfiniteDuration())
+        return absl::InfiniteDuration();
+    return interval - sinceLast % interval;
+}
+
+absl::Duration lostTime(const RunAtRisk &run, absl::Duration restoreTime, absl::Duration stopTime)
 {
     absl::Duration lost = std::min(run.sinceStart, run.sinceCheckpoint);
-    if (run.hasCheckpoint)
+    bool hasCheckpoint = run.hasCheckpoint;
+    if (run.untilCheckpoint <= stopTime && stopTime - run.untilCheckpoint < lost) {
+        lost = stopTime - run.untilCheckpoint;
+        hasCheckpoint = true;
+    }
+    if (hasCheckpoint)
         lost += restoreTime;
     if (run.gang)
         return lost + std::clamp(run.startup, MinRestartLoss, MaxGangStartup);
-    return run.hasCheckpoint ? lost : lost + MinRestartLoss;
+    return hasCheckpoint ? lost : lost + MinRestartLoss;
 }
 
 } // namespace oleandercross::planning
--- a/test/deployment/tst_deploymentsettings.cpp
+++ b/test/deployment/tst_deploymentsettings.cpp
@@ -51,10 +51,12 @@
     CHECK(settings->maxLease == absl::Seconds(10));
     CHECK(settings->taskStopTime == absl::Milliseconds(200));
     CHECK_FALSE(settings->heartbeats);
+    CHECK(settings->taskCheckpointInterval == absl::InfiniteDuration());
     CHECK(settings->taskRestoreTime == absl::Milliseconds(600));
-    const auto longer = platform::parseDeploymentSettings(
-        absl::StrReplaceAll(Text, {{"  graceS", "  restoreMs: 900\n  graceS"}}));
+    const auto longer = platform::parseDeploymentSettings(absl::StrReplaceAll(
+        Text, {{"  graceS", "  restoreMs: 900\n  checkpointIntervalS: 2\n  graceS"}}));
     REQUIRE(longer);
+    CHECK(longer->taskCheckpointInterval == absl::Seconds(2));
     CHECK(longer->taskRestoreTime == absl::Milliseconds(900));
 }
 
--- a/test/planning/tst_stopcost.cpp
+++ b/test/planning/tst_stopcost.cpp
@@ -23,11 +23,18 @@
         {"without checkpoints", {false, absl::Seconds(5), never, false, {}}, 5.3},
         {"after a checkpoint", {false, absl::Seconds(5), absl::Seconds(2), true, {}}, 2.6},
         {"restored, no new checkpoint", {false, absl::Seconds(5), never, true, {}}, 5.6},
+        {"checkpoint soon",
+         {false, absl::Seconds(5), never, false, {}, absl::Milliseconds(500)},
+         1},
+        {"checkpoint after the stop",
+         {false, absl::Seconds(5), never, false, {}, absl::Seconds(1)},
+         5.3},
         {"gang", {true, absl::Seconds(5), never, false, absl::Milliseconds(700)}, 5.7},
         {"gang of unknown start-up", {true, absl::Seconds(5), never, false, never}, 6},
     }));
     CAPTURE(c.description);
-    CHECK(absl::ToDoubleSeconds(lostTime(c.run, absl::Milliseconds(600))) == Approx(c.lostSeconds));
+    CHECK(absl::ToDoubleSeconds(lostTime(c.run, absl::Milliseconds(600), absl::Milliseconds(900)))
+          == Approx(c.lostSeconds));
 }
 
 // Guards against stops that cost as much the fourth time as the first, and against overflow.
