Show what pre-emptions cost and gain

Operators could not see how much work stops throw away, for which job, and why.

Change: planning::Plan lists the pre-emptions of a round. The leader counts runs_preempted and preempted_core_seconds and logs a line for each beneficiary with lost work, cost and gain. They are recorded when they are decided: if the round cannot be stored, the stops are repeated later without a second line.

--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -49,9 +49,26 @@
     friend bool operator==(const Order &, const Order &) = default;
 };
 
+// The stops that a round orders for one step. Work is in accelerator-weighted core seconds.
+struct Preemption
+{
+    std::string beneficiary;
+    bool guaranteed = false;
+    int runs = 0;
+    // The work that the stops throw away.
+    double lostWork = 0;
+    // The lost work, weighted by the urgency, progress and earlier stops of the victims.
+    double cost = 0;
+    // The expected gain in value, in the unit of the cost.
+    double gain = 0;
+
+    friend bool operator==(const Preemption &, const Preemption &) = default;
+};
+
 struct Plan
 {
     std::vector<Order> orders;
+    std::vector<Preemption> preemptions;
     // The time of the next plan if no event triggers one earlier.
     core::Instant next = absl::InfiniteFuture();
 };
@@ -263,7 +280,13 @@
     // Starts a gang, or waits for its reservation, or pre-empts for it.
     bool tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
     void startTasks(const SchedulingUnit &unit, const std::map<int, int> &tasks, Round &round);
-    static void preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round);
+    // Orders the stops of a group of victims. Returns the lost work.
+    double preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round) const;
+    // Orders the stops of a placement.
+    void preempt(const SchedulingUnit &unit, const Placement &placed, const VictimIndex &candidates,
+                 double gain, Round &round) const;
+    // Returns the work that is lost if the run is stopped now.
+    double lostWork(const ActiveRun &run, core::Instant now) const;
 
     PlannerOptions m_options;
     std::map<std::string, std::int64_t> m_guarantees;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -12,6 +12,7 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace oleandercross::control {
 
@@ -33,6 +34,11 @@
 // Stands between a job's id and the name of a part of its progress in the key of a row.
 constexpr char ProgressSeparator[] = "/";
 
+std::int64_t asInteger(double value)
+{
+    return std::llround(value);
+}
+
 } // namespace
 
 Leader::Leader(RowStore &store, std::unique_ptr<LeaderLog> log, rpc::Client &client,
@@ -221,6 +227,7 @@
     handleUnresponsiveWorkers(now);
     planning::Plan plan = m_planner.plan(now, core::wallClockMicros() / 1000);
     m_metrics.observe("decision_seconds", m_clock.now() - now);
+    recordPreemptions(plan.preemptions);
     const std::set<std::string> changed = m_planner.takeChanged();
     const bool renew = now - m_log->lastCommit() >= LeaderWritePeriod;
     if ((!changed.empty() || renew) && !store(changed, now))
@@ -238,6 +245,21 @@
     nextRoundAt = plan.next;
 }
 
+void Leader::recordPreemptions(const std::vector<planning::Preemption> &preemptions)
+{
+    for (const planning::Preemption &preemption : preemptions) {
+        m_metrics.add("runs_preempted", preemption.runs);
+        m_metrics.add("preempted_core_seconds", asInteger(preemption.lostWork));
+        telemetry::Event("runs_preempted")
+            .with("beneficiary", preemption.beneficiary)
+            .with("guaranteed", preemption.guaranteed ? "yes" : "no")
+            .with("runs", preemption.runs)
+            .with("core_seconds", asInteger(preemption.lostWork))
+            .with("cost", asInteger(preemption.cost))
+            .with("gain", asInteger(preemption.gain));
+    }
+}
+
 void Leader::pauseAfter(absl::Duration roundDuration)
 {
     // Under load, events accumulate during the pause, so that one round handles several of them,
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -442,8 +442,8 @@
     if (!placed)
         return false;
     const VictimIndex &candidates = victims(unit, ordersStops, round);
-    for (const std::size_t index : placed->victims)
-        preemptGroup(candidates.group(index), unit, round);
+    const double gain = placed->cost > 0 ? preemptionGain(unit, request, round) : 0;
+    preempt(unit, *placed, candidates, gain, round);
     reserve(unit, *placed, candidates, round);
     round.victims.clear();
     startOnTakenReservation(unit, request, placed->tasks, round);
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -137,10 +137,7 @@
             continue;
         }
         victim.runs.push_back(i);
-        victim.cost += absl::ToDoubleSeconds(lostTime(
-                           runAtRisk(*run.spec, task, m_options.checkpointInterval, round.now),
-                           m_options.restoreTime, m_options.stopTime))
-            * weightedCores(run.spec->perTask) * jobWeight * run.progress->stops.costFactor();
+        victim.cost += lostWork(run, round.now) * jobWeight * run.progress->stops.costFactor();
     }
     addReservationVictims(unit, groups, round);
     return round.victims.emplace(kind, VictimIndex(std::move(groups), round.workers.size()))
@@ -186,20 +183,47 @@
     return isAboutToBeLate(unit, now) && !unit.willBeLate(now) ? LateStopBudget : EarlyStopBudget;
 }
 
-void Planner::preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round)
+double Planner::lostWork(const ActiveRun &run, core::Instant now) const
+{
+    const RunAtRisk risk = runAtRisk(*run.spec, *run.task, m_options.checkpointInterval, now);
+    return absl::ToDoubleSeconds(lostTime(risk, m_options.restoreTime, m_options.stopTime))
+        * weightedCores(run.spec->perTask);
+}
+
+void Planner::preempt(const SchedulingUnit &unit, const Placement &placed,
+                      const VictimIndex &candidates, double gain, Round &round) const
+{
+    Preemption preemption;
+    preemption.beneficiary = unit.record->job().id;
+    preemption.guaranteed = unit.guaranteed;
+    preemption.cost = placed.cost;
+    preemption.gain = gain;
+    for (const std::size_t index : placed.victims) {
+        preemption.runs += static_cast<int>(candidates.group(index).runs.size());
+        preemption.lostWork += preemptGroup(candidates.group(index), unit, round);
+    }
+    if (preemption.runs > 0)
+        round.plan.preemptions.push_back(std::move(preemption));
+}
+
+double Planner::preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit,
+                             Round &round) const
 {
     if (victim.runs.empty())
-        return;
+        return 0;
+    double lost = 0;
     const ActiveRun &first = round.activeRuns[victim.runs.front()];
     first.record->recordPreemption(first.key().task, round.now);
     for (const std::size_t index : victim.runs) {
         const ActiveRun &run = round.activeRuns[index];
+        lost += lostWork(run, round.now);
         requestStop(*run.task, "pre-empted by " + unit.record->job().id);
         run.task->preemptedAt = round.now;
         run.task->orderSentAt = round.now;
         round.plan.orders.push_back(
             {Order::Kind::Stop, run.task->worker, run.key(), {}, {}, run.task->stopReason});
     }
+    return lost;
 }
 
 } // namespace oleandercross::planning
--- a/test/planning/tst_contention.cpp
+++ b/test/planning/tst_contention.cpp
@@ -205,3 +205,23 @@
     f.run(absl::Milliseconds(1100));
     CHECK(f.starts["u"] == 3);
 }
+
+// Load: an urgent gang on a full cluster. Guards against pre-emptions that operators cannot see.
+TEST_CASE("a round reports its pre-emptions with cost and gain", "[planning]")
+{
+    ContentionFixture f(3);
+    f.runTime = absl::Seconds(20);
+    f.planner.addJob(longJob(f, 3, 8), f.now);
+    f.run(absl::Seconds(1));
+    workload::Job urgent = f.job("u", 0, 3, 8);
+    urgent.terms.stretch = 1.0 / 3;
+    f.planner.addJob(urgent, f.now);
+    const std::vector<Preemption> preemptions =
+        f.planner.plan(f.now, absl::ToUnixMillis(f.now)).preemptions;
+    REQUIRE(preemptions.size() == 1);
+    CHECK(preemptions[0].beneficiary == "u");
+    CHECK(preemptions[0].runs == 3);
+    // Three members ran for 1 s, and a gang takes at least 0.3 s to start.
+    CHECK(preemptions[0].lostWork == Approx(3 * 65 * 1.3));
+    CHECK(preemptions[0].gain > preemptions[0].cost);
+}
