--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -118,7 +118,6 @@
     Inbox takeInbox(core::Instant until);
     void notifyPendingWork() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void round(core::Instant &nextRoundAt);
-    void recordPreemptions(const std::vector<planning::Preemption> &preemptions);
     static void pauseAfter(absl::Duration roundDuration);
     void applyServices(const workload::Catalog &catalog);
     void clearRejectedServices();
--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -2,7 +2,6 @@
 
 #include <oleandercross/core/clock.h>
 #include <oleandercross/planning/progress.h>
-#include <oleandercross/planning/stopcost.h>
 #include <oleandercross/workload/job.h>
 
 #include <json/value.h>
@@ -60,8 +59,6 @@
     bool stopRequested = false;
     // The reason of the stop, for the log.
     std::string stopReason;
-    // When the run was pre-empted; infinite future if it was not.
-    core::Instant preemptedAt = absl::InfiniteFuture();
     // When the latest start or stop order for this run was sent; reset when a stop is requested.
     core::Instant orderSentAt = absl::InfinitePast();
     // The time of the decision to start the run, or of the restore.
@@ -81,9 +78,8 @@
     // one.
     std::set<std::string> workersWithFailedRuns;
     std::set<std::string> refusingWorkers;
-    // The run has saved a new checkpoint, and when the latest one was reported.
+    // The run has saved a new checkpoint.
     bool savedCheckpoint = false;
-    core::Instant checkpointedAt = absl::InfinitePast();
     // The run did not start from a checkpoint, so its progress allows an estimate of the run time.
     bool startedWithoutCheckpoint = false;
 
@@ -101,7 +97,6 @@
     // Failed runs of the gang; a run that several members report as failed counts once.
     int gangFailures = 0;
     int lastFailedRun = 0;
-    StopHistory stops;
 
     // The members below are not stored.
     // The run time of a task on a worker of average speed, extrapolated from the run with the most
@@ -113,14 +108,9 @@
     int timedTaskCount = 0;
     absl::Duration meanTaskTime = absl::ZeroDuration();
     core::Instant readySince = absl::InfiniteFuture();
-    // Capacity reserved for this step until the runs that occupy it have ended: the number of tasks
-    // by worker, these runs, and when the latest stop was decided for it; infinite past if nothing
-    // was reserved since the latest start.
+    // Capacity reserved for this step while pre-empted tasks stop: the number of tasks by worker.
     std::map<std::string, int> reservation;
-    std::vector<workload::RunKey> awaitedRuns;
-    core::Instant reservedAt = absl::InfinitePast();
-    // When stops for this step were last found not to be worth it.
-    core::Instant stopsRejectedAt = absl::InfinitePast();
+    core::Instant reservedUntil = absl::InfinitePast();
 };
 
 struct Occurrence
@@ -177,11 +167,6 @@
     bool cancel(core::Instant now);
     bool fail(core::Instant now);
 
-    // Counts a pre-emption of the task, or of its gang. It is stored with the next change of the
-    // job, at the latest the end of the pre-empted run, so that stop orders wait for no
-    // transaction of their own.
-    void recordPreemption(const workload::TaskKey &key, core::Instant now);
-
     // Moves the task's current run to another worker. Returns false if it is not on `from`.
     bool move(const workload::RunKey &key, const std::string &from, const std::string &to);
     // Records a checkpoint of a task. Returns true if it is a new one; an empty or too large one is
@@ -207,7 +192,6 @@
     // Read parts of the stored progress. Rows with a number out of range and rows that name no open
     // occurrence, step or task of this job are ignored.
     void restoreGangFailures(const Json::Value &row);
-    void restorePreemptions(const Json::Value &row);
     void restoreTask(const Json::Value &row);
     void restoreCrashes(const Json::Value &row);
     void restoreDone(const Json::Value &row);
--- a/include/oleandercross/planning/placement.h
+++ b/include/oleandercross/planning/placement.h
@@ -41,17 +41,12 @@
     std::map<std::string, int> m_indices;
 };
 
-// Runs that are pre-empted together: the active members of a gang, or a single run. The resources
-// include those of runs that are about to end anyway. Also used for the capacity that is reserved
-// for a less urgent step.
+// Runs that are pre-empted together: the active members of a gang, or a single run. Runs that are
+// about to end anyway are left out, but the resources that they free are included.
 struct VictimGroup
 {
-    // Indices of the runs in the list of active runs of the round, and of those that are about to
-    // end anyway.
+    // Indices of the runs in the list of active runs of the round.
     absl::InlinedVector<std::size_t, 1> runs;
-    absl::InlinedVector<std::size_t, 1> endingRuns;
-    // The index of the reservation in the round.
-    std::optional<std::size_t> reservation;
     // The resources that become free, by worker index; every worker occurs once.
     absl::InlinedVector<std::pair<int, workload::Demand>, 1> freedCapacity;
     // The lost work in accelerator-weighted core seconds, times a weight that rises with the
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -18,7 +18,6 @@
 namespace oleandercross::planning {
 
 struct ActiveRun;
-struct ExpectedEnd;
 
 struct PlannerOptions
 {
@@ -26,10 +25,6 @@
     double crossRackFactor = 3;
     // The longest time that a worker takes to stop a task, as given by the platform.
     absl::Duration stopTime = absl::Milliseconds(500);
-    // The time that a run takes to continue from a checkpoint.
-    absl::Duration restoreTime = absl::Milliseconds(600);
-    // How often a run saves a checkpoint; infinite if unknown.
-    absl::Duration checkpointInterval = absl::InfiniteDuration();
     // The time after which an order without effect is repeated.
     absl::Duration orderRepeat = absl::Milliseconds(700);
     // The time after which a start without effect is revoked by a stop.
@@ -52,26 +47,9 @@
     friend bool operator==(const Order &, const Order &) = default;
 };
 
-// The stops that a round orders for one step. Work is in accelerator-weighted core seconds.
-struct Preemption
-{
-    std::string beneficiary;
-    bool guaranteed = false;
-    int runs = 0;
-    // The work that the stops throw away.
-    double lostWork = 0;
-    // The lost work, weighted by the urgency, progress and earlier stops of the victims.
-    double cost = 0;
-    // The expected gain in value, in the unit of the cost.
-    double gain = 0;
-
-    friend bool operator==(const Preemption &, const Preemption &) = default;
-};
-
 struct Plan
 {
     std::vector<Order> orders;
-    std::vector<Preemption> preemptions;
     // The time of the next plan if no event triggers one earlier.
     core::Instant next = absl::InfiniteFuture();
 };
@@ -276,82 +254,25 @@
     bool isEligible(const SchedulingUnit &unit, int worker, const Round &round) const;
     // Restricts the request to the workers on the rack of the input data, if there are any.
     static void restrictToDataRack(PlacementRequest &request, const Round &round);
-    const VictimIndex &victims(const SchedulingUnit &unit, bool ordersStops, Round &round) const;
+    const VictimIndex &victims(const SchedulingUnit &unit, Round &round) const;
     bool mayPreempt(const SchedulingUnit &unit, const JobRecord &victim) const;
     // Returns true if work of lower priority may run on a worker of the urgent reserve.
     bool mayUseUrgentReserve(const SchedulingUnit &unit, const Worker &worker,
                              core::Instant now) const;
     // Returns true if the job is late or has almost no slack left before its deadline.
     static bool isAboutToBeLate(const SchedulingUnit &unit, core::Instant now);
-    // Returns false if the unit may not start by stopping others: nothing is gained, or its step
-    // was itself pre-empted and its job is not about to miss its deadline or misses it anyway.
-    bool mayOrderStops(const SchedulingUnit &unit, const PlacementRequest &request,
-                       Round &round) const;
     double preemptionBudget(const SchedulingUnit &unit, core::Instant now) const;
-    // Returns how long the runs that a step has pre-empted are waited for.
-    absl::Duration reservationTime(bool guaranteed) const;
-    // Returns true if a pre-empted run should have ended, so that its capacity is not counted on.
-    bool isOverdueStop(const Task &task, bool guaranteed, core::Instant now) const;
-    static int reservedTasks(const StepProgress &progress);
-    const std::vector<ExpectedEnd> &expectedEnds(Round &round) const;
-    // Returns when the unit is expected to fit without stops, after the work ahead of it.
-    core::Instant expectedFreeAt(const SchedulingUnit &unit, const PlacementRequest &request,
-                                 Round &round) const;
-    // Returns the value that stops for the unit are expected to save: the fall of the job's value
-    // until capacity becomes free by itself.
-    double preemptionGain(const SchedulingUnit &unit, const PlacementRequest &request,
-                          Round &round) const;
-    // Searches a placement for the unit. With stops, these must be worth their cost.
-    std::optional<Placement> placeWithVictims(const SchedulingUnit &unit,
-                                              const PlacementRequest &request, bool ordersStops,
-                                              Round &round) const;
-    // Returns false if even the cheapest stop for one task costs more than its share of the gain.
-    // Saves the search for all tasks, whose stops cost at least as much for each of them.
-    bool mayPayForTasks(const SchedulingUnit &unit, const PlacementRequest &request,
-                        Round &round) const;
-    // Pre-empts for the unit's pending tasks from `first` on, at most `limit` of them, or for as
-    // many as are worth it.
-    void preemptForTasks(const SchedulingUnit &unit, int first, std::ptrdiff_t limit,
-                         const PlacementRequest &request, Round &round);
-    // Counts the tasks of the unit that wait and have no reserved capacity.
-    static void recordWaiting(const SchedulingUnit &unit, Round &round);
-    static void deductReservations(const std::vector<SchedulingUnit> &units, Round &round);
     static void deductReservation(const SchedulingUnit &unit, Round &round);
     // Returns how long the unit waits for its preferred rack, or for a single rack.
     static absl::Duration longestRackWait(const SchedulingUnit &unit);
     void placeGang(const SchedulingUnit &unit, Round &round);
-    // Drops the reservation of a step if nothing is awaited any more, or for too long.
-    void dropFinishedReservation(const SchedulingUnit &unit, core::Instant now);
-    static void clearReservation(StepProgress &progress);
-    // Adds the reservations of less urgent steps to the possible victims.
-    void addReservationVictims(const SchedulingUnit &unit, std::vector<VictimGroup> &groups,
-                               const Round &round) const;
-    // Passes a reservation on to the unit.
-    static void takeReservation(const VictimGroup &victim, const SchedulingUnit &unit,
-                                Round &round);
-    // Holds the capacity of a placement until its victims have ended.
-    static void reserve(const SchedulingUnit &unit, const Placement &placed,
-                        const VictimIndex &candidates, Round &round);
-    // Starts the unit if the capacity that was reserved for it in this round is free already, which
-    // is possible if the reservation was taken from a less urgent step.
-    void startOnTakenReservation(const SchedulingUnit &unit, const PlacementRequest &request,
-                                 const std::map<int, int> &tasks, Round &round);
-    // Ends the reservation of tasks that have started.
-    static void releaseReservation(const SchedulingUnit &unit, const std::map<int, int> &tasks,
-                                   const Round &round);
     bool tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
     // Place the unit on free capacity, and on capacity that is freed by pre-emption or is already
     // reserved for it. Return false if there is none.
     bool tryFree(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
     bool tryPreempt(const SchedulingUnit &unit, const PlacementRequest &request, Round &round);
     void startTasks(const SchedulingUnit &unit, const std::map<int, int> &tasks, Round &round);
-    // Orders the stops of a group of victims. Returns the lost work.
-    double preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round) const;
-    // Orders the stops of a placement.
-    void preempt(const SchedulingUnit &unit, const Placement &placed, const VictimIndex &candidates,
-                 double gain, Round &round) const;
-    // Returns the work that is lost if the run is stopped now.
-    double lostWork(const ActiveRun &run, core::Instant now) const;
+    static void preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round);
 
     PlannerOptions m_options;
     std::map<std::string, std::int64_t> m_guarantees;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -12,7 +12,6 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
-#include <cmath>
 
 namespace oleandercross::control {
 
@@ -44,11 +43,6 @@
 constexpr int MaxLearnedStateReads = 3;
 constexpr absl::Duration LoadRetryPause = absl::Milliseconds(100);
 
-std::int64_t asInteger(double value)
-{
-    return std::llround(value);
-}
-
 } // namespace
 
 Leader::Leader(RowStore &store, std::unique_ptr<LeaderLog> log, rpc::Client &client,
@@ -261,7 +255,6 @@
     applyClosures(now);
     planning::Plan plan = m_planner.plan(now, core::wallClockMicros() / 1000);
     m_metrics.observe("decision_seconds", m_clock.now() - now);
-    recordPreemptions(plan.preemptions);
     const std::set<std::string> changed = m_planner.takeChanged();
     const bool renew = now - m_log->lastCommit() >= LeaderWritePeriod;
     if ((!changed.empty() || renew) && !store(changed, now))
@@ -281,21 +274,6 @@
     nextRoundAt = plan.next;
 }
 
-void Leader::recordPreemptions(const std::vector<planning::Preemption> &preemptions)
-{
-    for (const planning::Preemption &preemption : preemptions) {
-        m_metrics.add("runs_preempted", preemption.runs);
-        m_metrics.add("preempted_core_seconds", asInteger(preemption.lostWork));
-        telemetry::Event("runs_preempted")
-            .with("beneficiary", preemption.beneficiary)
-            .with("guaranteed", preemption.guaranteed ? "yes" : "no")
-            .with("runs", preemption.runs)
-            .with("core_seconds", asInteger(preemption.lostWork))
-            .with("cost", asInteger(preemption.cost))
-            .with("gain", asInteger(preemption.gain));
-    }
-}
-
 void Leader::pauseAfter(absl::Duration roundDuration)
 {
     // Under load, events accumulate during the pause, so that one round handles several of them,
--- a/src/planning/closures.cpp
+++ b/src/planning/closures.cpp
@@ -74,8 +74,8 @@
         });
     if (!affected)
         return;
-    clearReservation(*unit.progress);
-    unit.progress->reservedAt = absl::InfinitePast();
+    reservation.clear();
+    unit.progress->reservedUntil = absl::InfinitePast();
 }
 
 bool Planner::isColdForUrgentGang(const SchedulingUnit &unit, const Worker &worker,
--- a/src/planning/jobprogress.cpp
+++ b/src/planning/jobprogress.cpp
@@ -57,14 +57,6 @@
             encodeCounts({occurrence, step, progress.gangFailures, progress.lastFailedRun}));
 }
 
-void appendPreemptions(Json::Value &value, int occurrence, int step, const StepProgress &progress)
-{
-    const int preemptions = progress.stops.preemptions();
-    if (preemptions > 0)
-        value["preempted"].append(
-            encodeCounts({occurrence, step, preemptions, progress.stops.stops()}));
-}
-
 void appendCrashes(Json::Value &value, const workload::TaskKey &key, const Task &task)
 {
     if (task.crashes > 0)
@@ -115,8 +107,6 @@
         for (std::size_t s = 0; !m_hasParts && s < occurrence.steps.size(); ++s) {
             const StepProgress &step = occurrence.steps[s];
             appendGangFailures(value, number, static_cast<int>(s), step);
-            if (!ended(m_state))
-                appendPreemptions(value, number, static_cast<int>(s), step);
             for (std::size_t i = 0; i < step.tasks.size(); ++i) {
                 const Task &task = step.tasks[i];
                 const workload::TaskKey key{{}, number, static_cast<int>(s), static_cast<int>(i)};
@@ -137,10 +127,8 @@
         return std::nullopt;
     const StepProgress &step = found->second.steps[static_cast<std::size_t>(part.step)];
     Json::Value value(Json::objectValue);
-    if (part.number == 0 && !ended(m_state)) {
+    if (part.number == 0 && !ended(m_state))
         appendGangFailures(value, part.occurrence, part.step, step);
-        appendPreemptions(value, part.occurrence, part.step, step);
-    }
     const int first = part.number * TasksPerPart;
     const int end = std::min(first + TasksPerPart, static_cast<int>(step.tasks.size()));
     for (int i = first; i < end; ++i) {
@@ -223,14 +211,6 @@
     target->lastFailedRun = row[3].asInt();
 }
 
-void JobRecord::restorePreemptions(const Json::Value &row)
-{
-    if (!startsWithCounts(row, 4))
-        return;
-    if (StepProgress *target = step({{}, row[0].asInt(), row[1].asInt(), 0}))
-        target->stops = StopHistory(row[2].asInt(), row[3].asInt());
-}
-
 void JobRecord::restoreTask(const Json::Value &row)
 {
     if (!startsWithCounts(row, 6) || row.size() != 8 || !row[6].isString() || !row[7].isString())
@@ -291,8 +271,6 @@
 {
     for (const Json::Value &row : core::member(value, "gangs"))
         restoreGangFailures(row);
-    for (const Json::Value &row : core::member(value, "preempted"))
-        restorePreemptions(row);
     for (const Json::Value &row : core::member(value, "tasks"))
         restoreTask(row);
     for (const Json::Value &row : core::member(value, "done"))
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -185,10 +185,8 @@
     target->worker = worker;
     target->running = false;
     target->savedCheckpoint = false;
-    target->checkpointedAt = absl::InfinitePast();
     target->runningSince = absl::InfiniteFuture();
     target->stopRequested = false;
-    target->preemptedAt = absl::InfiniteFuture();
     target->orderSentAt = absl::InfinitePast();
     target->startedAt = now;
     target->percent = 0;
@@ -277,12 +275,6 @@
     return true;
 }
 
-void JobRecord::recordPreemption(const workload::TaskKey &key, core::Instant now)
-{
-    step(key)->stops.recordPreemption(now);
-    markChanged({key.job, key.occurrence, key.step, 0});
-}
-
 bool JobRecord::saveCheckpoint(const workload::TaskKey &key, const std::string &checkpoint)
 {
     Task *target = task(key);
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// A reservation lasts for the stop time of the pre-empted tasks plus this margin.
+constexpr absl::Duration ReservationMargin = absl::Milliseconds(600);
 // The longest time that a step waits for its preferred rack or for a single rack with free
 // capacity; at most the expected run time of its tasks.
 constexpr absl::Duration MaxRackWait = absl::Milliseconds(2500);
@@ -52,14 +54,14 @@
     rankWorkers(round);
     orderStops(round);
     std::vector<SchedulingUnit> units = readyUnits(round);
-    for (const SchedulingUnit &unit : units)
+    for (const SchedulingUnit &unit : units) {
         dropClosedReservation(unit, round);
-    deductReservations(units, round);
+        deductReservation(unit, round);
+    }
     chooseUrgentReserve(round);
     for (const SchedulingUnit &unit : units) {
         if (!m_startsSuspended)
             placeUnit(unit, round);
-        recordWaiting(unit, round);
     }
     round.plan.next = now + PlanPeriod;
     return std::move(round.plan);
@@ -354,11 +356,6 @@
         if (tryFree(unit, restricted, round))
             return;
     }
-    if (!unit.progress->reservation.empty()) {
-        if (!tryFree(unit, wanted, round))
-            deductReservation(unit, round);
-        return;
-    }
     const PlacementRequest inTime = onWorkersInTime(unit, wanted, round);
     if (waitsForWorkersInTime(unit, wanted, inTime, round)) {
         tryPreempt(unit, inTime, round);
@@ -378,7 +375,8 @@
     // Returns the capacity of the step's own reservation before the step is placed.
     for (const auto &[worker, count] : unit.progress->reservation)
         round.deduct(worker, unit.spec->perTask, -count);
-    dropFinishedReservation(unit, round.now);
+    if (round.now >= unit.progress->reservedUntil)
+        unit.progress->reservation.clear();
     if (unit.spec->gang) {
         placeGang(unit, round);
         return;
@@ -392,11 +390,9 @@
     // The request of a task without failed runs, which the other such tasks share if starting one
     // of them does not change the limits of the workers.
     std::optional<PlacementRequest> shared;
-    // The tasks that wait for the step's own reservation, once one does not fit elsewhere.
-    std::optional<int> waiting;
     for (const int index : unit.taskIndices) {
         if (parallel++ >= maxParallel)
-            break;
+            return;
         one.taskIndices = {index};
         const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
         const bool canShare = unit.spec->maxPerWorker == 0 && task.workersWithFailedRuns.empty()
@@ -406,18 +402,7 @@
             if (waited < rackWait)
                 restrictToDataRack(*shared, round);
         }
-        const bool started = tryFree(one, *shared, round);
-        if (!started && !waiting) {
-            waiting = reservedTasks(*unit.progress);
-            deductReservation(unit, round);
-        }
-        if (!started && (*waiting)-- > 0)
-            continue;
-        if (!started && canShare) {
-            preemptForTasks(unit, index, maxParallel - parallel + 1, *shared, round);
-            return;
-        }
-        if (!started && !tryPreempt(one, *shared, round)) {
+        if (!tryPlace(one, *shared, round)) {
             if (!task.isSuspect())
                 return;
             // Other tasks may start where a suspected one may not.
@@ -432,8 +417,6 @@
         if (!canShare || (worker != Round::NoWorker && !round.mayGetStart(worker, unit.record)))
             shared.reset();
     }
-    if (!waiting)
-        deductReservation(unit, round);
 }
 
 void Planner::restrictToDataRack(PlacementRequest &request, const Round &round)
@@ -455,12 +438,7 @@
 
 bool Planner::tryPlace(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
 {
-    if (tryFree(unit, request, round))
-        return true;
-    if (unit.progress->reservation.empty())
-        return tryPreempt(unit, request, round);
-    deductReservation(unit, round);
-    return true;
+    return tryFree(unit, request, round) || tryPreempt(unit, request, round);
 }
 
 bool Planner::tryFree(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
@@ -474,21 +452,28 @@
 
 bool Planner::tryPreempt(const SchedulingUnit &unit, const PlacementRequest &request, Round &round)
 {
-    bool ordersStops = mayOrderStops(unit, request, round);
-    auto placed = placeWithVictims(unit, request, ordersStops, round);
-    if (!placed && ordersStops && !unit.guaranteed) {
-        unit.progress->stopsRejectedAt = round.now;
-        ordersStops = false;
-        placed = placeWithVictims(unit, request, ordersStops, round);
+    if (!unit.progress->reservation.empty()) {
+        deductReservation(unit, round);
+        return true;
     }
+    const VictimIndex &candidates = victims(unit, round);
+    const auto placed = place(request, round.racks, round.freeCapacity, &candidates);
     if (!placed)
         return false;
-    const VictimIndex &candidates = victims(unit, ordersStops, round);
-    const double gain = placed->cost > 0 ? preemptionGain(unit, request, round) : 0;
-    preempt(unit, *placed, candidates, gain, round);
-    reserve(unit, *placed, candidates, round);
+    const double ownWork = weightedCores(unit.spec->perTask) * absl::ToDoubleSeconds(unit.taskTime)
+        * static_cast<double>(unit.taskIndices.size());
+    if (!unit.guaranteed && placed->cost > ownWork * preemptionBudget(unit, round.now))
+        return false;
+    for (const std::size_t index : placed->victims)
+        preemptGroup(candidates.group(index), unit, round);
     round.victims.clear();
-    startOnTakenReservation(unit, request, placed->tasks, round);
+    if (unit.spec->gang || unit.spec->tasks == 1) {
+        for (const auto &[worker, count] : placed->tasks)
+            unit.progress->reservation.emplace(round.worker(worker).key, count);
+        unit.progress->reservedUntil = round.now + m_options.stopTime + ReservationMargin;
+    }
+    for (const auto &[worker, count] : placed->tasks)
+        round.deduct(round.worker(worker).key, unit.spec->perTask, count);
     return true;
 }
 
@@ -518,7 +503,8 @@
                                          "placed"});
         }
     }
-    releaseReservation(unit, tasks, round);
+    unit.progress->reservation.clear();
+    unit.progress->reservedUntil = absl::InfinitePast();
     m_changed.insert(unit.record->job().id);
 }
 
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -196,10 +196,8 @@
     Task *task = find(run.task.job)->task(run.task);
     task->running = true;
     task->runningSince = std::min(task->runningSince, now);
-    if (find(run.task.job)->saveCheckpoint(run.task, checkpoint)) {
+    if (find(run.task.job)->saveCheckpoint(run.task, checkpoint))
         task->savedCheckpoint = true;
-        task->checkpointedAt = now;
-    }
     task->lastListedAt = std::max(task->lastListedAt, now);
     if (percent == task->percent || now <= task->percentChangedAt)
         return;
--- a/src/planning/planninground.cpp
+++ b/src/planning/planninground.cpp
@@ -133,8 +133,6 @@
                                                 static_cast<int>(s), static_cast<int>(i), worker});
                     if (worker == Round::NoWorker)
                         continue;
-                    round.lowestPriority =
-                        std::max(round.lowestPriority, record->job().terms.priority);
                     round.free(worker) = round.free(worker) - spec.perTask;
                     round.recordRun(worker, task.startedRecently(round.now), task.isSuspect());
                     round.recordJobRun(worker, record, task.running || task.stopRequested);
--- a/src/planning/planninground.h
+++ b/src/planning/planninground.h
@@ -46,22 +46,6 @@
     int count = 0;
 };
 
-// When a run is expected to end, and what it frees.
-struct ExpectedEnd
-{
-    core::Instant at;
-    int worker = 0;
-    workload::Demand freed;
-};
-
-// A step for which capacity is reserved.
-struct ReservationHolder
-{
-    const JobRecord *record = nullptr;
-    StepProgress *progress = nullptr;
-    const workload::Step *spec = nullptr;
-};
-
 // The state of one call of plan(). Everything that is looked up for each task or for each pair of a
 // task and a worker is computed once and stored by index, so that the cost of a round is the size
 // of the cluster plus that of the placements, not their product with string lookups.
@@ -118,23 +102,13 @@
     std::vector<int> classes;
     // In the order of their keys.
     std::vector<ActiveRun> activeRuns;
-    // The priority of the least urgent active run.
-    int lowestPriority = 0;
-
-    std::vector<ReservationHolder> reservations;
-    // In ascending order of time. Computed when it is first needed.
-    std::vector<ExpectedEnd> expectedEnds;
-    // The accelerator-weighted cores that the units placed so far wait for, by service.
-    std::map<std::string_view, double> waitingCores;
 
-    // Which runs a unit may pre-empt, whether it waits for runs that end soon, and whether it may
-    // order stops or only waits for runs that end anyway.
+    // Which runs a unit may pre-empt, and whether it waits for runs that end soon.
     struct VictimKind
     {
         int priority = 0;
         bool guaranteed = false;
         bool waitsForEnds = false;
-        bool ordersStops = true;
 
         friend auto operator<=>(const VictimKind &, const VictimKind &) = default;
     };
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -10,6 +10,11 @@
 
 // The number of cores that count as much as one accelerator when work is compared.
 constexpr double CoresPerAccelerator = 8;
+// Work lost by stopping a task and restoring it from its checkpoint, in seconds of its run time.
+constexpr double CheckpointedStopSeconds = 1.0;
+// Added to the lost run time of a task without checkpoints, so that stopping one that has just
+// started is not free.
+constexpr double UncheckpointedStopSeconds = 0.3;
 // A job may pre-empt up to these multiples of its own work: urgent jobs without a guarantee, other
 // jobs that would be late otherwise, and other jobs with slack.
 constexpr double UrgentStopBudget = 3;
@@ -21,48 +26,34 @@
 constexpr double EndWaitFraction = 0.7;
 // If stops take no longer than this, tasks with checkpoints may use the urgent reserve.
 constexpr absl::Duration CheapStopTime = absl::Milliseconds(400);
-// Gain and cost of stops change slowly, and the search for them is the longest part of a round, so
-// that a step for which they were not worth it is not searched again within this time.
-constexpr absl::Duration StopSearchInterval = absl::Milliseconds(200);
 // Progress that has not changed for this time does not predict the end of a task.
 constexpr absl::Duration MaxProgressAge = absl::Milliseconds(1000);
 
-// Returns the cost of losing a core second, relative to work of the lowest priority.
+// Returns the cost of losing a core second, relative to work of the lowest priority. The lost
+// resources cost the same for every job, while the value of the work rises with its priority.
 double stopWeight(const JobRecord &record)
 {
+    constexpr double UrgentWeight = 5;
+    constexpr double MiddleWeight = 1.8;
     constexpr double ProgressWeight = 3;
+    const workload::Job &job = record.job();
+    const double weight = job.terms.priority == 0 ? UrgentWeight
+        : job.terms.priority == 1                 ? MiddleWeight
+                                                  : 1;
     // Prefers jobs far from completion as victims, so that nearly complete jobs can finish.
-    return priorityWeight(record) * (1 + ProgressWeight * record.completedFraction());
+    return weight * (1 + ProgressWeight * record.completedFraction());
 }
 
-RunAtRisk runAtRisk(const workload::Step &step, const Task &task, absl::Duration checkpointInterval,
-                    core::Instant now)
+double stopCost(const workload::Step &step, const Task &task, core::Instant now)
 {
-    RunAtRisk run;
-    run.gang = step.gang;
-    run.sinceStart = now - task.startedAt;
-    run.sinceCheckpoint = now - task.checkpointedAt;
-    run.hasCheckpoint = step.checkpointable && !task.checkpoint.empty();
-    if (task.running)
-        run.startup = task.runningSince - task.startedAt;
-    if (step.checkpointable && task.running)
-        run.untilCheckpoint =
-            untilNextCheckpoint(std::min(run.sinceStart, run.sinceCheckpoint), checkpointInterval);
-    return run;
+    const double elapsed = absl::ToDoubleSeconds(now - task.startedAt);
+    const double lost = step.checkpointable ? std::min(CheckpointedStopSeconds, elapsed)
+                                            : elapsed + UncheckpointedStopSeconds;
+    return lost * weightedCores(step.perTask);
 }
 
 } // namespace
 
-double priorityWeight(const JobRecord &record)
-{
-    // The lost resources cost the same for every job, while the value of the work rises with its
-    // priority.
-    constexpr double UrgentWeight = 5;
-    constexpr double MiddleWeight = 1.8;
-    const int priority = record.job().terms.priority;
-    return priority == 0 ? UrgentWeight : priority == 1 ? MiddleWeight : 1;
-}
-
 double weightedCores(const workload::Demand &demand)
 {
     return static_cast<double>(demand.milliCores) / 1000
@@ -92,11 +83,10 @@
     return !withinGuarantee(job.account);
 }
 
-const VictimIndex &Planner::victims(const SchedulingUnit &unit, bool ordersStops,
-                                    Round &round) const
+const VictimIndex &Planner::victims(const SchedulingUnit &unit, Round &round) const
 {
     const Round::VictimKind kind{unit.record->job().terms.priority, unit.guaranteed,
-                                 unit.progress->reservedAt == absl::InfinitePast(), ordersStops};
+                                 unit.progress->reservedUntil == absl::InfinitePast()};
     const auto found = round.victims.find(kind);
     if (found != round.victims.end())
         return found->second;
@@ -117,29 +107,21 @@
             preemptible = mayPreempt(unit, *job);
         }
         const Task &task = *run.task;
-        const bool leftAlone =
-            !unit.guaranteed && run.progress->stops.isExhausted(run.spec->tasks, run.spec->gang);
-        if (run.worker == Round::NoWorker || (!task.stopRequested && (!preemptible || leftAlone))
-            || isOverdueStop(task, unit.guaranteed, round.now))
-            continue;
-        const bool endsSoon = task.percent > 0 && round.now - task.percentChangedAt < MaxProgressAge
-            && remainingTime(task, m_options.stopTime, round.now) < endWait;
-        if (!ordersStops && !task.stopRequested && !endsSoon)
+        if (run.worker == Round::NoWorker || (!task.stopRequested && !preemptible))
             continue;
         if (!run.spec->gang || run.progress != gang)
             groups.emplace_back();
         gang = run.spec->gang ? run.progress : nullptr;
         VictimGroup &victim = groups.back();
         victim.free(run.worker, run.spec->perTask);
+        const bool endsSoon = task.percent > 0 && round.now - task.percentChangedAt < MaxProgressAge
+            && remainingTime(task, m_options.stopTime, round.now) < endWait;
         // Capacity that is about to become free has no pre-emption cost.
-        if (task.stopRequested || endsSoon) {
-            victim.endingRuns.push_back(i);
+        if (task.stopRequested || endsSoon)
             continue;
-        }
         victim.runs.push_back(i);
-        victim.cost += lostWork(run, round.now) * jobWeight * run.progress->stops.costFactor();
+        victim.cost += stopCost(*run.spec, task, round.now) * jobWeight;
     }
-    addReservationVictims(unit, groups, round);
     return round.victims.emplace(kind, VictimIndex(std::move(groups), round.workers.size()))
         .first->second;
 }
@@ -159,22 +141,6 @@
     return now + unit.remainingCriticalPath * (1 + LateSlackFraction) > unit.deadline;
 }
 
-bool Planner::mayOrderStops(const SchedulingUnit &unit, const PlacementRequest &request,
-                            Round &round) const
-{
-    if (unit.guaranteed)
-        return true;
-    if (unit.record->job().terms.priority >= round.lowestPriority)
-        return false;
-    if (unit.progress->stops.preemptions() > 0
-        && (!isAboutToBeLate(unit, round.now) || unit.willBeLate(round.now)))
-        return false;
-    const absl::Duration sinceRejection = round.now - unit.progress->stopsRejectedAt;
-    if (sinceRejection > absl::ZeroDuration() && sinceRejection < StopSearchInterval)
-        return false;
-    return preemptionGain(unit, request, round) > 0;
-}
-
 double Planner::preemptionBudget(const SchedulingUnit &unit, core::Instant now) const
 {
     const workload::Job &job = unit.record->job();
@@ -183,47 +149,15 @@
     return isAboutToBeLate(unit, now) && !unit.willBeLate(now) ? LateStopBudget : EarlyStopBudget;
 }
 
-double Planner::lostWork(const ActiveRun &run, core::Instant now) const
-{
-    const RunAtRisk risk = runAtRisk(*run.spec, *run.task, m_options.checkpointInterval, now);
-    return absl::ToDoubleSeconds(lostTime(risk, m_options.restoreTime, m_options.stopTime))
-        * weightedCores(run.spec->perTask);
-}
-
-void Planner::preempt(const SchedulingUnit &unit, const Placement &placed,
-                      const VictimIndex &candidates, double gain, Round &round) const
-{
-    Preemption preemption;
-    preemption.beneficiary = unit.record->job().id;
-    preemption.guaranteed = unit.guaranteed;
-    preemption.cost = placed.cost;
-    preemption.gain = gain;
-    for (const std::size_t index : placed.victims) {
-        preemption.runs += static_cast<int>(candidates.group(index).runs.size());
-        preemption.lostWork += preemptGroup(candidates.group(index), unit, round);
-    }
-    if (preemption.runs > 0)
-        round.plan.preemptions.push_back(std::move(preemption));
-}
-
-double Planner::preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit,
-                             Round &round) const
+void Planner::preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round)
 {
-    if (victim.runs.empty())
-        return 0;
-    double lost = 0;
-    const ActiveRun &first = round.activeRuns[victim.runs.front()];
-    first.record->recordPreemption(first.key().task, round.now);
     for (const std::size_t index : victim.runs) {
         const ActiveRun &run = round.activeRuns[index];
-        lost += lostWork(run, round.now);
         requestStop(*run.task, "pre-empted by " + unit.record->job().id);
-        run.task->preemptedAt = round.now;
         run.task->orderSentAt = round.now;
         round.plan.orders.push_back(
             {Order::Kind::Stop, run.task->worker, run.key(), {}, {}, run.task->stopReason});
     }
-    return lost;
 }
 
 } // namespace oleandercross::planning
--- a/src/planning/schedulingunit.h
+++ b/src/planning/schedulingunit.h
@@ -28,8 +28,6 @@
     // An estimate of the value saved by placing the unit now, per core second of the occurrence's
     // remaining work. Value and work are measured in accelerator-weighted core seconds.
     double valueDensity = 0;
-    // An estimate of the full value of the occurrence, in the same unit as its work.
-    double jobValue = 0;
     // The end of the latency objective; a job that completes later loses most of its value.
     core::Instant deadline;
     // The time from which the job has only the minimum value that prevents starvation.
@@ -48,9 +46,6 @@
 // the expected run time of the task.
 absl::Duration remainingTime(const Task &task, absl::Duration expected, core::Instant now);
 
-// Returns the value of a core second of the job's work, relative to work of the lowest priority.
-double priorityWeight(const JobRecord &record);
-
 // Returns the cores of the demand, with each accelerator counted as CoresPerAccelerator cores;
 // memory does not count.
 double weightedCores(const workload::Demand &demand);
--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -1,5 +1,4 @@
 #include <oleandercross/planning/planner.h>
-#include <oleandercross/planning/valuecurve.h>
 
 #include "planninground.h"
 
@@ -15,6 +14,8 @@
 
 // The zero-value time as a multiple of the latency objective.
 constexpr int ZeroValueObjectiveMultiple = 3;
+// The value of a late job, relative to one that completes in time.
+constexpr double LateValueFraction = 0.25;
 // Added to the relative value of every job, so that a job past its zero-value time is not starved.
 constexpr double ExpiredValueFraction = 0.01;
 // The weight of the queue's mean work in the value of a job; the job's own work has the rest.
@@ -133,7 +134,6 @@
     const double mean = m_estimates.meanJobWork(job.queue);
     const double jobValue = std::min(MaxValueToMeanWorkRatio * mean,
                                      FixedValueFraction * mean + (1 - FixedValueFraction) * work);
-    unit.jobValue = jobValue;
     unit.valueDensity = savedValueFraction * jobValue / std::max(remainingWork, MinWorkCoreSeconds);
 }
 
