Tell operators how many workers are measured and slow

Metrics workers_measured, workers_slow and speeds_uneven, and the event worker_speeds when speeds become uneven or even, so that operators can see why urgent gangs wait for certain workers.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -118,6 +118,8 @@
     Inbox takeInbox(core::Instant until);
     void notifyPendingWork() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     void round(core::Instant &nextRoundAt);
+    // Updates the metrics of the workers' speeds, and logs when they become uneven or even.
+    void reportSpeeds(const planning::SpeedSummary &speeds);
     static void pauseAfter(absl::Duration roundDuration);
     void applyServices(const workload::Catalog &catalog);
     void clearRejectedServices();
@@ -209,6 +211,7 @@
     std::map<std::string, std::pair<std::string, std::int64_t>> m_lastEnd;
     // When an agent last reported an incarnation as that of its worker.
     std::map<std::string, core::Instant> m_incarnationSeenAt;
+    planning::SpeedSummary m_reportedSpeeds;
     core::Instant m_nextCleanup = absl::InfinitePast();
 
     struct Marker
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -47,9 +47,22 @@
     friend bool operator==(const Order &, const Order &) = default;
 };
 
+// What is known of the speeds of the workers.
+struct SpeedSummary
+{
+    // Workers whose speed is known well enough to choose between them, and slow ones of these.
+    int measuredWorkers = 0;
+    int slowWorkers = 0;
+    // Work is placed by its expected end, since some workers take much longer than others.
+    bool uneven = false;
+
+    friend bool operator==(const SpeedSummary &, const SpeedSummary &) = default;
+};
+
 struct Plan
 {
     std::vector<Order> orders;
+    SpeedSummary speeds;
     // The time of the next plan if no event triggers one earlier.
     core::Instant next = absl::InfiniteFuture();
 };
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -255,6 +255,7 @@
     applyClosures(now);
     planning::Plan plan = m_planner.plan(now, core::wallClockMicros() / 1000);
     m_metrics.observe("decision_seconds", m_clock.now() - now);
+    reportSpeeds(plan.speeds);
     const std::set<std::string> changed = m_planner.takeChanged();
     const bool renew = now - m_log->lastCommit() >= LeaderWritePeriod;
     if ((!changed.empty() || renew) && !store(changed, now))
@@ -274,6 +275,21 @@
     nextRoundAt = plan.next;
 }
 
+void Leader::reportSpeeds(const planning::SpeedSummary &speeds)
+{
+    const planning::SpeedSummary last = std::exchange(m_reportedSpeeds, speeds);
+    if (last == speeds)
+        return;
+    m_metrics.set("workers_measured", speeds.measuredWorkers);
+    m_metrics.set("workers_slow", speeds.slowWorkers);
+    m_metrics.set("speeds_uneven", speeds.uneven ? 1 : 0);
+    if (last.uneven != speeds.uneven)
+        telemetry::Event("worker_speeds")
+            .with("uneven", speeds.uneven)
+            .with("measured", speeds.measuredWorkers)
+            .with("slow", speeds.slowWorkers);
+}
+
 void Leader::pauseAfter(absl::Duration roundDuration)
 {
     // Under load, events accumulate during the pause, so that one round handles several of them,
--- a/src/planning/planninground.cpp
+++ b/src/planning/planninground.cpp
@@ -151,9 +151,15 @@
     }
     round.unevenSpeeds = areUneven(round.speeds, round.speedConfidence);
     const double minConfidence = round.unevenSpeeds ? MinConfidence : MinClassConfidence;
-    for (std::size_t i = 0; i < round.workers.size(); ++i)
-        round.speedClasses.push_back(
-            round.speedConfidence[i] < minConfidence ? AverageClass : speedClass(round.speeds[i]));
+    SpeedSummary &summary = round.plan.speeds;
+    summary.uneven = round.unevenSpeeds;
+    for (std::size_t i = 0; i < round.workers.size(); ++i) {
+        const bool measured = round.speedConfidence[i] >= minConfidence;
+        const int speed = measured ? speedClass(round.speeds[i]) : AverageClass;
+        round.speedClasses.push_back(speed);
+        summary.measuredWorkers += measured ? 1 : 0;
+        summary.slowWorkers += speed == SlowestClass ? 1 : 0;
+    }
     round.inUrgentReserve.resize(round.workers.size());
 }
 
--- a/test/planning/tst_finishtimes.cpp
+++ b/test/planning/tst_finishtimes.cpp
@@ -127,3 +127,13 @@
     f.planner.addJob(f.job("u", 0, 24, 8), f.now);
     CHECK(f.planStarts().size() == 24);
 }
+
+// Guards against a plan that does not tell operators why work waits for certain workers.
+TEST_CASE("the plan says how many workers are slow", "[planning]")
+{
+    UnevenFixture f;
+    CHECK(f.planner.plan(f.now, 0).speeds == SpeedSummary{});
+    f.measureWorkers();
+    const SpeedSummary speeds = f.planner.plan(f.now, 0).speeds;
+    CHECK(speeds == SpeedSummary{WorkerCount, WorkerCount / 3, true});
+}
