--- a/src/control/leaderclosures.cpp
+++ b/src/control/leaderclosures.cpp
@@ -1,5 +1,7 @@
 #include <oleandercross/control/leader.h>
 
+#include "leaderlimits.h"
+
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/telemetry/eventlog.h>
 
@@ -10,7 +12,6 @@
 
 namespace {
 
-constexpr absl::Duration LoadRetryDelay = absl::Milliseconds(100);
 // The part of the bound after which the set of closed data centres is too old for new starts.
 constexpr double MaxAgeFraction = 0.5;
 // An agent's two attempts to start a run take up to 550 ms, and begin this long before the bound.
@@ -27,7 +28,7 @@
             break;
         }
         telemetry::Event("leader_load_retried").with("reason", core::lastReason().message);
-        absl::SleepFor(LoadRetryDelay);
+        absl::SleepFor(LoadRetryPause);
     }
     return !m_stopping;
 }
--- a/src/control/leaderlimits.h
+++ b/src/control/leaderlimits.h
@@ -16,5 +16,9 @@
 inline constexpr absl::Duration AgentContactTimeout = absl::Milliseconds(1500);
 // Added to the computed end of a lease for rounding and scheduling delays.
 inline constexpr absl::Duration LeaseExpiryMargin = absl::Milliseconds(300);
+// The pause after a failed read at a takeover.
+inline constexpr absl::Duration LoadRetryPause = absl::Milliseconds(100);
+// Stands in place of a job's id where rows of the learned state are stored.
+inline constexpr char NoJob[] = "";
 
 } // namespace oleandercross::control
