Compute the expected task time and the test for a worker in time once

The forecast had a copy of the planner's expected task time, three places compared the critical path at a worker's speed with a limit, and each gang copied its placement request although speeds were even or it was not urgent. They now share expectedTaskTime() and endsWithin(), and the copy is made only for urgent gangs where speeds are uneven. A comment stands at its function again. Behaviour is unchanged.

--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -211,7 +211,6 @@
     // from the step's own runs where possible.
     absl::Duration taskTime(const JobRecord &record, const StepProgress &progress,
                             const workload::Step &spec) const;
-    // Returns the number of consecutive waves in which the tasks of a step are expected to run.
     // Returns how many tasks of a step form a wave: as many as fit into a quarter of the service.
     static int tasksPerWave(const JobRecord &record, const workload::Step &spec,
                             const Round &round);
@@ -219,6 +218,7 @@
     // cannot pre-empt them. If they run for longer than such jobs can wait, the step runs only as
     // wide as its deadline requires, but at least one wave.
     int maxParallelTasks(const SchedulingUnit &unit, const Round &round) const;
+    // Returns the number of consecutive waves in which the tasks of a step are expected to run.
     static int waves(const JobRecord &record, const workload::Step &spec, const Round &round);
     // Sets the expected times, the deadlines and the value density of a unit from the remaining
     // work of its occurrence.
@@ -239,15 +239,17 @@
     // Returns true if tasks may be spread over idle workers to learn their speeds, although this
     // leaves fewer whole workers for gangs.
     static bool hasIdleWorkersToMeasure(const Round &round);
-    // Returns true if the unit is expected to end before its deadline if it starts on the worker.
+    // Return true if the unit is expected to end within the time, or before its deadline, if it
+    // starts on the worker.
+    static bool endsWithin(const SchedulingUnit &unit, int worker, absl::Duration time,
+                           const Round &round);
     static bool endsInTime(const SchedulingUnit &unit, int worker, const Round &round);
     // Returns the request, restricted in turn to the groups of workers on which a gang is placed
     // best, so that its members have like speeds. Empty if the workers have like speeds anyway.
     static std::vector<PlacementRequest> bySpeed(const SchedulingUnit &unit,
                                                  const PlacementRequest &request,
                                                  const Round &round);
-    // Returns the request of an urgent unit without the workers on which it would end late, if
-    // workers have uneven speeds; other requests unchanged.
+    // Returns the request without the workers on which the unit would end late.
     static PlacementRequest onWorkersInTime(const SchedulingUnit &unit,
                                             const PlacementRequest &request, const Round &round);
     // Returns true if the unit should rather wait than start on workers that make it late.
--- a/src/planning/finishtimes.cpp
+++ b/src/planning/finishtimes.cpp
@@ -33,10 +33,15 @@
 
 } // namespace
 
+bool Planner::endsWithin(const SchedulingUnit &unit, int worker, absl::Duration time,
+                         const Round &round)
+{
+    return unit.remainingCriticalPath / round.speeds[static_cast<std::size_t>(worker)] <= time;
+}
+
 bool Planner::endsInTime(const SchedulingUnit &unit, int worker, const Round &round)
 {
-    return round.now + unit.remainingCriticalPath / round.speeds[static_cast<std::size_t>(worker)]
-        <= unit.deadline;
+    return endsWithin(unit, worker, unit.deadline - round.now, round);
 }
 
 std::vector<int> Planner::speedClasses(const SchedulingUnit &unit, const Round &round)
@@ -47,7 +52,7 @@
     const bool measures = !unit.spec->gang && hasIdleWorkersToMeasure(round);
     const absl::Duration available = (unit.deadline - round.now) * SlackFraction;
     for (std::size_t i = 0; i < classes.size(); ++i) {
-        const bool inTime = unit.remainingCriticalPath / round.speeds[i] <= available;
+        const bool inTime = endsWithin(unit, static_cast<int>(i), available, round);
         if (round.unevenSpeeds)
             classes[i] = inTime ? SlowestClass - classes[i] : classes[i] + LateClassOffset;
         if (measures && !round.busy[i] && round.speedConfidence[i] < UnmeasuredConfidence)
@@ -81,9 +86,7 @@
     }
     const absl::Duration available = (unit.deadline - round.now) * SlackFraction;
     requests.push_back(onWorkers(request, [&](int worker) {
-        return isClass(worker, SlowestClass)
-            && unit.remainingCriticalPath / round.speeds[static_cast<std::size_t>(worker)]
-            <= available;
+        return isClass(worker, SlowestClass) && endsWithin(unit, worker, available, round);
     }));
     requests.push_back(
         onWorkers(request, [&](int worker) { return !isClass(worker, SlowestClass); }));
@@ -93,8 +96,6 @@
 PlacementRequest Planner::onWorkersInTime(const SchedulingUnit &unit,
                                           const PlacementRequest &request, const Round &round)
 {
-    if (!round.unevenSpeeds || unit.record->job().terms.priority != 0)
-        return request;
     return onWorkers(request, [&](int worker) { return endsInTime(unit, worker, round); });
 }
 
--- a/src/planning/loadforecast.cpp
+++ b/src/planning/loadforecast.cpp
@@ -84,14 +84,6 @@
     return times.empty() ? absl::ZeroDuration() : *std::max_element(times.begin(), times.end());
 }
 
-absl::Duration expectedTime(const StepProgress &progress, const workload::Step &spec,
-                            const std::string &queue, const WorkEstimates &estimates)
-{
-    if (progress.observedPercent > 0)
-        return progress.observedTaskTime;
-    return std::max(absl::Milliseconds(1), estimates.expectedTime(queue, spec.estimateMs));
-}
-
 absl::Duration remainingRunTime(const Task &task, absl::Duration expected, core::Instant now)
 {
     const absl::Duration remaining =
@@ -333,7 +325,7 @@
     absl::Duration timeOf(const JobRecord &record, const StepProgress &progress,
                           const workload::Step &spec) const
     {
-        return expectedTime(progress, spec, record.job().queue, m_estimates);
+        return expectedTaskTime(progress, spec, record.job().queue, m_estimates);
     }
 
     // Returns the time until the step is complete if its pending tasks start now.
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -288,10 +288,12 @@
         if (tryFree(unit, restricted, round))
             return;
     }
-    const PlacementRequest inTime = onWorkersInTime(unit, wanted, round);
-    if (waitsForWorkersInTime(unit, wanted, inTime, round)) {
-        tryPreempt(unit, inTime, round);
-        return;
+    if (round.unevenSpeeds && unit.record->job().terms.priority == 0) {
+        const PlacementRequest inTime = onWorkersInTime(unit, wanted, round);
+        if (waitsForWorkersInTime(unit, wanted, inTime, round)) {
+            tryPreempt(unit, inTime, round);
+            return;
+        }
     }
     if (tryFree(unit, wanted, round))
         return;
--- a/src/planning/schedulingunit.h
+++ b/src/planning/schedulingunit.h
@@ -46,6 +46,11 @@
 // the expected run time of the task.
 absl::Duration remainingTime(const Task &task, absl::Duration expected, core::Instant now);
 
+// Returns the expected run time of a task of the step on a worker of average speed, measured from
+// the step's own runs where possible.
+absl::Duration expectedTaskTime(const StepProgress &progress, const workload::Step &spec,
+                                const std::string &queue, const WorkEstimates &estimates);
+
 // Returns the cores of the demand, with each accelerator counted as CoresPerAccelerator cores;
 // memory does not count.
 double weightedCores(const workload::Demand &demand);
--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -42,13 +42,18 @@
 
 } // namespace
 
-absl::Duration Planner::taskTime(const JobRecord &record, const StepProgress &progress,
-                                 const workload::Step &spec) const
+absl::Duration expectedTaskTime(const StepProgress &progress, const workload::Step &spec,
+                                const std::string &queue, const WorkEstimates &estimates)
 {
     if (progress.observedPercent > 0)
         return progress.observedTaskTime;
-    return std::max(absl::Milliseconds(1),
-                    m_estimates.expectedTime(record.job().queue, spec.estimateMs));
+    return std::max(absl::Milliseconds(1), estimates.expectedTime(queue, spec.estimateMs));
+}
+
+absl::Duration Planner::taskTime(const JobRecord &record, const StepProgress &progress,
+                                 const workload::Step &spec) const
+{
+    return expectedTaskTime(progress, spec, record.job().queue, m_estimates);
 }
 
 int Planner::tasksPerWave(const JobRecord &record, const workload::Step &spec, const Round &round)
