Send a request to one of several processes at an address

The pool sends a request on any connection to an endpoint, and the library reopens a connection that the peer has closed. Where processes follow one another at an address, a request can therefore reach another process than the one it is for.

ClientPool::sendTo() probes a connection before its first such request, remembers which process has answered, and does not let the library reopen the connection between probe and request. A probe without an answer, or with one of another process, means that the request has not been sent.

Connections move to a class of their own, which overrides the function of the library that opens them. Nothing uses sendTo() yet.

--- a/include/oleandercross/http/clientpool.h
+++ b/include/oleandercross/http/clientpool.h
@@ -18,6 +18,18 @@
 // Returns whether a response belongs to the request that was sent.
 using ResponseCheck = std::function<bool(const Response &)>;
 
+// Tells whether a connection leads to a certain one of the processes that listen at an address in
+// turn.
+struct PeerProof
+{
+    // Identifies the process.
+    std::string peer;
+    // Has no effect on any process at the address.
+    Request probe;
+    // Returns whether the response to the probe is from the process.
+    ResponseCheck check;
+};
+
 // An HTTP client that keeps connections to any number of endpoints alive. Thread-safe.
 class ClientPool
 {
@@ -37,6 +49,14 @@
     std::optional<Response> send(const Endpoint &endpoint, const Request &request,
                                  absl::Duration timeout, const ResponseCheck &check = {});
 
+    // Sends a request on a connection that leads to the process of `proof`. A connection is probed
+    // before its first such request, and leads to no other process later, since it ends with the
+    // process that has accepted it. Probe and request share the timeout. Fails like send(), with
+    // ConnectionFailed also if the probe gets no response, and with StaleIncarnation if another
+    // process responds to it; in both cases the request is not sent.
+    std::optional<Response> sendTo(const PeerProof &proof, const Endpoint &endpoint,
+                                   const Request &request, absl::Duration timeout);
+
     // Returns the bytes of all exchanges whose connection was still open when they ended.
     Traffic traffic() const;
 
--- a/src/http/clientpool.cpp
+++ b/src/http/clientpool.cpp
@@ -1,5 +1,6 @@
 #include <oleandercross/http/clientpool.h>
 
+#include "clientconnection.h"
 #include "sockettraffic.h"
 
 #include <oleandercross/core/clock.h>
@@ -13,11 +14,11 @@
 #include <arpa/inet.h>
 #include <httplib.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <map>
 #include <thread>
@@ -29,24 +30,14 @@
 // A host that is up refuses a connection within this time.
 constexpr absl::Duration MaxRefusalTime = absl::Milliseconds(60);
 
-constexpr int TcpUserTimeoutMs = 2000;
-
 struct PooledClient
 {
-    std::unique_ptr<httplib::Client> client;
+    std::unique_ptr<detail::ClientConnection> connection;
     core::Instant since;
     // Bytes of this connection that are already included in the totals of the pool.
     Traffic traffic;
 };
 
-void setSocketOptions(int socket)
-{
-    const int on = 1;
-    const int userTimeout = TcpUserTimeoutMs;
-    setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof(userTimeout));
-}
-
 // Returns true if the host of the endpoint refuses a connection. The HTTP library does not tell a
 // refusal from a failure of this process, such as a lack of file descriptors.
 bool refuses(const Endpoint &endpoint)
@@ -100,9 +91,17 @@
     return response;
 }
 
+bool isExpired(absl::Duration timeout)
+{
+    if (timeout > absl::ZeroDuration())
+        return false;
+    core::fail(core::ResultCode::ConnectionFailed, "deadline expired before the request was sent");
+    return true;
+}
+
 // Returns true if an idle connection is open and can be reused. Data on it is either a second
 // response to an earlier request or the end of the stream.
-bool hasNoUnreadData(const httplib::Client &client)
+bool hasNoUnreadData(const httplib::ClientImpl &client)
 {
     pollfd fd{client.socket(), POLLIN, 0};
     return fd.fd >= 0 && poll(&fd, 1, 0) == 0;
@@ -127,7 +126,7 @@
         m_thread.join();
     }
 
-    void add(httplib::Client *client, core::Instant deadline)
+    void add(httplib::ClientImpl *client, core::Instant deadline)
     {
         absl::MutexLock lock(&m_mutex);
         m_deadlines.emplace(deadline, client);
@@ -136,7 +135,7 @@
             m_changed.signal();
     }
 
-    void remove(const httplib::Client *client, core::Instant deadline)
+    void remove(const httplib::ClientImpl *client, core::Instant deadline)
     {
         absl::MutexLock lock(&m_mutex);
         auto [it, end] = m_deadlines.equal_range(deadline);
@@ -149,11 +148,11 @@
     }
 
 private:
-    // httplib::Client::stop() has no effect while the connection is being opened, so it is repeated
-    // until the exchange ends.
+    // httplib::ClientImpl::stop() has no effect while the connection is being opened, so it is
+    // repeated until the exchange ends.
     static constexpr absl::Duration RepeatInterval = absl::Milliseconds(20);
 
-    void removeExpired(const httplib::Client *client) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
+    void removeExpired(const httplib::ClientImpl *client) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex)
     {
         for (auto it = m_deadlines.begin(); it != m_deadlines.end(); ++it) {
             if (it->second == client) {
@@ -174,7 +173,7 @@
                 m_changed.waitFor(m_mutex, m_wakeAt - now);
                 continue;
             }
-            httplib::Client *client = first->second;
+            httplib::ClientImpl *client = first->second;
             m_deadlines.erase(first);
             m_deadlines.emplace(now + RepeatInterval, client);
             client->stop();
@@ -184,7 +183,7 @@
     const core::SteadyClock m_clock;
     absl::Mutex m_mutex;
     core::CondVar m_changed;
-    std::multimap<core::Instant, httplib::Client *> m_deadlines ABSL_GUARDED_BY(m_mutex);
+    std::multimap<core::Instant, httplib::ClientImpl *> m_deadlines ABSL_GUARDED_BY(m_mutex);
     core::Instant m_wakeAt ABSL_GUARDED_BY(m_mutex) = absl::InfiniteFuture();
     bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
     std::thread m_thread;
@@ -195,50 +194,39 @@
 class ClientPool::Private
 {
 public:
-    PooledClient acquire(const Endpoint &endpoint)
+    // Returns an idle connection, preferably one to the given peer, or a new one.
+    PooledClient acquire(const Endpoint &endpoint, const std::string &peer = {})
     {
-        absl::MutexLock lock(&mutex);
-        std::vector<PooledClient> &clients = idle[endpoint];
-        const core::Instant oldest = clock.now() - options.maxIdle;
-        while (!clients.empty()) {
-            PooledClient last = std::move(clients.back());
-            clients.pop_back();
-            if (last.since >= oldest && hasNoUnreadData(*last.client))
-                return last;
+        {
+            absl::MutexLock lock(&mutex);
+            std::vector<PooledClient> &clients = idle[endpoint];
+            const core::Instant oldest = clock.now() - options.maxIdle;
+            while (!clients.empty()) {
+                PooledClient client = takeIdle(clients, peer);
+                if (client.since >= oldest && hasNoUnreadData(client.connection->client()))
+                    return client;
+            }
         }
-        return {};
+        return {detail::makeClientConnection(endpoint, options.tls), {}, {}};
     }
 
-    void release(const Endpoint &endpoint, PooledClient client)
+    // Keeps the connection for reuse unless the peer closes it after this response.
+    void release(const Endpoint &endpoint, PooledClient client, const Response &response)
     {
+        const auto header = response.headers.find("connection");
+        if (header != response.headers.end() && absl::AsciiStrToLower(header->second) == "close")
+            return;
+        client.since = clock.now();
         absl::MutexLock lock(&mutex);
         std::vector<PooledClient> &clients = idle[endpoint];
         if (static_cast<int>(clients.size()) < options.maxIdlePerEndpoint)
             clients.push_back(std::move(client));
     }
 
-    std::unique_ptr<httplib::Client> create(const Endpoint &endpoint) const
-    {
-        const std::string scheme = options.tls ? "https://" : "http://";
-        const std::string url = scheme + toString(endpoint);
-        auto client = options.tls ? std::make_unique<httplib::Client>(
-                          url, options.tls->certificateFile, options.tls->keyFile)
-                                  : std::make_unique<httplib::Client>(url);
-        if (options.tls) {
-            if (options.tls->authorityFile.empty())
-                client->enable_server_certificate_verification(false);
-            else
-                client->set_ca_cert_path(options.tls->authorityFile);
-        }
-        client->set_keep_alive(true);
-        client->set_socket_options(setSocketOptions);
-        return client;
-    }
-
     // Adds the bytes transferred since the last call for this connection to the totals.
     void countTraffic(PooledClient &client)
     {
-        const Traffic total = detail::socketTraffic(client.client->socket());
+        const Traffic total = detail::socketTraffic(client.connection->client().socket());
         // If the exchange reopened the connection, the kernel's counts started at zero again.
         const Traffic before =
             total.received < client.traffic.received ? Traffic{} : client.traffic;
@@ -247,6 +235,16 @@
         client.traffic = total;
     }
 
+    // Sends a request and waits for the response. The connection may only be reused after success.
+    std::optional<Response> exchange(PooledClient &pooled, const Endpoint &endpoint,
+                                     const Request &request, absl::Duration timeout);
+
+    void closeIdle(const Endpoint &endpoint)
+    {
+        absl::MutexLock lock(&mutex);
+        idle.erase(endpoint);
+    }
+
     ClientOptions options;
     core::SteadyClock clock;
     std::atomic<std::int64_t> received = 0;
@@ -254,6 +252,22 @@
     Watchdog watchdog;
     absl::Mutex mutex;
     absl::btree_map<Endpoint, std::vector<PooledClient>> idle ABSL_GUARDED_BY(mutex);
+
+private:
+    static PooledClient takeIdle(std::vector<PooledClient> &clients, const std::string &peer)
+    {
+        auto chosen = std::prev(clients.end());
+        if (!peer.empty()) {
+            const auto toPeer =
+                std::find_if(clients.begin(), clients.end(), [&peer](const PooledClient &c) {
+                    return c.connection->peer() == peer;
+                });
+            chosen = toPeer == clients.end() ? chosen : toPeer;
+        }
+        PooledClient client = std::move(*chosen);
+        clients.erase(chosen);
+        return client;
+    }
 };
 
 ClientPool::ClientPool(ClientOptions options)
@@ -264,18 +278,16 @@
 
 ClientPool::~ClientPool() = default;
 
-std::optional<Response> ClientPool::send(const Endpoint &endpoint, const Request &request,
-                                         absl::Duration timeout, const ResponseCheck &check)
+std::optional<Response> ClientPool::Private::exchange(PooledClient &pooled,
+                                                      const Endpoint &endpoint,
+                                                      const Request &request,
+                                                      absl::Duration timeout)
 {
-    if (timeout <= absl::ZeroDuration())
-        return core::fail(core::ResultCode::ConnectionFailed,
-                          "deadline expired before the request was sent");
-    PooledClient pooled = d->acquire(endpoint);
-    if (!pooled.client)
-        pooled.client = d->create(endpoint);
-    httplib::Client *client = pooled.client.get();
+    if (isExpired(timeout))
+        return std::nullopt;
+    httplib::ClientImpl *client = &pooled.connection->client();
     client->set_connection_timeout(
-        absl::ToChronoMilliseconds(std::min(timeout, d->options.connectTimeout)));
+        absl::ToChronoMilliseconds(std::min(timeout, options.connectTimeout)));
     client->set_read_timeout(absl::ToChronoMilliseconds(timeout));
     client->set_write_timeout(absl::ToChronoMilliseconds(timeout));
 
@@ -290,31 +302,31 @@
 
     bool tooLarge = false;
     bool responseStarted = false;
-    core::Instant deadline = d->clock.now() + timeout;
-    core::Instant lastProgress = d->clock.now();
+    core::Instant deadline = clock.now() + timeout;
+    core::Instant lastProgress = clock.now();
     message.response_handler = [&](const httplib::Response &) {
         responseStarted = true;
-        lastProgress = d->clock.now();
+        lastProgress = clock.now();
         if (request.transferTime > absl::ZeroDuration()) {
-            d->watchdog.remove(client, deadline);
+            watchdog.remove(client, deadline);
             deadline += request.transferTime;
-            d->watchdog.add(client, deadline);
+            watchdog.add(client, deadline);
         }
         return true;
     };
     message.progress = [&](std::uint64_t current, std::uint64_t total) {
-        tooLarge = std::max(current, total) > d->options.maxBodyBytes;
-        lastProgress = d->clock.now();
+        tooLarge = std::max(current, total) > options.maxBodyBytes;
+        lastProgress = clock.now();
         return !tooLarge;
     };
-    d->watchdog.add(client, deadline);
+    watchdog.add(client, deadline);
     const httplib::Result result = client->send(message);
-    d->watchdog.remove(client, deadline);
-    d->countTraffic(pooled);
+    watchdog.remove(client, deadline);
+    countTraffic(pooled);
     if (!result) {
         core::ResultCode code = codeOf(result.error());
         const bool lost = code == core::ResultCode::ConnectionLost;
-        const core::Instant end = d->clock.now();
+        const core::Instant end = clock.now();
         const bool late = lost && (end >= deadline || end - lastProgress >= timeout);
         if (late && !tooLarge)
             code = core::ResultCode::Timeout;
@@ -325,14 +337,51 @@
             closeIdle(endpoint);
         return core::fail(code, toString(endpoint) + ": " + httplib::to_string(result.error()));
     }
-    Response response = toResponse(*result);
-    if (check && !check(response))
+    return toResponse(*result);
+}
+
+std::optional<Response> ClientPool::send(const Endpoint &endpoint, const Request &request,
+                                         absl::Duration timeout, const ResponseCheck &check)
+{
+    if (isExpired(timeout))
+        return std::nullopt;
+    PooledClient pooled = d->acquire(endpoint);
+    std::optional<Response> response = d->exchange(pooled, endpoint, request, timeout);
+    if (!response)
+        return std::nullopt;
+    if (check && !check(*response))
         return core::fail(core::ResultCode::BadAnswer,
                           toString(endpoint) + ": response does not match the request");
-    if (absl::AsciiStrToLower(result->get_header_value("Connection")) != "close") {
-        pooled.since = d->clock.now();
-        d->release(endpoint, std::move(pooled));
+    d->release(endpoint, std::move(pooled), *response);
+    return response;
+}
+
+std::optional<Response> ClientPool::sendTo(const PeerProof &proof, const Endpoint &endpoint,
+                                           const Request &request, absl::Duration timeout)
+{
+    if (isExpired(timeout))
+        return std::nullopt;
+    const core::Instant deadline = d->clock.now() + timeout;
+    PooledClient pooled = d->acquire(endpoint, proof.peer);
+    detail::ClientConnection &connection = *pooled.connection;
+    if (connection.peer() != proof.peer) {
+        const auto answer = d->exchange(pooled, endpoint, proof.probe, timeout);
+        if (!answer)
+            return core::fail(core::ResultCode::ConnectionFailed,
+                              "not sent, as the peer has not identified itself: "
+                                  + core::lastReason().message);
+        if (!proof.check(*answer)) {
+            d->release(endpoint, std::move(pooled), *answer);
+            return core::fail(core::ResultCode::StaleIncarnation,
+                              toString(endpoint) + ": the peer is not " + proof.peer);
+        }
+        connection.setPeer(proof.peer);
     }
+    connection.setPinned(true);
+    auto response = d->exchange(pooled, endpoint, request, deadline - d->clock.now());
+    connection.setPinned(false);
+    if (response)
+        d->release(endpoint, std::move(pooled), *response);
     return response;
 }
 
@@ -343,8 +392,7 @@
 
 void ClientPool::closeIdle(const Endpoint &endpoint)
 {
-    absl::MutexLock lock(&d->mutex);
-    d->idle.erase(endpoint);
+    d->closeIdle(endpoint);
 }
 
 bool wasConnectionRefused(const Endpoint &endpoint)
--- a/test/http/tst_clientpool.cpp
+++ b/test/http/tst_clientpool.cpp
@@ -296,3 +296,70 @@
     REQUIRE_FALSE(pool.send(closed, getRequest(), absl::Seconds(5)));
     CHECK(http::wasConnectionRefused(closed));
 }
+
+// Guards against a request that reaches the next process at the address of the one that it is for:
+// the library reopens a connection that the peer has closed.
+TEST_CASE("a request for one process is not sent to the next one at its address")
+{
+    const bool closedAfterProbe = GENERATE(false, true);
+    CAPTURE(closedAfterProbe);
+    absl::Notification closed;
+    std::vector<std::string> received;
+    {
+        test::RawPeer peer([&](test::RawConnection &connection) {
+            while (received.size() < 2) {
+                const std::string text = connection.receiveUntil("\r\n\r\n");
+                if (text.empty())
+                    return;
+                received.push_back(text.substr(0, text.find(' ', text.find('/'))));
+                connection.send(HelloResponse);
+                if (closedAfterProbe)
+                    break;
+            }
+            connection.close();
+            if (!closed.HasBeenNotified())
+                closed.Notify();
+        });
+        http::PeerProof proof;
+        proof.peer = "first";
+        proof.probe = getRequest();
+        proof.probe.path = "/probe";
+        proof.check = [&](const http::Response &response) {
+            if (closedAfterProbe)
+                closed.WaitForNotification();
+            return response.body == "hello";
+        };
+        http::ClientPool pool({});
+        const auto response = pool.sendTo(proof, peer.endpoint(), getRequest(), absl::Seconds(5));
+        CHECK(response.has_value() != closedAfterProbe);
+        if (!response)
+            CHECK(core::lastReason().code == ResultCode::ConnectionFailed);
+    }
+    CHECK(received
+          == (closedAfterProbe ? std::vector<std::string>{"GET /probe"}
+                               : std::vector<std::string>{"GET /probe", "GET /"}));
+}
+
+// Guards against taking a reopened connection for one to the process that closed it.
+TEST_CASE("each new connection is probed before a request for one process")
+{
+    std::vector<std::string> received;
+    {
+        test::RawPeer peer([&](test::RawConnection &connection) {
+            for (int i = 0; i < 2; ++i) {
+                const std::string text = connection.receiveUntil("\r\n\r\n");
+                received.push_back(text.substr(0, text.find(' ', text.find('/'))));
+                connection.send(HelloResponse);
+            }
+        });
+        http::PeerProof proof;
+        proof.peer = "process";
+        proof.probe = getRequest();
+        proof.probe.path = "/probe";
+        proof.check = [](const http::Response &) { return true; };
+        http::ClientPool pool({});
+        for (int i = 0; i < 2; ++i)
+            CHECK(pool.sendTo(proof, peer.endpoint(), getRequest(), absl::Seconds(5)));
+    }
+    CHECK(received == std::vector<std::string>{"GET /probe", "GET /", "GET /probe", "GET /"});
+}
