Start tasks only on the registered incarnation of a worker

Cause: a call names the worker's id, and the incarnation that follows a crash may have the same id, other labels and less capacity. The agent knows of the crash only when its renewal fails, and that renewal waits up to 1.5 s for an answer of the incarnation that is gone. Starts that the leader has decided for that one meanwhile go out on new connections, and the next incarnation, which has seen no fencing token, carries them out.

A start that finds another incarnation has no effect, and no more starts are sent until the next one is registered. A start that could not be sent no longer counts as one that may be carried out late.

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -75,6 +75,8 @@
     // had stopped all starts before the call began.
     void recordFailure(const WorkerReport &worker, const Term &term, OrderOutcome outcome,
                        bool startsExcluded);
+    // Stops using the registered incarnation, since another one has answered in its place.
+    void recordRestart() ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     OrderResult execute(const WorkerReport &worker, const planning::Order &order, const Term &term,
                         core::Instant receivedAt);
     OrderResult start(const WorkerReport &worker, const planning::Order &order, const Term &term);
@@ -82,7 +84,7 @@
                                          const Term &term);
     void recordStart(const WorkerReport &worker, const workload::RunKey &run);
     OrderResult stopRun(const WorkerReport &worker, const workload::RunKey &run, const Term &term);
-    void endStart(const workload::RunKey &run, OrderOutcome outcome);
+    void endStart(const WorkerReport &worker, const workload::RunKey &run, OrderOutcome outcome);
     // Adds the acknowledgement of ended runs to a renewal if no start can have reached another
     // incarnation than the registered one.
     void addAcknowledgement(RenewOrder &order) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
--- a/include/oleandercross/control/workerport.h
+++ b/include/oleandercross/control/workerport.h
@@ -97,9 +97,11 @@
     Refused,
     // No response: the order may have taken effect, or still may.
     Unanswered,
+    // The order could not be sent, and has had no effect.
+    NotSent,
     // Nothing listens at the worker's address.
     NotListening,
-    // Another incarnation of the worker responded.
+    // Another incarnation of the worker responded. The order has had no effect.
     OtherIncarnation,
     // The worker has seen a larger fencing token; the order has had no effect.
     Fenced,
@@ -113,6 +115,8 @@
 public:
     virtual ~WorkerPort() = default;
 
+    // Starts a run. Incarnations may share their id and address, but differ in capacity and labels;
+    // the order therefore only reaches the given one.
     virtual OrderOutcome start(const WorkerReport &worker, const StartOrder &order,
                                absl::Duration timeout) = 0;
     virtual OrderOutcome stop(const WorkerReport &worker, const workload::RunKey &run,
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -471,12 +471,8 @@
     }
     if (outcome == OrderOutcome::Fenced && term == m_term)
         raiseTerm();
-    // The worker answered as another incarnation. Its next heartbeat names that, so that starts
-    // which reached it instead of the registered one are found in its list.
-    if (outcome == OrderOutcome::Done && !std::exchange(m_restarted, true)) {
-        m_state.listed = false;
-        markChanged();
-    }
+    if (outcome == OrderOutcome::Done)
+        recordRestart();
     m_refusedConnections = outcome == OrderOutcome::NotListening ? m_refusedConnections + 1 : 0;
     const bool ended = (m_refusedConnections >= RefusedConnectionCountUntilLost && startsExcluded)
         || outcome == OrderOutcome::OtherIncarnation;
@@ -492,6 +488,17 @@
         .with("term", m_term.number);
 }
 
+void Agent::recordRestart()
+{
+    // The next heartbeat names the new incarnation, so that starts that it has carried out late are
+    // found in its list.
+    if (std::exchange(m_restarted, true))
+        return;
+    telemetry::Event("worker_restarted").with("worker", m_state.worker->id);
+    m_state.listed = false;
+    markChanged();
+}
+
 void Agent::logReceived(const OrderCall &call, bool applicable)
 {
     const auto starts =
@@ -561,6 +568,7 @@
 
 OrderResult Agent::start(const WorkerReport &worker, const planning::Order &order, const Term &term)
 {
+    OrderResult result = OrderResult::NotApplicable;
     for (const absl::Duration timeout : StartAttemptTimeouts) {
         const std::optional<StartOrder> start = beginStart(worker, order, term);
         if (!start && core::lastReason().code == core::ResultCode::DataCentreClosed)
@@ -571,17 +579,19 @@
                 ? OrderResult::Refused
                 : OrderResult::NotApplicable;
         const OrderOutcome outcome = m_port.start(worker, *start, timeout);
-        endStart(order.run, outcome);
+        endStart(worker, order.run, outcome);
         if (outcome == OrderOutcome::Done) {
             recordStart(worker, order.run);
             return OrderResult::Done;
         }
         if (outcome == OrderOutcome::Refused)
             return OrderResult::Refused;
-        if (outcome != OrderOutcome::Unanswered)
+        if (outcome == OrderOutcome::Unanswered)
+            result = OrderResult::Unanswered;
+        else if (outcome != OrderOutcome::NotSent)
             return OrderResult::NotApplicable;
     }
-    return OrderResult::Unanswered;
+    return result;
 }
 
 bool Agent::mayHaveStarted(const workload::RunKey &run) const
@@ -627,7 +637,7 @@
     return StartOrder{order.run, order.payload, order.checkpoint, *until, fencingToken(term)};
 }
 
-void Agent::endStart(const workload::RunKey &run, OrderOutcome outcome)
+void Agent::endStart(const WorkerReport &worker, const workload::RunKey &run, OrderOutcome outcome)
 {
     absl::MutexLock lock(&m_mutex);
     m_startsUnderWay.erase(m_startsUnderWay.find(run));
@@ -637,6 +647,8 @@
     std::erase_if(m_lateStarts, [now](const auto &start) { return start.second <= now; });
     if (outcome == OrderOutcome::Unanswered)
         m_lateStarts[run] = now + MaxCallDelay + MaxReportDelay;
+    if (outcome == OrderOutcome::OtherIncarnation && sameIncarnation(worker))
+        recordRestart();
 }
 
 void Agent::recordStart(const WorkerReport &worker, const workload::RunKey &run)
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr std::array<const char *, 6> OutcomeNames = {"done", "refused",    "unanswered",
-                                                      "gone", "other life", "fenced"};
+constexpr std::array<const char *, 7> OutcomeNames = {
+    "done", "refused", "unanswered", "not sent", "gone", "other life", "fenced"};
 constexpr std::array<const char *, 6> ResultNames = {
     "done", "refused", "unanswered", "absent", "not applicable", "data centre closed"};
 
--- a/test/control/tst_agent.cpp
+++ b/test/control/tst_agent.cpp
@@ -260,6 +260,42 @@
     CHECK(port.starts[1].fence == fencingToken(term));
 }
 
+// Guards against waiting for runs whose start was never sent, and against taking a run for one that
+// was never started because only its last attempt was not sent.
+TEST_CASE("a start counts as unanswered if one of its attempts may have reached the worker")
+{
+    struct Case
+    {
+        std::deque<OrderOutcome> outcomes;
+        OrderResult result;
+    };
+    const Case c = GENERATE(values<Case>({
+        {{OrderOutcome::NotSent, OrderOutcome::NotSent}, OrderResult::NotApplicable},
+        {{OrderOutcome::NotSent, OrderOutcome::Done}, OrderResult::Done},
+        {{OrderOutcome::NotSent, OrderOutcome::Unanswered}, OrderResult::Unanswered},
+        {{OrderOutcome::Unanswered, OrderOutcome::NotSent}, OrderResult::Unanswered},
+    }));
+    FakeWorkerPort port;
+    port.startOutcomes = c.outcomes;
+    Agent agent({"side", absl::Seconds(6)}, port);
+    const Term term = registerWorker(agent, report()).term;
+    CHECK(agent.execute(startCall(term, report())) == std::vector{c.result});
+    CHECK(port.starts.size() == 2);
+}
+
+// Guards against further starts for a worker that a start has found restarted, until a renewal that
+// waits for the earlier incarnation has timed out.
+TEST_CASE("a worker that another incarnation has replaced at a start is no longer used")
+{
+    FakeWorkerPort port;
+    port.startOutcomes = {OrderOutcome::OtherIncarnation};
+    Agent agent({"side", absl::Seconds(6)}, port);
+    const Term term = registerWorker(agent, report()).term;
+    CHECK(agent.execute(startCall(term, report())) == std::vector{OrderResult::NotApplicable});
+    CHECK(agent.execute(startCall(term, report())) == std::vector{OrderResult::NotApplicable});
+    CHECK(port.starts.size() == 1);
+}
+
 // Guards against tasks that are never started elsewhere: a worker that accepts calls but answers
 // none looks alive as long as its agent goes on to extend its lease.
 TEST_CASE("a worker that answers nothing is given up although the leader renews its permit")
