Blame no job for the crash of a worker that never received its starts

What callers saw: a job was shown as failed although none of its tasks had run.

Cause: the leader counts every run that is active on a crashed worker, also one whose start never left the agent.

Ruled out: crashes after a confirmed start. The log has only `start_ordered` and `run_lost` for the three runs.

Change: the agent records only starts that may have reached the registered incarnation, and answers NotSent for a start that has not. The leader does not count a crash for a run whose latest order was answered so, unless the run is listed. An order that is repeated counts again until it is answered. Starts whose outcome is unknown count as before, so that a task that crashes its workers is still given up.

"a job is blamed only for crashes of workers that may have received its starts" fails without the condition in removeWorker().

--- a/include/oleandercross/control/agent.h
+++ b/include/oleandercross/control/agent.h
@@ -66,8 +66,12 @@
         ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     // Keeps the newest set of closed data centres that a leader has sent.
     void adoptClosures(const ClosedDataCentres &closed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
-    // Returns true if a start of the run may have reached the worker.
-    bool mayHaveStarted(const workload::RunKey &run) const;
+    // Returns true if a start of the run may have reached the registered incarnation.
+    bool mayHaveStarted(const workload::RunKey &run) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Returns the result of a start whose latest attempt has not been sent: NotSent, or
+    // NotApplicable if an earlier attempt may have been.
+    OrderResult resultOfUnsentStart(const WorkerReport &worker, const workload::RunKey &run,
+                                    const Term &term) const;
     void dropUnknownServices(const std::vector<std::string> &services);
     void renewOnce(absl::Duration wait);
     void updateRuns(const WorkerReport &worker, const Term &term, WorkerRuns runs);
@@ -135,8 +139,9 @@
     // Runs of which a start got no answer, and when each boot that may have carried it out has been
     // reported.
     std::map<workload::RunKey, core::Instant> m_lateStarts ABSL_GUARDED_BY(m_mutex);
-    // Runs of which a start was sent, or refused because the data centre is closed, and the time
-    // until which a copy of the order may still arrive. A refused run is never started later.
+    // Runs of which a start was sent to the registered incarnation, or refused because the data
+    // centre is closed, and the time until which a copy of the order may still arrive. A refused
+    // run is never started later.
     std::map<workload::RunKey, core::Instant> m_sentStarts ABSL_GUARDED_BY(m_mutex);
     std::map<workload::RunKey, core::Instant> m_refusedStarts ABSL_GUARDED_BY(m_mutex);
     // The worker has deregistered.
--- a/include/oleandercross/control/agentmessages.h
+++ b/include/oleandercross/control/agentmessages.h
@@ -124,6 +124,8 @@
     NotApplicable,
     // The data centre of the worker is closed, and this agent has not sent the start to the worker.
     DataCentreClosed,
+    // The incarnation that the start is for has not received it.
+    NotSent,
 };
 
 const char *toString(OrderResult result);
--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -52,6 +52,8 @@
     // The members below are not stored; a restore resets them.
     // The worker confirmed the start, or listed the run in its latest listing.
     bool running = false;
+    // The worker has not received the latest start order.
+    bool startNotSent = false;
     // When the worker first confirmed or listed the run; infinite future before that, infinite past
     // after a restore.
     core::Instant runningSince = absl::InfinitePast();
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -117,6 +117,9 @@
     void runAbsent(const std::string &worker, const workload::RunKey &run);
     // Handles the worker's confirmation of a start.
     void startConfirmed(const std::string &worker, const workload::RunKey &run, core::Instant now);
+    // Records that the worker has not received the latest start order of the run. The order is
+    // repeated, but the job is not blamed for a crash of the worker.
+    void startNotSent(const std::string &worker, const workload::RunKey &run);
     // Handles the worker's refusal to start a run.
     void startRefused(const std::string &worker, const workload::RunKey &run);
 
--- a/src/control/agent.cpp
+++ b/src/control/agent.cpp
@@ -568,16 +568,17 @@
 
 OrderResult Agent::start(const WorkerReport &worker, const planning::Order &order, const Term &term)
 {
-    OrderResult result = OrderResult::NotApplicable;
+    bool unanswered = false;
     for (const absl::Duration timeout : StartAttemptTimeouts) {
         const std::optional<StartOrder> start = beginStart(worker, order, term);
-        if (!start && core::lastReason().code == core::ResultCode::DataCentreClosed)
-            return mayHaveStarted(order.run) ? OrderResult::Unanswered
-                                             : OrderResult::DataCentreClosed;
-        if (!start)
-            return core::lastReason().code == core::ResultCode::Draining
-                ? OrderResult::Refused
-                : OrderResult::NotApplicable;
+        if (!start) {
+            const core::ResultCode reason = core::lastReason().code;
+            const OrderResult result = resultOfUnsentStart(worker, order.run, term);
+            if (reason == core::ResultCode::DataCentreClosed)
+                return result == OrderResult::NotSent ? OrderResult::DataCentreClosed
+                                                      : OrderResult::Unanswered;
+            return reason == core::ResultCode::Draining ? OrderResult::Refused : result;
+        }
         const OrderOutcome outcome = m_port.start(worker, *start, timeout);
         endStart(worker, order.run, outcome);
         if (outcome == OrderOutcome::Done) {
@@ -586,20 +587,28 @@
         }
         if (outcome == OrderOutcome::Refused)
             return OrderResult::Refused;
-        if (outcome == OrderOutcome::Unanswered)
-            result = OrderResult::Unanswered;
-        else if (outcome != OrderOutcome::NotSent)
-            return OrderResult::NotApplicable;
+        unanswered = unanswered || outcome == OrderOutcome::Unanswered;
+        if (outcome != OrderOutcome::Unanswered && outcome != OrderOutcome::NotSent)
+            return resultOfUnsentStart(worker, order.run, term);
     }
-    return result;
+    return unanswered ? OrderResult::Unanswered : resultOfUnsentStart(worker, order.run, term);
 }
 
-bool Agent::mayHaveStarted(const workload::RunKey &run) const
+OrderResult Agent::resultOfUnsentStart(const WorkerReport &worker, const workload::RunKey &run,
+                                       const Term &term) const
 {
     absl::MutexLock lock(&m_mutex);
+    // Starts of another incarnation or an earlier term are not recorded any more.
+    const bool recorded = sameIncarnation(worker) && term == m_term;
+    return recorded && !mayHaveStarted(run) ? OrderResult::NotSent : OrderResult::NotApplicable;
+}
+
+bool Agent::mayHaveStarted(const workload::RunKey &run) const
+{
     const auto same = [&run](const auto &task) { return task.run == run; };
     const WorkerRuns &runs = m_state.runs;
-    return m_sentStarts.contains(run) || std::any_of(runs.running.begin(), runs.running.end(), same)
+    return m_sentStarts.contains(run) || m_startsUnderWay.contains(run)
+        || std::any_of(runs.running.begin(), runs.running.end(), same)
         || std::any_of(runs.ended.begin(), runs.ended.end(), same);
 }
 
@@ -623,14 +632,12 @@
     const auto expired = [now](const auto &start) { return start.second <= now; };
     std::erase_if(m_sentStarts, expired);
     std::erase_if(m_refusedStarts, expired);
-    const core::Instant copiesUntil = now + MaxCallDelay + MaxReportDelay;
     if (m_closed.contains(m_state.worker->dataCentre) || m_refusedStarts.contains(order.run)) {
-        m_refusedStarts[order.run] = copiesUntil;
+        m_refusedStarts[order.run] = now + MaxCallDelay + MaxReportDelay;
         return core::fail(core::ResultCode::DataCentreClosed,
                           "318 DataCentreClosed: the data centre " + m_state.worker->dataCentre
                               + " is closed");
     }
-    m_sentStarts[order.run] = copiesUntil;
     m_startsUnderWay.insert(order.run);
     ++m_startsSent;
     m_leaseEnd = m_clock.now() + m_options.lease * (1 + MaxClockDriftFraction);
@@ -645,10 +652,15 @@
         m_stateChanged.signalAll();
     const core::Instant now = m_clock.now();
     std::erase_if(m_lateStarts, [now](const auto &start) { return start.second <= now; });
+    const core::Instant copiesUntil = now + MaxCallDelay + MaxReportDelay;
     if (outcome == OrderOutcome::Unanswered)
-        m_lateStarts[run] = now + MaxCallDelay + MaxReportDelay;
-    if (outcome == OrderOutcome::OtherIncarnation && sameIncarnation(worker))
+        m_lateStarts[run] = copiesUntil;
+    if (!sameIncarnation(worker))
+        return;
+    if (outcome == OrderOutcome::OtherIncarnation)
         recordRestart();
+    else if (outcome != OrderOutcome::NotSent && outcome != OrderOutcome::NotListening)
+        m_sentStarts[run] = copiesUntil;
 }
 
 void Agent::recordStart(const WorkerReport &worker, const workload::RunKey &run)
--- a/src/control/agentmessages.cpp
+++ b/src/control/agentmessages.cpp
@@ -15,8 +15,8 @@
 
 constexpr std::array<const char *, 7> OutcomeNames = {
     "done", "refused", "unanswered", "not sent", "gone", "other life", "fenced"};
-constexpr std::array<const char *, 6> ResultNames = {
-    "done", "refused", "unanswered", "absent", "not applicable", "data centre closed"};
+constexpr std::array<const char *, 7> ResultNames = {
+    "done", "refused", "unanswered", "absent", "not applicable", "data centre closed", "not sent"};
 
 // The number of bits of a fencing token that hold the number of the term; the token stays below
 // 2^53, up to which JSON numbers are exact everywhere.
@@ -159,7 +159,7 @@
 
 OrderResult orderResultFromJson(const Json::Value &value)
 {
-    constexpr int LastResult = static_cast<int>(OrderResult::DataCentreClosed);
+    constexpr int LastResult = static_cast<int>(OrderResult::NotSent);
     const bool known = value.isInt() && value.asInt() >= 0 && value.asInt() <= LastResult;
     return known ? static_cast<OrderResult>(value.asInt()) : OrderResult::Unanswered;
 }
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -280,6 +280,8 @@
             continue;
         if (results.results[i] == OrderResult::Done)
             m_planner.startConfirmed(results.incarnation, order.run, m_clock.now());
+        if (results.results[i] == OrderResult::NotSent)
+            m_planner.startNotSent(results.incarnation, order.run);
         if (results.results[i] == OrderResult::Refused) {
             m_metrics.add("starts_refused");
             logRefusedStart(order, results.results[i]);
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -184,6 +184,7 @@
     target->run = run;
     target->worker = worker;
     target->running = false;
+    target->startNotSent = false;
     target->savedCheckpoint = false;
     target->runningSince = absl::InfiniteFuture();
     target->stopRequested = false;
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -112,6 +112,7 @@
         return;
     } else if (round.now - task.orderSentAt >= m_options.orderRepeat) {
         task.orderSentAt = round.now;
+        task.startNotSent = false;
         round.plan.orders.push_back({Order::Kind::Start, task.worker, run.key(),
                                      run.record->job().payload, task.checkpoint, "repeated"});
     }
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -125,7 +125,8 @@
             return;
         lost.push_back({task, run.run});
         JobRecord &record = m_jobs.at(task.job);
-        if (end == WorkerEnd::Crashed)
+        // A run that the worker has not received is no cause of its crash.
+        if (end == WorkerEnd::Crashed && (run.running || !run.startNotSent))
             record.workerCrashed(lost.back(), key, now);
         else
             record.requeue(lost.back(), key);
@@ -340,6 +341,12 @@
     task->runningSince = std::min(task->runningSince, now);
 }
 
+void Planner::startNotSent(const std::string &worker, const workload::RunKey &run)
+{
+    if (hasActiveRun(worker, run))
+        find(run.task.job)->task(run.task)->startNotSent = true;
+}
+
 void Planner::startRefused(const std::string &worker, const workload::RunKey &run)
 {
     if (!hasActiveRun(worker, run))
--- a/test/planning/tst_crashes.cpp
+++ b/test/planning/tst_crashes.cpp
@@ -90,6 +90,40 @@
     CHECK(f.planStarts().empty());
 }
 
+// Guards against giving up a job because of crashes of workers that never received its starts.
+TEST_CASE("a job is blamed only for crashes of workers that may have received its starts")
+{
+    struct Case
+    {
+        const char *what;
+        bool repeated;
+        bool confirmed;
+        bool blamed;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"the start was not sent", false, false, false},
+        {"the start was not sent at first, and repeated", true, false, true},
+        {"the run is listed nevertheless", false, true, true},
+    }));
+    CAPTURE(c.what);
+    CrashFixture f(6);
+    f.planner.addJob(f.job("job", 1, 1, 1), f.now);
+    for (int crashes = 0; crashes < 6 && f.state("job") != JobState::Failed; ++crashes) {
+        const auto starts = f.planStarts();
+        REQUIRE(starts.size() == 1);
+        f.planner.startNotSent(starts[0].worker, starts[0].run);
+        if (c.repeated) {
+            f.advanceTime(PlannerOptions().orderRepeat);
+            REQUIRE(f.planStarts().size() == 1);
+        }
+        if (c.confirmed)
+            f.confirm(starts);
+        f.crash(starts[0].worker);
+        f.advanceTime(absl::Milliseconds(300));
+    }
+    CHECK((f.state("job") == JobState::Failed) == c.blamed);
+}
+
 // Guards against blaming a task for the crash of a worker on which it has run for a while, against
 // never giving up one that crashes its workers late, and against giving up a long task that
 // advances although it loses a worker from time to time.
