Let workers of the soak lose power and return as another kind

The soak's workers were all of one kind, so that no run could show a task on a worker without its label, or more than fits after a worker had come back smaller.

--- a/support/platformstandin.py
+++ b/support/platformstandin.py
@@ -197,6 +197,7 @@
     def __init__(self, name, host, port, rack, zone, capacity, step_of, on_event, seed):
         self.name, self.host, self.port, self.rack, self.zone = name, host, port, rack, zone
         self.capacity, self.step_of, self.on_event = capacity, step_of, on_event
+        self.machine_kind = "a"
         self.random = random.Random(seed)
         self.changed = threading.Condition()
         # Faults: fraction of the orders that are carried out late, whether the calls that extend
@@ -248,7 +249,7 @@
                 **({"drainRemainingMs": remaining_ms} if draining else {}),
                 "service": "service", "addr": f"{self.host}:{self.port}", "zone": self.zone,
                 "version": "v1", "slots": 8, "state": "draining" if draining else "ready",
-                "coldLeftMs": 0, "capacity": self.capacity, "labels": ["a", self.rack],
+                "coldLeftMs": 0, "capacity": self.capacity, "labels": [self.machine_kind, self.rack],
                 "clockMs": int(self.now() * 1000), "seq": self.sequence, "born": self.started_at_ms}
 
     def handle(self, path, query, body, headers):
@@ -372,6 +373,8 @@
         self.target, self.delay, self.mode = target, 0.0, "pass"
         self.random = random.Random(listen[0])
         self.connections = []
+        # The ends of connections on which no data arrives any more.
+        self.dead_ends = set()
         self.listener = socket.create_server(listen, backlog=64)
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -406,7 +409,7 @@
                 # After an outage, data is sent again at a time of the connection's own.
                 time.sleep(self.random.uniform(0, self.MAX_RESEND_SECONDS) if held else 0)
                 # Data on a silent or one-way cut connection is discarded, not buffered.
-                if self.mode not in ("silent", direction):
+                if self.mode not in ("silent", direction) and source not in self.dead_ends:
                     sink.sendall(data)
         except OSError:
             pass
@@ -417,6 +420,10 @@
                 pass
             end.close()
 
+    def lose_connections(self):
+        """Leaves the open connections without an answer for good, as when a peer loses power."""
+        self.dead_ends = {end for connection in self.connections for end in connection}
+
     def reset(self):
         for client, upstream in self.connections:
             for end in (client, upstream):
