Log removed jobs, lost history and the read that contained a job's row

The log could not tell the possible causes apart: it named neither the removal of a job nor the version of the store at which the job's row was read, and it did not say when the store had lost the history of a table.

The leader now handles the rows of a read together with the version of that read, and job_seen names it. job_removed names the transaction that removed a job. The follower of a table logs when the table has to be read again and, once changes arrive again, how often it was read.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -89,10 +89,17 @@
         std::vector<OrderResult> results;
     };
 
+    // Rows of the job table, and the version of the store up to which they are complete.
+    struct JobRead
+    {
+        std::vector<StoredRow> rows;
+        std::int64_t version = 0;
+    };
+
     // The input that has arrived since the last scheduling round.
     struct Inbox
     {
-        std::vector<StoredRow> jobRows;
+        std::vector<JobRead> jobReads;
         std::map<std::string, AgentState> states;
         std::vector<OrderResults> results;
         std::optional<std::map<std::string, http::Endpoint>> agents;
@@ -123,7 +130,8 @@
     static void pauseAfter(absl::Duration roundDuration);
     void applyServices(const workload::Catalog &catalog);
     void clearRejectedServices();
-    void applyJobRow(const StoredRow &row, core::Instant now);
+    // `readVersion` is the version of the JobRead that contains the row.
+    void applyJobRow(const StoredRow &row, std::int64_t readVersion, core::Instant now);
     void updateForecast(core::Instant now);
     void applyAgents(std::map<std::string, http::Endpoint> agents);
     void applyState(const std::string &agent, const AgentState &state, core::Instant now);
--- a/include/oleandercross/control/tablefollower.h
+++ b/include/oleandercross/control/tablefollower.h
@@ -26,19 +26,19 @@
 class TableFollower
 {
 public:
+    // Each of them may be empty.
     struct Callbacks
     {
         // Called with the whole table, at the start and after lost history.
         std::function<void(const std::vector<StoredRow> &rows)> onTable;
         // Called with changed rows, in order.
         std::function<void(const std::vector<StoredRow> &rows)> onChanges;
-        // Called after a failed call, before it is retried. May be empty.
+        // Called after a failed call, before it is retried.
         std::function<void()> onFailure;
         // Called before each call but the first one, with the time since the previous call ended,
-        // during which changes were not noticed. May be empty.
+        // during which changes were not noticed.
         std::function<void(absl::Duration pause)> onCall;
-        // Called after each successful call, also without changes, after the callbacks above. May
-        // be empty.
+        // Called after each successful call, also without changes, after the callbacks above.
         std::function<void(const TableUpdate &update)> onUpdate;
     };
 
@@ -58,6 +58,8 @@
     void reportPause();
     bool readOnce(std::optional<std::int64_t> &version);
     bool followOnce(std::optional<std::int64_t> &version);
+    void logLostHistory(std::int64_t version);
+    void logKeptHistory();
 
     RowStore &m_store;
     const std::string m_table;
@@ -66,6 +68,9 @@
     const core::BootClock m_clock;
     // Used by the thread only: when the previous call ended.
     core::Instant m_callEndedAt = absl::InfinitePast();
+    // Used by the thread only: how often the table was read again since its changes were received
+    // last.
+    int m_repeatedReads = 0;
     std::atomic<bool> m_stopping = false;
     std::thread m_thread;
 };
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -147,18 +147,14 @@
         absl::SleepFor(LoadRetryPause);
     }
     loadLearnedState();
-    const auto appendJobRows = [this](const std::vector<StoredRow> &rows) {
-        absl::MutexLock lock(&m_mutex);
-        m_inbox.jobRows.insert(m_inbox.jobRows.end(), rows.begin(), rows.end());
-        notifyPendingWork();
-    };
     TableFollower::Callbacks callbacks;
-    callbacks.onTable = [this, appendJobRows](const std::vector<StoredRow> &rows) {
-        appendJobRows(rows);
+    callbacks.onUpdate = [this](const TableUpdate &update) {
         absl::MutexLock lock(&m_mutex);
-        m_loaded = true;
+        m_inbox.jobReads.push_back({update.rows, update.version});
+        m_loaded = m_loaded || update.wholeTable;
+        if (update.wholeTable || !update.rows.empty())
+            notifyPendingWork();
     };
-    callbacks.onChanges = appendJobRows;
     m_jobFollower = std::make_unique<TableFollower>(m_store, JobTable, JobFeedWait, callbacks);
     m_jobFollower->start();
     {
@@ -213,8 +209,10 @@
         m_planner.setGuarantees(std::move(guarantees));
         applyServices(*inbox.catalog);
     }
-    for (const StoredRow &row : inbox.jobRows)
-        applyJobRow(row, now);
+    for (const JobRead &read : inbox.jobReads) {
+        for (const StoredRow &row : read.rows)
+            applyJobRow(row, read.version, now);
+    }
     {
         // The first round begins after the job table has been read.
         absl::MutexLock lock(&m_mutex);
@@ -257,7 +255,7 @@
     absl::SleepFor(std::clamp(roundDuration, MinPause, MaxPause));
 }
 
-void Leader::applyJobRow(const StoredRow &row, core::Instant now)
+void Leader::applyJobRow(const StoredRow &row, std::int64_t readVersion, core::Instant now)
 {
     if (row.removed)
         return;
@@ -304,6 +302,7 @@
         .with("job", row.key)
         .with("queue", queue)
         .with("version", row.version)
+        .with("read_version", readVersion)
         .with("priority", record.job().terms.priority)
         .with("steps", workload::describeSteps(record.job()))
         .with("objective_ms", absl::ToInt64Milliseconds(workload::latencyObjective(record.job())))
@@ -462,6 +461,7 @@
         return leads(outcome);
     absl::MutexLock lock(&m_mutex);
     for (const std::string &id : ids) {
+        telemetry::Event("job_removed").with("job", id).with("version", m_log->version());
         m_planner.removeJob(id);
         m_views.erase(id);
     }
--- a/src/control/tablefollower.cpp
+++ b/src/control/tablefollower.cpp
@@ -1,5 +1,7 @@
 #include <oleandercross/control/tablefollower.h>
 
+#include <oleandercross/telemetry/eventlog.h>
+
 #include <absl/time/clock.h>
 
 namespace oleandercross::control {
@@ -63,7 +65,8 @@
     m_callEndedAt = m_clock.now();
     if (!page)
         return false;
-    m_callbacks.onTable(page->rows);
+    if (m_callbacks.onTable)
+        m_callbacks.onTable(page->rows);
     if (m_callbacks.onUpdate)
         m_callbacks.onUpdate({true, page->rows, page->version, askedAt});
     version = page->version;
@@ -78,10 +81,12 @@
     if (!feed)
         return false;
     if (feed->historyLost) {
+        logLostHistory(*version);
         version.reset();
         return true;
     }
-    if (!feed->rows.empty())
+    logKeptHistory();
+    if (m_callbacks.onChanges && !feed->rows.empty())
         m_callbacks.onChanges(feed->rows);
     version = std::max(*version, feed->version);
     if (m_callbacks.onUpdate)
@@ -89,4 +94,19 @@
     return true;
 }
 
+void TableFollower::logLostHistory(std::int64_t version)
+{
+    if (m_repeatedReads++ == 0)
+        telemetry::Event("table_history_lost").with("table", m_table).with("version", version);
+}
+
+void TableFollower::logKeptHistory()
+{
+    if (m_repeatedReads > 0)
+        telemetry::Event("table_changes_received_again")
+            .with("table", m_table)
+            .with("reads", m_repeatedReads);
+    m_repeatedReads = 0;
+}
+
 } // namespace oleandercross::control
