Ignore rows of jobs that were removed after the rows were read

Cause: while the store keeps no history, the leader reads the whole table of jobs again and again on the follower's thread. The planning thread removes ended jobs from the store and from its memory meanwhile. Rows that were read before a removal and are handled after it name a job that the leader does not know any more, so it is added as a new one, without progress. The number of rows read while a removal is committed does not matter; one is enough.

The leader now keeps the versions of its removals and ignores rows that are not newer, cancellations included. A removal is forgotten once a read at its version has arrived: later reads are made later and cannot return the row. A row with a greater version is a new job under the same id, which runs.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -5,6 +5,7 @@
 #include <oleandercross/control/closeddatacentres.h>
 #include <oleandercross/control/leaderlog.h>
 #include <oleandercross/control/learnedrows.h>
+#include <oleandercross/control/removedjobs.h>
 #include <oleandercross/control/tablefollower.h>
 #include <oleandercross/core/condvar.h>
 #include <oleandercross/planning/planner.h>
@@ -221,6 +222,7 @@
     std::map<std::string, core::Instant> m_incarnationSeenAt;
     planning::SpeedSummary m_reportedSpeeds;
     core::Instant m_nextCleanup = absl::InfinitePast();
+    RemovedJobs m_removedJobs;
 
     struct Marker
     {
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -212,6 +212,7 @@
     for (const JobRead &read : inbox.jobReads) {
         for (const StoredRow &row : read.rows)
             applyJobRow(row, read.version, now);
+        m_removedJobs.forget(read.version);
     }
     {
         // The first round begins after the job table has been read.
@@ -259,8 +260,14 @@
 {
     if (row.removed)
         return;
-    if (absl::EndsWith(row.key, CancelSuffix)) {
-        const std::string id = row.key.substr(0, row.key.size() - sizeof(CancelSuffix) + 1);
+    const bool cancels = absl::EndsWith(row.key, CancelSuffix);
+    const std::string id =
+        cancels ? row.key.substr(0, row.key.size() - sizeof(CancelSuffix) + 1) : row.key;
+    if (m_removedJobs.wasRemoved(id, row.version)) {
+        m_metrics.add("removed_job_rows_ignored");
+        return;
+    }
+    if (cancels) {
         const planning::JobRecord *record = m_planner.job(id);
         if (record && !planning::ended(record->state()))
             telemetry::Event("job_cancelled").with("job", id).with("version", row.version);
@@ -462,6 +469,7 @@
     absl::MutexLock lock(&m_mutex);
     for (const std::string &id : ids) {
         telemetry::Event("job_removed").with("job", id).with("version", m_log->version());
+        m_removedJobs.add(id, m_log->version());
         m_planner.removeJob(id);
         m_views.erase(id);
     }
--- /dev/null
+++ b/test/control/tst_removedjobs.cpp
@@ -0,0 +1,167 @@
+#include "restartcluster.h"
+
+#include <oleandercross/control/removedjobs.h>
+
+using namespace oleandercross;
+using namespace oleandercross::control;
+using namespace oleandercross::control::testing;
+
+namespace {
+
+// A store that forgets its history, and whose calls that concern JobBefore can be held up.
+class ForgettingStore : public FakeRowStore
+{
+public:
+    CommitResult commit(const RowChanges &changes, absl::Duration timeout) override
+    {
+        if (!changes.removals.empty() && changes.removals.front().key == JobBefore)
+            removals.pass();
+        return FakeRowStore::commit(changes, timeout);
+    }
+
+    std::optional<RowPage> range(const std::string &table, const std::string &partition,
+                                 const std::string &from, int limit,
+                                 absl::Duration timeout) override
+    {
+        const auto page = FakeRowStore::range(table, partition, from, limit, timeout);
+        const bool wholeTable = table == JobTable && limit > 1;
+        if (wholeTable && partition == partitionOf(JobTable, JobBefore)) {
+            ++tableReads;
+            answers.pass();
+        }
+        return page;
+    }
+
+    std::optional<RowFeed> changes(const std::string &table, std::int64_t after,
+                                   absl::Duration wait) override
+    {
+        if (table == JobTable && forgetting)
+            return RowFeed{{}, 0, true};
+        return FakeRowStore::changes(table, after, wait);
+    }
+
+    bool hasJob() const { return value(JobTable, JobBefore).has_value(); }
+
+    std::atomic<bool> forgetting = false;
+    std::atomic<int> tableReads = 0;
+    // Where calls wait: transactions on their way to the store, rows on their way back.
+    Gate removals;
+    Gate answers;
+};
+
+struct Fixture
+{
+    Fixture()
+    {
+        worker.boot("i-1", 1000);
+        store.removals.close();
+    }
+
+    ~Fixture()
+    {
+        store.answers.open();
+        store.removals.open();
+    }
+
+    void submit(const std::string &id)
+    {
+        agent.agent.heartbeat(worker.heartbeat());
+        const int startsBefore = log.starts(id);
+        REQUIRE(entry.entry.submit(job(id, 1), nearDeadline()) == SubmitOutcome::Accepted);
+        REQUIRE(waitUntil([&] { return log.starts(id) > startsBefore; }));
+    }
+
+    JobStatus state(const std::string &id) { return entry.entry.state(id, nearDeadline()); }
+
+    // Completes the task of a job that has started, and waits until the job has ended.
+    void complete(const std::string &id)
+    {
+        REQUIRE(waitUntil([&] {
+            worker.completeAll();
+            const JobStatus status = state(id);
+            return status.kind == JobStatus::Kind::NoSuchJob
+                || status.state == planning::JobState::Completed;
+        }));
+    }
+
+    RunLog log;
+    SimulatedWorker worker{log};
+    ForgettingStore store;
+    AgentProcess agent{store, worker, "side-1", Lease};
+    // Ended jobs are removed by the next cleanup.
+    EntryProcess entry{store, "front", Lease, absl::InfiniteDuration(), absl::ZeroDuration()};
+};
+
+} // namespace
+
+// Guards against repeating the work of a job that has ended and was removed: its row may have been
+// read before the removal and arrive after it.
+TEST_CASE("a job that has been removed does not run again when its row arrives late")
+{
+    struct Case
+    {
+        const char *what;
+        // Lets the row be read before the job is removed, and arrive after that.
+        void (*act)(ForgettingStore &store);
+    };
+    const Case c = GENERATE(values<Case>({
+        {"the answer to the read is late",
+         [](ForgettingStore &store) {
+             store.answers.close();
+             store.forgetting = true;
+             REQUIRE(waitUntil([&] { return store.answers.hasWaiting(); }));
+             store.removals.open();
+             REQUIRE(waitUntil([&] { return !store.hasJob(); }));
+             store.answers.open();
+         }},
+        {"the rows wait for the end of the removal",
+         [](ForgettingStore &store) {
+             REQUIRE(waitUntil([&] { return store.removals.hasWaiting(); }));
+             const int readsBefore = store.tableReads;
+             store.forgetting = true;
+             // The answer to the first read has been received when the third one begins.
+             REQUIRE(waitUntil([&] { return store.tableReads > readsBefore + 2; }));
+             store.removals.open();
+             REQUIRE(waitUntil([&] { return !store.hasJob(); }));
+         }},
+    }));
+    CAPTURE(c.what);
+    Fixture f;
+    f.submit(JobBefore);
+    f.complete(JobBefore);
+    c.act(f.store);
+    f.store.forgetting = false;
+    // The rows that arrived late are handled before those of a later job.
+    f.submit(JobAfter);
+    f.complete(JobAfter);
+    CHECK(f.log.starts(JobBefore) == 1);
+    CHECK(f.state(JobBefore).kind == JobStatus::Kind::NoSuchJob);
+    // Another job may be submitted under the same id.
+    f.submit(JobBefore);
+    CHECK(f.log.starts(JobBefore) == 2);
+}
+
+// Guards against ignoring a new job whose id was used before, and against keeping the ids of all
+// jobs that have ever been removed.
+TEST_CASE("a row of a removed job is recognised until a later read has arrived")
+{
+    struct Case
+    {
+        const char *what;
+        std::int64_t rowVersion;
+        std::int64_t readVersion;
+        bool removed;
+    };
+    constexpr std::int64_t RemovalVersion = 10;
+    const Case c = GENERATE(values<Case>({
+        {"written before the removal", 9, 9, true},
+        {"written before the removal, which a read has confirmed", 9, 10, false},
+        {"written after the removal", 11, 9, false},
+    }));
+    CAPTURE(c.what);
+    RemovedJobs removed;
+    removed.add(JobBefore, RemovalVersion);
+    removed.forget(c.readVersion);
+    CHECK(removed.wasRemoved(JobBefore, c.rowVersion) == c.removed);
+    CHECK_FALSE(removed.wasRemoved(JobAfter, c.rowVersion));
+}
