--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -507,6 +507,10 @@
         for (const RowCondition &condition : changes.conditions)
             m_markers.erase(condition.key);
     }
+    if (applied) {
+        for (const RowCondition &condition : changes.conditions)
+            m_removedJobs.add(condition.key, result.version);
+    }
     m_nextMarkerCleanup = now + FullCleanupPeriod;
 }
 
--- a/test/control/tst_removedjobs.cpp
+++ b/test/control/tst_removedjobs.cpp
@@ -16,7 +16,10 @@
     {
         if (!changes.removals.empty() && changes.removals.front().key == JobBefore)
             removals.pass();
-        return FakeRowStore::commit(changes, timeout);
+        CommitResult result = FakeRowStore::commit(changes, timeout);
+        if (!changes.removals.empty() && result.outcome == CommitOutcome::Conflict)
+            ++rejectedRemovals;
+        return result;
     }
 
     std::optional<RowPage> range(const std::string &table, const std::string &partition,
@@ -40,10 +43,20 @@
         return FakeRowStore::changes(table, after, wait);
     }
 
-    bool hasJob() const { return value(JobTable, JobBefore).has_value(); }
+    void putMarker(const std::string &id)
+    {
+        RowChanges changes;
+        changes.puts.push_back({JobTable, id, RefusalMarker});
+        REQUIRE(commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
+    }
+
+    // Returns true if the store has a job or a marker under the id JobBefore.
+    bool hasRow() const { return value(JobTable, JobBefore).has_value(); }
 
     std::atomic<bool> forgetting = false;
     std::atomic<int> tableReads = 0;
+    // Removals whose conditions did not hold.
+    std::atomic<int> rejectedRemovals = 0;
     // Where calls wait: transactions on their way to the store, rows on their way back.
     Gate removals;
     Gate answers;
@@ -92,26 +105,25 @@
     EntryProcess entry{store, "front", Lease, absl::InfiniteDuration(), absl::ZeroDuration()};
 };
 
-} // namespace
+// Lets rows of JobBefore be read before they are removed, and arrive after that. Removals have to
+// be held up before.
+struct LateRows
+{
+    const char *what;
+    void (*deliver)(ForgettingStore &store);
+};
 
-// Guards against repeating the work of a job that has ended and was removed: its row may have been
-// read before the removal and arrive after it.
-TEST_CASE("a job that has been removed does not run again when its row arrives late")
+const std::vector<LateRows> &lateRows()
 {
-    struct Case
-    {
-        const char *what;
-        // Lets the row be read before the job is removed, and arrive after that.
-        void (*act)(ForgettingStore &store);
-    };
-    const Case c = GENERATE(values<Case>({
+    static const std::vector<LateRows> cases = {
         {"the answer to the read is late",
          [](ForgettingStore &store) {
+             REQUIRE(waitUntil([&] { return store.removals.hasWaiting(); }));
              store.answers.close();
              store.forgetting = true;
              REQUIRE(waitUntil([&] { return store.answers.hasWaiting(); }));
              store.removals.open();
-             REQUIRE(waitUntil([&] { return !store.hasJob(); }));
+             REQUIRE(waitUntil([&] { return !store.hasRow(); }));
              store.answers.open();
          }},
         {"the rows wait for the end of the removal",
@@ -122,14 +134,24 @@
              // The answer to the first read has been received when the third one begins.
              REQUIRE(waitUntil([&] { return store.tableReads > readsBefore + 2; }));
              store.removals.open();
-             REQUIRE(waitUntil([&] { return !store.hasJob(); }));
+             REQUIRE(waitUntil([&] { return !store.hasRow(); }));
          }},
-    }));
+    };
+    return cases;
+}
+
+} // namespace
+
+// Guards against repeating the work of a job that has ended and was removed: its row may have been
+// read before the removal and arrive after it.
+TEST_CASE("a job that has been removed does not run again when its row arrives late")
+{
+    const LateRows c = GENERATE(from_range(lateRows()));
     CAPTURE(c.what);
     Fixture f;
     f.submit(JobBefore);
     f.complete(JobBefore);
-    c.act(f.store);
+    c.deliver(f.store);
     f.store.forgetting = false;
     // The rows that arrived late are handled before those of a later job.
     f.submit(JobAfter);
@@ -141,6 +163,20 @@
     CHECK(f.log.starts(JobBefore) == 2);
 }
 
+// Guards against transactions that remove markers again, and fail for the markers beside them.
+TEST_CASE("the marker of a refused job is removed once when its row arrives late")
+{
+    const LateRows c = GENERATE(from_range(lateRows()));
+    CAPTURE(c.what);
+    Fixture f;
+    f.store.putMarker(JobBefore);
+    c.deliver(f.store);
+    f.store.forgetting = false;
+    f.store.putMarker(JobAfter);
+    REQUIRE(waitUntil([&] { return !f.store.value(JobTable, JobAfter); }));
+    CHECK(f.store.rejectedRemovals == 0);
+}
+
 // Guards against ignoring a new job whose id was used before, and against keeping the ids of all
 // jobs that have ever been removed.
 TEST_CASE("a row of a removed job is recognised until a later read has arrived")
