Do not show a job as queued that is removed while its rows are read

A caller that asked for the state of an old completed job could be told `queued` instead of 410. This needs an entry that cannot ask a leader, or whose leader has just removed the job: such an entry read the row of the job first and its progress after it. If the job was removed between the two reads, the missing progress looked like that of a job that has not begun.

Found by reading, not seen in a run of processes.

The progress is now read first. Both rows are removed by one transaction, so a job that still exists after its progress was found missing has not begun. The question costs one more call to the store for jobs that do not exist. The new test failed before in the row "removed before its progress is read".

--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -377,14 +377,18 @@
 JobStatus Entry::stateFromStore(const std::string &job, core::Instant deadline)
 {
     const absl::Duration left = deadline - ResponseReserve - m_clock.now();
+    // The progress is read first. A job and its progress are removed together, so a job that exists
+    // after its progress was found missing has not begun.
+    const auto progress = m_store.row(ProgressTable, job, std::min(left, StoreTimeout));
+    if (!progress)
+        return {};
     const auto row = m_store.row(JobTable, job, std::min(left, StoreTimeout));
     if (!row)
         return {};
     if (!*row || isRefusalMarker((*row)->value))
         return {JobStatus::Kind::NoSuchJob, {}, {}};
     const auto stored = workload::decodeJob(job, (*row)->value);
-    const auto progress = m_store.row(ProgressTable, job, std::min(left, StoreTimeout));
-    if (!stored || !progress)
+    if (!stored)
         return {};
     if (!*progress)
         return {JobStatus::Kind::Known, stored->account, planning::JobState::Queued};
--- a/test/control/tst_removedjobs.cpp
+++ b/test/control/tst_removedjobs.cpp
@@ -1,6 +1,8 @@
+#include "loadedentry.h"
 #include "restartcluster.h"
 
 #include <oleandercross/control/removedjobs.h>
+#include <oleandercross/workload/codec.h>
 
 using namespace oleandercross;
 using namespace oleandercross::control;
@@ -201,3 +203,82 @@
     CHECK(removed.wasRemoved(JobBefore, c.rowVersion) == c.removed);
     CHECK_FALSE(removed.wasRemoved(JobAfter, c.rowVersion));
 }
+
+namespace {
+
+// A store whose leader removes the job just before the next read of the table of progress, or just
+// after it.
+class RemovingStore : public FakeRowStore
+{
+public:
+    enum class Removal { None, BeforeRead, AfterRead };
+
+    std::optional<RowPage> range(const std::string &table, const std::string &partition,
+                                 const std::string &from, int limit,
+                                 absl::Duration timeout) override
+    {
+        const Removal next =
+            table == ProgressTable ? removal.exchange(Removal::None) : Removal::None;
+        if (next == Removal::BeforeRead)
+            remove();
+        const auto page = FakeRowStore::range(table, partition, from, limit, timeout);
+        if (next == Removal::AfterRead)
+            remove();
+        return page;
+    }
+
+    std::atomic<Removal> removal = Removal::None;
+
+private:
+    void remove()
+    {
+        RowChanges changes;
+        changes.removals = {{JobTable, Id}, {ProgressTable, Id}};
+        commitUnlimited(changes);
+    }
+};
+
+} // namespace
+
+// Guards against telling callers that a completed job is queued, since its rows are removed while
+// an entry that has no leader to ask reads them one after the other.
+TEST_CASE("a job that is removed while its rows are read is not shown as queued")
+{
+    using Removal = RemovingStore::Removal;
+    using planning::JobState;
+    struct Case
+    {
+        const char *what;
+        bool begun;
+        Removal removal;
+        // No state means that the job does not exist. A removal may count as earlier or later.
+        std::vector<std::optional<JobState>> states;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"completed", true, Removal::None, {JobState::Completed}},
+        {"not begun", false, Removal::None, {JobState::Queued}},
+        {"removed before its progress is read",
+         true,
+         Removal::BeforeRead,
+         {JobState::Completed, std::nullopt}},
+        {"removed after its progress is read",
+         true,
+         Removal::AfterRead,
+         {JobState::Completed, std::nullopt}},
+    }));
+    CAPTURE(c.what);
+    RemovingStore store;
+    FakeLeader leader(store);
+    LoadedEntry entry(store);
+    RowChanges changes;
+    changes.puts.push_back({JobTable, Id, workload::encodeJob(shortJob())});
+    if (c.begun)
+        changes.puts.push_back({ProgressTable, Id, R"({"state":"completed"})"});
+    REQUIRE(store.commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
+    store.removal = c.removal;
+    // The leader does not answer questions about jobs.
+    const JobStatus status = entry.entry.state(Id, nearDeadline());
+    REQUIRE(status.kind != JobStatus::Kind::Unknown);
+    const bool known = status.kind == JobStatus::Kind::Known;
+    CHECK_THAT(c.states, Catch::VectorContains(known ? std::optional(status.state) : std::nullopt));
+}
