Keep members that announced themselves when the table is read again

An agent that cannot reach the store announces itself to the entries directly. Each time that an entry read the table of members again, since the store had lost its history, it forgot these agents, or went back to the rows of their former processes, until they announced themselves again up to 0.4 s later. While the store keeps no history the table is read many times a second, so the leader would hardly reach such an agent, and the lease of its worker could end. Found by reading, not seen in a run of processes.

A member that announced itself is now kept until the table has a row of it, or of another member at its address, that is newer than all rows which had been read at the time of the announcement.

--- a/include/oleandercross/control/members.h
+++ b/include/oleandercross/control/members.h
@@ -39,9 +39,12 @@
 public:
     explicit Members(Member self);
 
+    // Replaces the members that were read from the table before. Those that announced themselves
+    // directly are kept, since the table does not have them yet.
     void replaceAll(const std::vector<StoredRow> &rows);
     void apply(const std::vector<StoredRow> &rows);
-    // Adds a member that announced itself directly because it could not reach the store.
+    // Adds a member that announced itself directly because it could not reach the store. It is
+    // newer than all rows that have been read.
     void add(const Member &member);
     // Sets the addresses of entries that are used until the member table lists some.
     void setSeeds(std::vector<http::Endpoint> seeds);
@@ -56,11 +59,25 @@
     std::int64_t version() const;
 
 private:
+    struct Known
+    {
+        Member member;
+        bool announced = false;
+        // The version of the member's row or, if it announced itself, of the newest row that had
+        // been read before.
+        std::int64_t version = 0;
+    };
+
     void applyRow(const StoredRow &row) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+    // Returns true if a member that announced itself later than the row was written has the row's
+    // name or the given address.
+    bool isOutdated(const StoredRow &row, const http::Endpoint &address) const
+        ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     const Member m_self;
     mutable absl::Mutex m_mutex;
-    std::map<std::string, Member> m_members ABSL_GUARDED_BY(m_mutex);
+    std::map<std::string, Known> m_members ABSL_GUARDED_BY(m_mutex);
+    std::int64_t m_newestRow ABSL_GUARDED_BY(m_mutex) = 0;
     std::vector<http::Endpoint> m_seeds ABSL_GUARDED_BY(m_mutex);
     std::int64_t m_version ABSL_GUARDED_BY(m_mutex) = 0;
 };
--- a/src/control/members.cpp
+++ b/src/control/members.cpp
@@ -51,10 +51,22 @@
     : m_self(std::move(self))
 { }
 
+bool Members::isOutdated(const StoredRow &row, const http::Endpoint &address) const
+{
+    return std::any_of(m_members.begin(), m_members.end(), [&](const auto &entry) {
+        const auto &[name, known] = entry;
+        return known.announced && known.version >= row.version
+            && (name == row.key || known.member.address == address);
+    });
+}
+
 void Members::applyRow(const StoredRow &row)
 {
+    m_newestRow = std::max(m_newestRow, row.version);
     if (row.removed) {
-        m_members.erase(row.key);
+        const auto found = m_members.find(row.key);
+        if (found != m_members.end() && found->second.version < row.version)
+            m_members.erase(found);
         return;
     }
     const std::optional<Member> member = decodeMember(row.key, row.value);
@@ -64,17 +76,19 @@
             .with("reason", core::lastReason().message);
         return;
     }
+    if (isOutdated(row, member->address))
+        return;
     // An address that another member now uses no longer belongs to its former user.
     std::erase_if(m_members, [&member](const auto &entry) {
-        return entry.second.address == member->address && entry.first != member->name;
+        return entry.second.member.address == member->address && entry.first != member->name;
     });
-    m_members[row.key] = *member;
+    m_members[row.key] = {*member, false, row.version};
 }
 
 void Members::replaceAll(const std::vector<StoredRow> &rows)
 {
     absl::MutexLock lock(&m_mutex);
-    m_members.clear();
+    std::erase_if(m_members, [](const auto &entry) { return !entry.second.announced; });
     std::vector<StoredRow> sorted = rows;
     std::sort(sorted.begin(), sorted.end(),
               [](const StoredRow &a, const StoredRow &b) { return a.version < b.version; });
@@ -94,11 +108,11 @@
 void Members::add(const Member &member)
 {
     absl::MutexLock lock(&m_mutex);
-    Member &known = m_members[member.name];
-    if (known == member)
-        return;
-    known = member;
-    ++m_version;
+    Known &known = m_members[member.name];
+    const bool changed = known.member != member;
+    known = {member, true, m_newestRow};
+    if (changed)
+        ++m_version;
 }
 
 void Members::setSeeds(std::vector<http::Endpoint> seeds)
@@ -111,9 +125,9 @@
 {
     absl::MutexLock lock(&m_mutex);
     std::vector<http::Endpoint> peers;
-    for (const auto &[name, member] : m_members) {
-        if (member.role == MemberRole::Entry && member.address != m_self.address)
-            peers.push_back(member.address);
+    for (const auto &[name, known] : m_members) {
+        if (known.member.role == MemberRole::Entry && known.member.address != m_self.address)
+            peers.push_back(known.member.address);
     }
     if (!peers.empty())
         return peers;
@@ -128,9 +142,9 @@
 {
     absl::MutexLock lock(&m_mutex);
     std::map<std::string, http::Endpoint> agents;
-    for (const auto &[name, member] : m_members) {
-        if (member.role == MemberRole::Agent)
-            agents[name] = member.address;
+    for (const auto &[name, known] : m_members) {
+        if (known.member.role == MemberRole::Agent)
+            agents[name] = known.member.address;
     }
     return agents;
 }
@@ -139,9 +153,9 @@
 {
     absl::MutexLock lock(&m_mutex);
     std::vector<Candidate> candidates{{m_self.name, m_self.milliCores}};
-    for (const auto &[name, member] : m_members) {
-        if (member.role == MemberRole::Entry && name != m_self.name)
-            candidates.push_back({name, member.milliCores});
+    for (const auto &[name, known] : m_members) {
+        if (known.member.role == MemberRole::Entry && name != m_self.name)
+            candidates.push_back({name, known.member.milliCores});
     }
     return candidates;
 }
--- a/test/control/tst_members.cpp
+++ b/test/control/tst_members.cpp
@@ -94,3 +94,38 @@
     members.apply({row(agent("a", "10.0.0.2"), 3)});
     CHECK(members.agents() == std::map<std::string, http::Endpoint>{{"a", {"10.0.0.2", 7000}}});
 }
+
+// Guards against dropping a process that cannot reach the store, and against calling its former
+// process, each time that the table is read again.
+TEST_CASE("a member that announced itself directly is kept until the table has a later row of it")
+{
+    const Member former = agent("a", "10.0.0.2");
+    const Member present = agent("a", "10.0.0.3");
+    struct Case
+    {
+        const char *what;
+        std::vector<StoredRow> table;
+        std::map<std::string, http::Endpoint> agents;
+    };
+    const Case c = GENERATE_COPY(values<Case>({
+        {"not in the table", {}, {{"a", present.address}}},
+        {"the row of its former process", {row(former, 1)}, {{"a", present.address}}},
+        {"a later row", {row(agent("a", "10.0.0.4"), 3)}, {{"a", {"10.0.0.4", 7000}}}},
+        {"an earlier user of its address",
+         {row(agent("z", "10.0.0.3"), 1)},
+         {{"a", present.address}}},
+        {"a later user of its address", {row(agent("z", "10.0.0.3"), 3)}, {{"z", present.address}}},
+    }));
+    const bool wholeTable = GENERATE(true, false);
+    CAPTURE(c.what, wholeTable);
+    Members members(self());
+    members.replaceAll({row(former, 1), row(agent("gone", "10.0.0.9"), 2)});
+    members.add(present);
+    if (wholeTable) {
+        members.replaceAll(c.table);
+    } else {
+        members.apply({{MemberTable, "gone", {}, 4, true}});
+        members.apply(c.table);
+    }
+    CHECK(members.agents() == c.agents);
+}
