Do not schedule a job again that ended while its row was read

The same cause in the product's own interface: a leader adds a job by reading its row, on a call of the entry that accepted it and in its own scans, without a lock. If another of these reads has added the job, and the job has ended and its row is gone before the first answer arrives, the job is added again as a waiting one. The first write of it fails, the leader finds no row, and takes the job for one that has not been stored. Entries repeat the call while the leader does not answer, so a slow store is enough for two reads at a time.

Found by reading; not seen in a run of processes.

The leader now remembers the jobs that it removes while rows are read, and does not add them.

--- a/include/oleandercross/daemon/term.h
+++ b/include/oleandercross/daemon/term.h
@@ -124,6 +124,8 @@
     void resync(const core::JobId &id);
     void writeFinished(ActiveJob &job) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
     std::optional<ActiveJob> readRow(const core::JobId &id, bool &missing);
+    // Removes a job whose record has been moved to its done row.
+    void removeEndedJob(Jobs::iterator job) ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
 
     // termgangs.cpp: starting and stopping gangs.
     void startGang(ActiveJob &job, const scheduling::StartGang &start)
@@ -166,6 +168,11 @@
     core::Instant m_restoreDeadline ABSL_GUARDED_BY(m_mutex);
     scheduling::Scheduler m_scheduler ABSL_GUARDED_BY(m_mutex);
     Jobs m_jobs ABSL_GUARDED_BY(m_mutex);
+    // The number of jobs that are being read from their rows to be added, and the jobs that have
+    // been removed since the first of these reads began. A row that was read before its removal
+    // must not bring the job back.
+    int m_addingJobs ABSL_GUARDED_BY(m_mutex) = 0;
+    std::set<core::JobId> m_removedWhileAdding ABSL_GUARDED_BY(m_mutex);
     // Agents by worker, in the state last passed to the scheduler.
     std::map<core::WorkerId, AgentInfo> m_workers ABSL_GUARDED_BY(m_mutex);
     std::map<core::AgentId, gang::LedgerReport> m_reports ABSL_GUARDED_BY(m_mutex);
--- a/src/daemon/term.cpp
+++ b/src/daemon/term.cpp
@@ -411,14 +411,18 @@
             return false;
         if (m_jobs.count(id) > 0)
             return true;
+        ++m_addingJobs;
     }
     bool missing = false;
     std::optional<ActiveJob> job = readRow(id, missing);
+    absl::MutexLock lock(&m_mutex);
+    const bool removed = m_removedWhileAdding.count(id) > 0;
+    if (--m_addingJobs == 0)
+        m_removedWhileAdding.clear();
     // A job without a row has already ended.
     if (!job)
         return missing;
-    absl::MutexLock lock(&m_mutex);
-    if (m_stopping || m_jobs.count(id) > 0)
+    if (m_stopping || removed || m_jobs.count(id) > 0)
         return true;
     // During a store outage the scheduler would fail the job, although it has been accepted. The
     // caller retries after the scheduler has been notified of the end of the outage.
--- a/src/daemon/termrows.cpp
+++ b/src/daemon/termrows.cpp
@@ -50,7 +50,7 @@
         if (job == m_jobs.end())
             return;
         if (ended) {
-            m_jobs.erase(job);
+            removeEndedJob(job);
             return;
         }
         job->second.rowVersion = result.version;
@@ -96,6 +96,13 @@
     return job;
 }
 
+void Term::removeEndedJob(Jobs::iterator job)
+{
+    if (m_addingJobs > 0)
+        m_removedWhileAdding.insert(job->first);
+    m_jobs.erase(job);
+}
+
 // Reads the row's version after a failed write or a change by another entry, then writes again.
 // Only the current epoch may change the state of a job, so a change by another entry can only be a
 // cancellation request.
@@ -111,7 +118,7 @@
     if (missing) {
         // The write that moved the job to its done row was applied, but its answer was lost.
         if (scheduling::ended(job.record.state))
-            m_jobs.erase(found);
+            removeEndedJob(found);
         else
             job.rowVersion = 0;
         return;
