--- a/support/platformstandin.py
+++ b/support/platformstandin.py
@@ -69,6 +69,8 @@
         self.version = 0
         self.history = collections.deque()
         self.truncated_version = 0
+        # Fault: no history is kept.
+        self.forgetting = False
         # Addresses that members announce, and the addresses that all read instead.
         self.substitutes = {}
         # Faults: maximum delay of a call in seconds, fraction of calls that are refused, fraction
@@ -131,6 +133,8 @@
                     self.history.append((self.version, removed_row))
             while len(self.history) > self.MAX_HISTORY_ROWS:
                 self.truncated_version = self.history.popleft()[0]
+            if self.forgetting:
+                self.truncate_history()
             self.changed.notify_all()
             return 200, {"ver": self.version, "nowMs": 0}
 
