--- a/include/oleandercross/control/rowstore.h
+++ b/include/oleandercross/control/rowstore.h
@@ -134,6 +134,8 @@
 inline constexpr char LeaderKey[] = "leader";
 // Appended to a job's id to form the key of the row in the job table that cancels the job.
 inline constexpr char CancelSuffix[] = "/cancel";
+// Returns the id of the job that a row of the job table with this key belongs to.
+std::string jobOf(const std::string &key);
 // The value of a job's row after an entry refused the job. The row keeps a late insert of an
 // earlier submission from being applied, and is no job.
 inline constexpr char RefusalMarker[] = R"({"refused":true})";
--- a/include/oleandercross/control/tablefollower.h
+++ b/include/oleandercross/control/tablefollower.h
@@ -59,7 +59,7 @@
     bool readOnce(std::optional<std::int64_t> &version);
     bool followOnce(std::optional<std::int64_t> &version);
     void logLostHistory(std::int64_t version);
-    void logKeptHistory();
+    void logRestoredHistory();
 
     RowStore &m_store;
     const std::string m_table;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -27,12 +27,6 @@
 // The upper limit of a job's computed age, since the clocks of the two machines that it is computed
 // from may differ.
 constexpr absl::Duration MaxJobAge = absl::Minutes(10);
-constexpr absl::Duration CleanupPeriod = absl::Seconds(10);
-// The same while there are more ended jobs than one commit can remove.
-constexpr absl::Duration FullCleanupPeriod = absl::Seconds(1);
-// Scheduling waits for the removal of markers, so its timeout is below the interval in which the
-// leader writes its row.
-constexpr absl::Duration MarkerCleanupTimeout = absl::Milliseconds(300);
 // Stands between a job's id and the name of a part of its progress in the key of a row.
 constexpr char ProgressSeparator[] = "/";
 
@@ -260,14 +254,12 @@
 {
     if (row.removed)
         return;
-    const bool cancels = absl::EndsWith(row.key, CancelSuffix);
-    const std::string id =
-        cancels ? row.key.substr(0, row.key.size() - sizeof(CancelSuffix) + 1) : row.key;
+    const std::string id = jobOf(row.key);
     if (m_removedJobs.wasRemoved(id, row.version)) {
         m_metrics.add("removed_job_rows_ignored");
         return;
     }
-    if (cancels) {
+    if (absl::EndsWith(row.key, CancelSuffix)) {
         const planning::JobRecord *record = m_planner.job(id);
         if (record && !planning::ended(record->state()))
             telemetry::Event("job_cancelled").with("job", id).with("version", row.version);
@@ -439,79 +431,4 @@
     }
 }
 
-bool Leader::removeOldJobs(core::Instant now)
-{
-    if (now < m_nextCleanup)
-        return true;
-    m_nextCleanup = now + CleanupPeriod;
-    std::vector<StoredRow> removals;
-    std::vector<std::string> ids;
-    // A job has up to three rows. Jobs that do not fit into this commit are removed by the next
-    // cleanup.
-    for (const auto &[id, record] : m_planner.jobs()) {
-        if (now - record.endedAt() < m_options.retention || record.hasActiveTasks()
-            || record.hasStoredParts())
-            continue;
-        if (removals.size() + 3 > LeaderLog::MaxRowsPerCommit) {
-            m_nextCleanup = now + FullCleanupPeriod;
-            break;
-        }
-        removals.push_back({JobTable, id, {}});
-        removals.push_back({JobTable, id + CancelSuffix, {}});
-        removals.push_back({ProgressTable, id, {}});
-        ids.push_back(id);
-    }
-    if (ids.empty())
-        return true;
-    const LeaderLog::Outcome outcome = commit({}, removals);
-    if (outcome != LeaderLog::Outcome::Committed)
-        return leads(outcome);
-    absl::MutexLock lock(&m_mutex);
-    for (const std::string &id : ids) {
-        telemetry::Event("job_removed").with("job", id).with("version", m_log->version());
-        m_removedJobs.add(id, m_log->version());
-        m_planner.removeJob(id);
-        m_views.erase(id);
-    }
-    return true;
-}
-
-void Leader::removeOldMarkers(core::Instant now)
-{
-    if (now < m_nextMarkerCleanup)
-        return;
-    m_nextMarkerCleanup = now + CleanupPeriod;
-    RowChanges changes;
-    for (const auto &[id, marker] : m_markers) {
-        if (now - marker.seenAt < m_options.retention)
-            continue;
-        if (changes.removals.size() == m_markersPerCleanup) {
-            m_nextMarkerCleanup = now + FullCleanupPeriod;
-            break;
-        }
-        // A submission may have replaced the marker by a job, which must not be removed.
-        changes.conditions.push_back({JobTable, id, marker.version});
-        changes.removals.push_back({JobTable, id, {}});
-    }
-    if (changes.removals.empty())
-        return;
-    const CommitResult result = m_store.commit(changes, MarkerCleanupTimeout);
-    const bool applied = result.outcome == CommitOutcome::Applied;
-    if (!applied && result.outcome != CommitOutcome::Conflict)
-        return;
-    // A conflict means that one of the rows has changed. Smaller transactions find it, so that it
-    // does not keep the others.
-    const bool single = changes.conditions.size() == 1;
-    m_markersPerCleanup = applied || single ? MaxMarkersPerCleanup : changes.conditions.size() / 2;
-    if (applied || single) {
-        for (const RowCondition &condition : changes.conditions)
-            m_markers.erase(condition.key);
-    }
-    if (applied) {
-        for (const RowCondition &condition : changes.conditions)
-            m_removedJobs.add(condition.key, result.version);
-    }
-    m_nextMarkerCleanup = now + FullCleanupPeriod;
-}
-
 } // namespace oleandercross::control
--- a/src/control/rowstore.cpp
+++ b/src/control/rowstore.cpp
@@ -1,7 +1,7 @@
 #include <oleandercross/control/rowstore.h>
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 #include <xxhash.h>
 
 #include <array>
@@ -30,6 +30,11 @@
     return Names.at(static_cast<std::size_t>(outcome));
 }
 
+std::string jobOf(const std::string &key)
+{
+    return std::string(absl::StripSuffix(key, CancelSuffix));
+}
+
 std::size_t sentSize(const StoredRow &row)
 {
     // The names of the fields, the partition and the punctuation.
@@ -47,9 +52,8 @@
     if (table != JobTable)
         return {};
     // A cancellation is conditional on the row of its job.
-    const std::size_t idSize =
-        absl::EndsWith(key, CancelSuffix) ? key.size() - sizeof(CancelSuffix) + 1 : key.size();
-    return jobPartition(XXH64(key.data(), idSize, 0) % JobPartitionCount);
+    const std::string job = jobOf(key);
+    return jobPartition(XXH64(job.data(), job.size(), 0) % JobPartitionCount);
 }
 
 std::vector<std::string> partitionsOf(const std::string &table)
--- a/src/control/tablefollower.cpp
+++ b/src/control/tablefollower.cpp
@@ -85,7 +85,7 @@
         version.reset();
         return true;
     }
-    logKeptHistory();
+    logRestoredHistory();
     if (m_callbacks.onChanges && !feed->rows.empty())
         m_callbacks.onChanges(feed->rows);
     version = std::max(*version, feed->version);
@@ -100,7 +100,7 @@
         telemetry::Event("table_history_lost").with("table", m_table).with("version", version);
 }
 
-void TableFollower::logKeptHistory()
+void TableFollower::logRestoredHistory()
 {
     if (m_repeatedReads > 0)
         telemetry::Event("table_changes_received_again")
