Reject submissions that arrive after the job's cancellation

Cause: a cancellation of an unknown job read the missing row and answered 410, and nothing kept a submission that was on its way from being stored later.

Ruled out: a stored cancellation that the leader ignores, since none was stored. The deadline of the request, which the entry counts from when it reads it, is not the cause: an insert that the store applies late has the same effect.

The entry now writes a marker in place of the job's row, on the condition that the row has not changed, and answers after that. A delayed insert fails on its condition, and a later submission finds the marker and is rejected with 503 and result code 312. The marker names the accounts that cancelled the job, so that no account keeps another one from using an id. The leader removes markers after the retention time, like those of refused jobs.

Tests changed: "a cancellation is acknowledged only after it is stored" cancelled an unknown id and then expected a submission of the same id to be accepted, which is the fault. It uses another id for the first cancellation now, and checks that this one is stored too. RefusalMarker became JobMarker::refusal().

--- a/include/oleandercross/control/entry.h
+++ b/include/oleandercross/control/entry.h
@@ -41,6 +41,8 @@
     // The job is not stored and will not be stored later, since the forecast says that it would
     // end long after it has lost its value.
     Refused,
+    // The job was cancelled before this submission. It is not stored and will not be stored later.
+    Cancelled,
     // The job does not fit into a row of the store.
     TooLarge,
     // The job may have been stored, or may still be stored.
@@ -66,6 +68,7 @@
 enum class CancelOutcome {
     // The cancellation is stored; the job may have ended before.
     Cancelled,
+    // The store has no such job, and submissions that are still on their way will not run.
     NoSuchJob,
     // The job was submitted by another account.
     OtherAccount,
@@ -121,7 +124,8 @@
     // the load is small or no healthy leader is known.
     DatedForecast forecast() const;
     JobStatus state(const std::string &job, core::Instant deadline);
-    // Cancels a job. An empty account may cancel the jobs of every account.
+    // Cancels a job. An empty account may cancel the jobs of every account. If there is no such
+    // job, a marker rejects its submissions for LeaderOptions::retention.
     CancelOutcome cancel(const std::string &job, const std::string &account,
                          core::Instant deadline);
     // Returns the number of accepted jobs of a queue of which no task has started, as the leader
@@ -151,11 +155,13 @@
     void clearForecast();
     std::optional<Refusal> refusalOf(const workload::Job &job) const;
     Submission refuse(const workload::Job &job, const Refusal &refusal, core::Instant deadline);
+    // Logs a submission of a job that was cancelled before it, and returns what its caller is told.
+    static Submission rejectCancelled(const workload::Job &job);
     void raiseKnownVersion(std::int64_t version);
 
     struct RowWrite
     {
-        enum class Outcome { Written, JobExists, MarkerExists, NotWritten, Unknown };
+        enum class Outcome { Written, JobExists, MarkerExists, Cancelled, NotWritten, Unknown };
 
         Outcome outcome = Outcome::Unknown;
         // The version of the written row or of the existing job.
@@ -163,10 +169,13 @@
     };
 
     // Writes the row of a job that does not exist. Replaces a marker only if its version is at most
-    // `maxMarkerVersion`, otherwise returns MarkerExists; no earlier attempt of this call can be
-    // applied then.
-    RowWrite writeJobRow(const std::string &job, const std::string &value,
+    // `maxMarkerVersion`, otherwise returns MarkerExists, or Cancelled if the job's account has
+    // cancelled it; no earlier attempt of this call can be applied then.
+    RowWrite writeJobRow(const workload::Job &job, const std::string &value,
                          std::int64_t maxMarkerVersion, core::Instant deadline);
+    // Stores that a job was cancelled in place of its missing row, or of its marker.
+    CommitResult recordCancellation(const std::string &job, const std::optional<StoredRow> &row,
+                                    const std::string &account, absl::Duration timeout);
     // Returns the row that a condition on it conflicted with, an empty inner optional if it has
     // been removed. Fails with StoreUnavailable.
     std::optional<std::optional<StoredRow>> conflictingRow(const CommitResult &result,
--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -26,7 +26,7 @@
     planning::PlannerOptions planner;
     // The length of the worker leases that agents request.
     absl::Duration lease = absl::Seconds(6);
-    // How long ended jobs and the markers of refused ones are kept in the store.
+    // How long ended jobs and the markers of others (JobMarker) are kept in the store.
     absl::Duration retention = absl::Seconds(300);
     // The operator's table, which is read for the closed data centres.
     std::string configTable = {};
@@ -230,7 +230,7 @@
         core::Instant seenAt;
     };
 
-    // The markers of refused jobs in the store, by job.
+    // The markers in the store, by job.
     std::map<std::string, Marker> m_markers;
     // Each removed marker is a condition and a removal.
     static constexpr std::size_t MaxMarkersPerCleanup = MaxChanges / 2;
--- a/include/oleandercross/control/removedjobs.h
+++ b/include/oleandercross/control/removedjobs.h
@@ -6,8 +6,8 @@
 
 namespace oleandercross::control {
 
-// The jobs, and the markers of refused ones, whose rows the leader has removed from the store. Rows
-// that were read before a removal may arrive after it; they are not valid any more.
+// The jobs and the markers (JobMarker) whose rows the leader has removed from the store. Rows that
+// were read before a removal may arrive after it; they are not valid any more.
 class RemovedJobs
 {
 public:
--- a/include/oleandercross/control/rowstore.h
+++ b/include/oleandercross/control/rowstore.h
@@ -136,16 +136,6 @@
 inline constexpr char CancelSuffix[] = "/cancel";
 // Returns the id of the job that a row of the job table with this key belongs to.
 std::string jobOf(const std::string &key);
-// The value of a job's row after an entry refused the job. The row keeps a late insert of an
-// earlier submission from being applied, and is no job.
-inline constexpr char RefusalMarker[] = R"({"refused":true})";
-
-// Returns true if the value of a row in the job table is a RefusalMarker.
-inline bool isRefusalMarker(const std::string &value)
-{
-    return value == RefusalMarker;
-}
-
 // The store executes the transactions of one partition one after another and refuses further ones
 // while too many are waiting. Rows that are written independently are therefore in different
 // partitions, so that accepted jobs and the announcements of processes do not delay the leader's
--- a/src/control/entry.cpp
+++ b/src/control/entry.cpp
@@ -1,5 +1,6 @@
 #include <oleandercross/control/entry.h>
 
+#include <oleandercross/control/jobmarker.h>
 #include <oleandercross/core/json.h>
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/rpc/broadcast.h>
@@ -228,7 +229,7 @@
         return SubmitOutcome::TooLarge;
     if (const std::optional<Refusal> refusal = refusalOf(job))
         return refuse(job, *refusal, deadline);
-    const RowWrite write = writeJobRow(job.id, value, knownVersion, deadline);
+    const RowWrite write = writeJobRow(job, value, knownVersion, deadline);
     switch (write.outcome) {
     case RowWrite::Outcome::Written:
     case RowWrite::Outcome::JobExists:
@@ -249,6 +250,8 @@
             .with("queue", job.queue)
             .with("reason", "refused meanwhile");
         return {SubmitOutcome::Refused, MinRetryDelayOfCallers};
+    case RowWrite::Outcome::Cancelled:
+        return rejectCancelled(job);
     case RowWrite::Outcome::NotWritten:
         return SubmitOutcome::NotAccepted;
     case RowWrite::Outcome::Unknown:
@@ -260,8 +263,8 @@
 Submission Entry::refuse(const workload::Job &job, const Refusal &refusal, core::Instant deadline)
 {
     // A marker that exists is written again, so that a late replacement of it cannot be applied.
-    const RowWrite write =
-        writeJobRow(job.id, RefusalMarker, std::numeric_limits<std::int64_t>::max(), deadline);
+    const RowWrite write = writeJobRow(job, JobMarker::refusal().encode(),
+                                       std::numeric_limits<std::int64_t>::max(), deadline);
     if (write.outcome == RowWrite::Outcome::JobExists) {
         telemetry::Event("job_accepted")
             .with("job", job.id)
@@ -271,6 +274,8 @@
             .with("known_before", true);
         return SubmitOutcome::Accepted;
     }
+    if (write.outcome == RowWrite::Outcome::Cancelled)
+        return rejectCancelled(job);
     if (write.outcome == RowWrite::Outcome::NotWritten)
         return SubmitOutcome::NotAccepted;
     if (write.outcome != RowWrite::Outcome::Written)
@@ -293,9 +298,20 @@
     return {SubmitOutcome::Refused, refusal.retryAfter};
 }
 
-Entry::RowWrite Entry::writeJobRow(const std::string &job, const std::string &value,
+Submission Entry::rejectCancelled(const workload::Job &job)
+{
+    telemetry::Event("job_refused")
+        .with("job", job.id)
+        .with("queue", job.queue)
+        .with("account", job.account)
+        .with("reason", "cancelled before");
+    return SubmitOutcome::Cancelled;
+}
+
+Entry::RowWrite Entry::writeJobRow(const workload::Job &job, const std::string &value,
                                    std::int64_t maxMarkerVersion, core::Instant deadline)
 {
+    std::string written = value;
     std::int64_t expectedVersion = 0;
     std::optional<core::Instant> inDoubtSince;
     while (true) {
@@ -306,26 +322,33 @@
         if (timedOut)
             return {inDoubtSince ? RowWrite::Outcome::Unknown : RowWrite::Outcome::NotWritten};
         RowChanges changes;
-        changes.conditions.push_back({JobTable, job, expectedVersion});
-        changes.puts.push_back({JobTable, job, value});
+        changes.conditions.push_back({JobTable, job.id, expectedVersion});
+        changes.puts.push_back({JobTable, job.id, written});
         const CommitResult result = m_store.commit(changes, std::min(left, SubmitTimeout));
         if (result.outcome == CommitOutcome::Applied) {
             raiseKnownVersion(result.version);
             return {RowWrite::Outcome::Written, result.version};
         }
         if (result.outcome == CommitOutcome::Conflict) {
-            const auto row = conflictingRow(result, job, std::min(left, SubmitTimeout));
-            if (row && *row && !isRefusalMarker((*row)->value))
+            const auto row = conflictingRow(result, job.id, std::min(left, SubmitTimeout));
+            const auto marker =
+                row && *row ? JobMarker::parse((*row)->value) : std::optional<JobMarker>();
+            if (row && *row && !marker)
                 return {RowWrite::Outcome::JobExists, (*row)->version};
-            if (row && *row && (*row)->version > maxMarkerVersion)
+            if (marker && marker->cancels(job.account))
+                return {RowWrite::Outcome::Cancelled, (*row)->version};
+            if (marker && (*row)->version > maxMarkerVersion)
                 return {RowWrite::Outcome::MarkerExists, (*row)->version};
+            // A refusal must not drop another account's cancellation.
+            if (marker && JobMarker::parse(value))
+                written = (*row)->value;
             if (row) {
                 expectedVersion = *row ? (*row)->version : 0;
                 continue;
             }
         }
         telemetry::Event("job_store_failed")
-            .with("job", job)
+            .with("job", job.id)
             .with("outcome", toString(result.outcome))
             .with("reason", result.reason);
         if (result.outcome == CommitOutcome::Rejected)
@@ -385,7 +408,7 @@
     const auto row = m_store.row(JobTable, job, std::min(left, StoreTimeout));
     if (!row)
         return {};
-    if (!*row || isRefusalMarker((*row)->value))
+    if (!*row || JobMarker::parse((*row)->value))
         return {JobStatus::Kind::NoSuchJob, {}, {}};
     const auto stored = workload::decodeJob(job, (*row)->value);
     if (!stored)
@@ -407,6 +430,18 @@
     return stateFromStore(job, deadline);
 }
 
+CommitResult Entry::recordCancellation(const std::string &job, const std::optional<StoredRow> &row,
+                                       const std::string &account, absl::Duration timeout)
+{
+    const std::optional<JobMarker> marker =
+        row ? JobMarker::parse(row->value) : std::optional<JobMarker>();
+    RowChanges changes;
+    changes.conditions.push_back({JobTable, job, row ? row->version : 0});
+    changes.puts.push_back(
+        {JobTable, job, marker.value_or(JobMarker::refusal()).cancelledBy(account).encode()});
+    return m_store.commit(changes, timeout);
+}
+
 CancelOutcome Entry::cancel(const std::string &job, const std::string &account,
                             core::Instant deadline)
 {
@@ -415,22 +450,29 @@
         const absl::Duration left = deadline - ResponseReserve - m_clock.now();
         if (left <= absl::ZeroDuration())
             return inDoubt ? CancelOutcome::Unknown : CancelOutcome::NotCancelled;
-        const auto row = m_store.row(JobTable, job, std::min(left, StoreTimeout));
-        if (row && (!*row || isRefusalMarker((*row)->value)))
-            return CancelOutcome::NoSuchJob;
-        if (row) {
-            const auto stored = workload::decodeJob(job, (*row)->value);
-            if (stored && !account.empty() && stored->account != account)
-                return CancelOutcome::OtherAccount;
-            RowChanges changes;
-            changes.conditions.push_back({JobTable, job, (*row)->version});
-            changes.puts.push_back({JobTable, job + CancelSuffix, "{}"});
-            const CommitResult result = m_store.commit(changes, std::min(left, StoreTimeout));
+        const absl::Duration timeout = std::min(left, StoreTimeout);
+        if (const auto row = m_store.row(JobTable, job, timeout)) {
+            const bool exists = *row && !JobMarker::parse((*row)->value);
+            CommitResult result;
+            if (exists) {
+                const auto stored = workload::decodeJob(job, (*row)->value);
+                if (stored && !account.empty() && stored->account != account)
+                    return CancelOutcome::OtherAccount;
+                RowChanges changes;
+                changes.conditions.push_back({JobTable, job, (*row)->version});
+                changes.puts.push_back({JobTable, job + CancelSuffix, "{}"});
+                result = m_store.commit(changes, timeout);
+            } else {
+                // A submission may be on its way, in a buffer of an entry that is frozen or in a
+                // delayed transaction.
+                result = recordCancellation(job, *row, account, timeout);
+            }
             if (result.outcome == CommitOutcome::Applied) {
                 telemetry::Event("cancel_accepted")
                     .with("job", job)
-                    .with("version", result.version);
-                return CancelOutcome::Cancelled;
+                    .with("version", result.version)
+                    .with("job_exists", exists);
+                return exists ? CancelOutcome::Cancelled : CancelOutcome::NoSuchJob;
             }
             if (result.outcome == CommitOutcome::Rejected)
                 return CancelOutcome::NotCancelled;
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -2,6 +2,7 @@
 
 #include "leaderlimits.h"
 
+#include <oleandercross/control/jobmarker.h>
 #include <oleandercross/core/resultcode.h>
 #include <oleandercross/telemetry/eventlog.h>
 #include <oleandercross/workload/codec.h>
@@ -266,7 +267,7 @@
         m_planner.cancelJob(id, now);
         return;
     }
-    if (isRefusalMarker(row.value)) {
+    if (JobMarker::parse(row.value)) {
         m_markers[row.key] = {row.version, now};
         return;
     }
--- a/test/control/tst_entry.cpp
+++ b/test/control/tst_entry.cpp
@@ -150,7 +150,9 @@
 {
     EntryFixture f;
     const std::string id = f.job().id;
-    CHECK(f.entry.cancel(id, {}, f.deadlineIn(absl::Seconds(1))) == CancelOutcome::NoSuchJob);
+    CHECK(f.entry.cancel("00000000000000aa", {}, f.deadlineIn(absl::Seconds(1)))
+          == CancelOutcome::NoSuchJob);
+    CHECK(f.store.value(JobTable, "00000000000000aa"));
     REQUIRE(f.entry.submit(f.job(), f.deadlineIn(absl::Seconds(5))) == SubmitOutcome::Accepted);
     f.store.setUnavailable(true);
     CHECK(f.entry.cancel(id, {}, f.deadlineIn(absl::Milliseconds(200)))
--- a/test/control/tst_refusals.cpp
+++ b/test/control/tst_refusals.cpp
@@ -1,5 +1,6 @@
 #include "loadedentry.h"
 
+#include <oleandercross/control/jobmarker.h>
 #include <oleandercross/workload/codec.h>
 
 using namespace oleandercross;
@@ -44,7 +45,7 @@
     const Submission result = f.entry.submit();
     CHECK(result.outcome == SubmitOutcome::Refused);
     CHECK(result.retryAfter >= absl::Seconds(1));
-    CHECK(f.store.value(JobTable, Id) == RefusalMarker);
+    CHECK(f.store.value(JobTable, Id) == JobMarker::refusal().encode());
     CHECK(f.entry.metrics.value("jobs_refused_by_forecast") == 1);
     // No leader that knows the job answers, so the entry reads the rows.
     CHECK(f.entry.entry.state(Id, nearDeadline()).kind == JobStatus::Kind::NoSuchJob);
@@ -200,8 +201,8 @@
     const bool replaced = GENERATE(false, true);
     store.replacing = replaced;
     RowChanges changes;
-    changes.puts.push_back({JobTable, Id, RefusalMarker});
-    changes.puts.push_back({JobTable, "00000000000000aa", RefusalMarker});
+    changes.puts.push_back({JobTable, Id, JobMarker::refusal().encode()});
+    changes.puts.push_back({JobTable, "00000000000000aa", JobMarker::refusal().encode()});
     REQUIRE(store.commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
     EntryProcess leader(store, "front", absl::Milliseconds(500), absl::InfiniteDuration(),
                         absl::ZeroDuration());
--- a/test/control/tst_removedjobs.cpp
+++ b/test/control/tst_removedjobs.cpp
@@ -1,6 +1,7 @@
 #include "loadedentry.h"
 #include "restartcluster.h"
 
+#include <oleandercross/control/jobmarker.h>
 #include <oleandercross/control/removedjobs.h>
 #include <oleandercross/workload/codec.h>
 
@@ -48,7 +49,7 @@
     void putMarker(const std::string &id)
     {
         RowChanges changes;
-        changes.puts.push_back({JobTable, id, RefusalMarker});
+        changes.puts.push_back({JobTable, id, JobMarker::refusal().encode()});
         REQUIRE(commit(changes, StoreTimeout).outcome == CommitOutcome::Applied);
     }
 
--- a/test/deployment/tst_callers.cpp
+++ b/test/deployment/tst_callers.cpp
@@ -48,3 +48,39 @@
     CHECK(send().status == 200);
     server.stop();
 }
+
+// Guards against a caller that is told to repeat a submission that was cancelled, or that cannot
+// tell it from one that the store did not take.
+TEST_CASE("a caller whose job was cancelled before its submission is told so")
+{
+    FakeRowStore store;
+    FakeLeader leader(store);
+    LoadedEntry entry(store);
+    platform::CallerApi api(entry.entry, entry.metrics);
+    http::Server server(onLoopback(0));
+    api.serve(server);
+    REQUIRE(server.start());
+    leader.report(false);
+    entry.awaitForecast(false);
+    http::ClientPool client({});
+    const auto send = [&](const char *method, const std::string &body) {
+        http::Request request;
+        request.method = method;
+        request.path = std::string("/jobs/") + Id;
+        request.body = body;
+        const auto response = client.send({"127.0.0.1", server.port()}, request, absl::Seconds(10));
+        REQUIRE(response);
+        return *response;
+    };
+    CHECK(send("DELETE", {}).status == 410);
+    for (int i = 0; i < 2; ++i) {
+        const http::Response response =
+            send("POST", R"({"spec":"text","steps":[{"count":1,"cpu":1000}]})");
+        CHECK(response.status == 503);
+        CHECK(core::intMember(*core::parseJson(response.body), "code") == 312);
+        CHECK_FALSE(response.headers.contains("retry-after"));
+        CHECK(send("GET", {}).status == 410);
+    }
+    CHECK(send("DELETE", {}).status == 410);
+    server.stop();
+}
