Record ends that a worker lists after its runs were given up

The first run had completed on a worker that was cut off for longer than its lease.

Cause: JobRecord::end() recorded an end only while the task was active with that run. When the lease is over, the run is given up and the task is pending, and the end that the worker lists when it is back was acknowledged and ignored.

The end of the latest run is now recorded although the run was given up: completion, failure and checkpoint. That clears the task's worker, which is stored, so that a repeated list does not count the end again. A completion of an earlier run completes the task too: run numbers are ordered on one worker only. A later run is stopped at once; it keeps its capacity until its end is listed, and the next step does not wait for it. The members of a gang complete together.

Same cause, mended and tested here: checkpoints and failures of runs that were given up; a confirmation that a run is absent which is handled before the list with its end.

Tests: the fuzz of the planner cuts workers off while their runs end. Calls of runAbsent(), startRefusedByClosure() and requeue() pass the time.

--- a/bench/dayschedulers.cpp
+++ b/bench/dayschedulers.cpp
@@ -31,9 +31,10 @@
     {
         m_planner.runEnded(worker, run, how, checkpoint, now);
     }
-    void runAbsent(const std::string &worker, const workload::RunKey &run) override
+    void runAbsent(const std::string &worker, const workload::RunKey &run,
+                   core::Instant now) override
     {
-        m_planner.runAbsent(worker, run);
+        m_planner.runAbsent(worker, run, now);
     }
     planning::Plan plan(core::Instant now) override { return m_planner.plan(now, 0); }
     planning::LearnedState learnedState(core::Instant now) const override
@@ -79,7 +80,7 @@
         if (record.state() == planning::JobState::Completed)
             m_completed.push_back(run.task.job);
     }
-    void runAbsent(const std::string &, const workload::RunKey &) override { }
+    void runAbsent(const std::string &, const workload::RunKey &, core::Instant) override { }
     planning::Plan plan(core::Instant now) override
     {
         planning::Plan plan;
--- a/bench/dayschedulers.h
+++ b/bench/dayschedulers.h
@@ -24,7 +24,8 @@
                           planning::RunEnd how, const std::string &checkpoint,
                           core::Instant now) = 0;
     // Reports that the worker does not have a run that it was ordered to stop.
-    virtual void runAbsent(const std::string &worker, const workload::RunKey &run) = 0;
+    virtual void runAbsent(const std::string &worker, const workload::RunKey &run,
+                           core::Instant now) = 0;
     // Returns the start and stop orders that are due.
     virtual planning::Plan plan(core::Instant now) = 0;
     // Returns what a leader would store of what the scheduler has learned.
--- a/bench/daysimulation.cpp
+++ b/bench/daysimulation.cpp
@@ -380,7 +380,7 @@
                                         [&order](const Run &run) { return run.key == order.run; });
         if (order.kind == planning::Order::Kind::Stop) {
             if (found == m_runs.end())
-                m_scheduler->runAbsent(order.worker, order.run);
+                m_scheduler->runAbsent(order.worker, order.run, m_now);
             else if (found->stopsAt == absl::InfiniteFuture())
                 found->stopsAt = m_now + m_scenario.stopTime * uniform(0.3, 1);
             return;
--- a/include/oleandercross/planning/jobrecord.h
+++ b/include/oleandercross/planning/jobrecord.h
@@ -43,11 +43,14 @@
     // that crashed right after its start, so that the task is the likely cause.
     int crashes = 0;
     int startCrashes = 0;
-    // The key of the worker of the latest run.
+    // The key of the worker of the latest run; empty once the end of that run is recorded.
     std::string worker;
     // The latest checkpoint that a worker reported, passed to the next run unchanged; empty if
     // there is none.
     std::string checkpoint;
+    // An earlier run that turned out to have completed after the latest one was started; 0 if there
+    // is none. The latest run is then only to be stopped.
+    int completedRun = 0;
 
     // The members below are not stored; a restore resets them.
     // The worker confirmed the start, or listed the run in its latest listing.
@@ -88,6 +91,8 @@
     // Returns true while the run may be the cause if its worker crashes: its start is not
     // confirmed, or was confirmed less than a second ago.
     bool startedRecently(core::Instant now) const;
+    // Returns true if a run has completed, also if another one is still to be stopped.
+    bool hasCompleted() const { return phase == TaskPhase::Done || completedRun > 0; }
     // Returns true if the task probably has crashed a worker.
     bool isSuspect() const { return startCrashes > 0; }
 };
@@ -151,17 +156,22 @@
 
     // Opens the occurrences that are due at this Unix time, within MaxOpenTasks.
     void openDueOccurrences(std::int64_t unixMs);
-    // Returns true if all steps that the step depends on are done.
+    // Returns true if the tasks of all steps that the step depends on have completed.
     bool ready(const Occurrence &occurrence, int step) const;
 
     // Records the decision to start a run on a worker.
     void start(const workload::TaskKey &key, int run, const std::string &worker, core::Instant now);
-    // Records the end of a run. Returns false if it is not the task's current run on that worker.
+    // Returns true if the run is the task's latest one, was started on that worker, and its end has
+    // not been recorded. The run may have been given up.
+    bool awaitsEnd(const workload::RunKey &key, const std::string &worker) const;
+    // Records the end of a run that awaits it, or the completion of an earlier run, which is as
+    // good as one of the latest run. Returns false for other ends, which change nothing.
     bool end(const workload::RunKey &key, const std::string &worker, RunEnd outcome,
              const std::string &checkpoint, core::Instant now);
     // Makes the task pending again after its run was confirmed absent or its worker was removed.
-    // Returns false if it is not the task's current run on that worker.
-    bool requeue(const workload::RunKey &key, const std::string &worker);
+    // The run is given up, but its end may still be recorded. Returns false if it is not the task's
+    // current run on that worker.
+    bool requeue(const workload::RunKey &key, const std::string &worker, core::Instant now);
     // Makes the task pending again after its worker crashed. The job fails if its tasks have
     // crashed too many workers. Returns false if it is not the task's current run on that worker.
     bool workerCrashed(const workload::RunKey &key, const std::string &worker, core::Instant now);
@@ -189,6 +199,8 @@
 private:
     void closeCompletedOccurrences(core::Instant now);
     void finish(JobState state, core::Instant now);
+    // Records that a run before the latest one has completed. Returns false if nothing changes.
+    bool completeByEarlierRun(const workload::RunKey &key, core::Instant now);
     void applyRunEndToGang(StepProgress &step, const workload::RunKey &key, RunEnd outcome,
                            const std::string &checkpoint);
     // Read parts of the stored progress. Rows with a number out of range and rows that name no open
@@ -196,6 +208,7 @@
     void restoreGangFailures(const Json::Value &row);
     void restoreTask(const Json::Value &row);
     void restoreCrashes(const Json::Value &row);
+    void restoreCompletedRun(const Json::Value &row);
     void restoreDone(const Json::Value &row);
     void restoreTasks(const Json::Value &value);
     bool restorePart(const std::string &name, const std::string &text);
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -111,10 +111,11 @@
     void beginListing(const std::string &worker);
     void runSeen(const std::string &worker, const workload::RunKey &run,
                  const std::string &checkpoint, int percent, core::Instant now);
-    void runEnded(const std::string &worker, const workload::RunKey &run, RunEnd outcome,
+    // Returns false if the end changes nothing, see JobRecord::end().
+    bool runEnded(const std::string &worker, const workload::RunKey &run, RunEnd outcome,
                   const std::string &checkpoint, core::Instant now);
     // Handles the worker's confirmation that the run does not exist and can no longer start.
-    void runAbsent(const std::string &worker, const workload::RunKey &run);
+    void runAbsent(const std::string &worker, const workload::RunKey &run, core::Instant now);
     // Handles the worker's confirmation of a start.
     void startConfirmed(const std::string &worker, const workload::RunKey &run, core::Instant now);
     // Records that the worker has not received the latest start order of the run. The order is
@@ -125,7 +126,8 @@
 
     // Handles the agent's refusal of a start because the worker's data centre is closed. The agent
     // has not sent the start to the worker. The worker is not avoided after the data centre opens.
-    void startRefusedByClosure(const std::string &worker, const workload::RunKey &run);
+    void startRefusedByClosure(const std::string &worker, const workload::RunKey &run,
+                               core::Instant now);
 
     Plan plan(core::Instant now, std::int64_t unixMs);
 
--- a/src/control/leaderagents.cpp
+++ b/src/control/leaderagents.cpp
@@ -151,8 +151,8 @@
             .with("run", run.run)
             .with("worker", incarnation)
             .with("reason", toString(end))
-            .with("crashes", task->crashes)
-            .with("start_crashes", task->startCrashes);
+            .with("crashes", task ? task->crashes : 0)
+            .with("start_crashes", task ? task->startCrashes : 0);
     }
 }
 
@@ -228,13 +228,15 @@
         lastNumber = 0;
     }
     for (const EndedTask &ended : state.runs.ended) {
-        if (m_planner.hasActiveRun(incarnation, ended.run)) {
+        const bool active = m_planner.hasActiveRun(incarnation, ended.run);
+        if (m_planner.runEnded(incarnation, ended.run, ended.how, ended.checkpoint, now)) {
             m_metrics.add(absl::StrCat("runs_ended{how=\"", toString(ended.how), "\"}"));
             telemetry::Event("run_ended")
                 .with("task", toString(ended.run.task))
                 .with("run", ended.run.run)
                 .with("worker", incarnation)
-                .with("how", toString(ended.how));
+                .with("how", toString(ended.how))
+                .with("given_up", !active);
         } else if (ended.number > lastNumber
                    && (ended.how != planning::RunEnd::Completed
                        || !m_planner.completed(ended.run))) {
@@ -242,7 +244,6 @@
             logIgnoredEnd(incarnation, ended);
         }
         lastNumber = std::max(lastNumber, ended.number);
-        m_planner.runEnded(incarnation, ended.run, ended.how, ended.checkpoint, now);
         std::int64_t &number = m_toAcknowledge[incarnation];
         number = std::max(number, ended.number);
     }
@@ -275,7 +276,7 @@
     for (std::size_t i = 0; i < results.orders.size(); ++i) {
         const planning::Order &order = results.orders[i];
         if (results.results[i] == OrderResult::Absent)
-            m_planner.runAbsent(results.incarnation, order.run);
+            m_planner.runAbsent(results.incarnation, order.run, m_clock.now());
         if (order.kind != planning::Order::Kind::Start)
             continue;
         if (results.results[i] == OrderResult::Done)
@@ -290,7 +291,7 @@
         if (results.results[i] == OrderResult::DataCentreClosed) {
             m_metrics.add("starts_refused_closed");
             logRefusedStart(order, results.results[i]);
-            m_planner.startRefusedByClosure(results.incarnation, order.run);
+            m_planner.startRefusedByClosure(results.incarnation, order.run, m_clock.now());
         }
     }
 }
--- a/src/planning/closures.cpp
+++ b/src/planning/closures.cpp
@@ -37,7 +37,8 @@
     return open;
 }
 
-void Planner::startRefusedByClosure(const std::string &worker, const workload::RunKey &run)
+void Planner::startRefusedByClosure(const std::string &worker, const workload::RunKey &run,
+                                    core::Instant now)
 {
     if (!hasActiveRun(worker, run))
         return;
@@ -51,7 +52,7 @@
         requestStop(*task, "data centre closed");
         return;
     }
-    record->requeue(run, worker);
+    record->requeue(run, worker, now);
     m_changed.insert(run.task.job);
 }
 
--- a/src/planning/jobprogress.cpp
+++ b/src/planning/jobprogress.cpp
@@ -64,6 +64,13 @@
             encodeCounts({key.occurrence, key.step, key.index, task.crashes, task.startCrashes}));
 }
 
+void appendCompletedRun(Json::Value &value, const workload::TaskKey &key, const Task &task)
+{
+    if (task.completedRun > 0)
+        value["completed"].append(
+            encodeCounts({key.occurrence, key.step, key.index, task.completedRun}));
+}
+
 // Adds a completed task to the last range of completed tasks if it continues it.
 void appendDone(Json::Value &value, const workload::TaskKey &key, int run)
 {
@@ -111,6 +118,7 @@
                 const Task &task = step.tasks[i];
                 const workload::TaskKey key{{}, number, static_cast<int>(s), static_cast<int>(i)};
                 appendCrashes(value, key, task);
+                appendCompletedRun(value, key, task);
                 // An ended job only stores the tasks that still have to be stopped.
                 if (task.run > 0 && (!ended(m_state) || task.phase == TaskPhase::Active))
                     value["tasks"].append(encodeTask(key, task));
@@ -141,6 +149,7 @@
             }
             value["tasks"].append(encodeTask(key, task));
             appendCrashes(value, key, task);
+            appendCompletedRun(value, key, task);
         }
     }
     return value.empty() ? std::nullopt : std::optional(core::writeJson(value));
@@ -237,6 +246,15 @@
     target->startCrashes = row[4].asInt();
 }
 
+void JobRecord::restoreCompletedRun(const Json::Value &row)
+{
+    if (!startsWithCounts(row, 4))
+        return;
+    Task *target = task({{}, row[0].asInt(), row[1].asInt(), row[2].asInt()});
+    if (target && target->phase == TaskPhase::Active)
+        target->completedRun = row[3].asInt();
+}
+
 bool JobRecord::restoreOccurrences(const Json::Value &progress)
 {
     const auto next = core::requiredInt(progress, "next", {0, m_job.occurrences});
@@ -277,6 +295,8 @@
         restoreDone(row);
     for (const Json::Value &row : core::member(value, "crashes"))
         restoreCrashes(row);
+    for (const Json::Value &row : core::member(value, "completed"))
+        restoreCompletedRun(row);
 }
 
 bool JobRecord::restorePart(const std::string &name, const std::string &text)
--- a/src/planning/jobrecord.cpp
+++ b/src/planning/jobrecord.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace oleandercross::planning {
 
@@ -30,6 +31,10 @@
 void resetRun(Task &task)
 {
     task.phase = TaskPhase::Pending;
+    if (task.completedRun > 0) {
+        task.phase = TaskPhase::Done;
+        task.run = std::exchange(task.completedRun, 0);
+    }
     task.running = false;
     task.stopRequested = false;
     task.percent = 0;
@@ -169,7 +174,7 @@
 {
     for (const int earlier : m_job.steps[static_cast<std::size_t>(step)].after) {
         for (const Task &task : occurrence.steps[static_cast<std::size_t>(earlier)].tasks) {
-            if (task.phase != TaskPhase::Done)
+            if (!task.hasCompleted())
                 return false;
         }
     }
@@ -204,24 +209,38 @@
         m_state = JobState::Running;
 }
 
+bool JobRecord::awaitsEnd(const workload::RunKey &key, const std::string &worker) const
+{
+    const Task *latest = task(key.task);
+    return latest && latest->phase != TaskPhase::Done && latest->run == key.run
+        && latest->worker == worker;
+}
+
 bool JobRecord::end(const workload::RunKey &key, const std::string &worker, RunEnd outcome,
                     const std::string &checkpoint, core::Instant now)
 {
+    if (!awaitsEnd(key, worker))
+        return outcome == RunEnd::Completed && completeByEarlierRun(key, now);
     Task *target = task(key.task);
-    if (!target || target->phase != TaskPhase::Active || target->run != key.run
-        || target->worker != worker)
-        return false;
+    const bool superseded = target->completedRun > 0;
+    // The worker lists the end until it is acknowledged, and a run that has been given up could be
+    // counted again.
+    target->worker.clear();
+    resetRun(*target);
+    markChanged(key.task);
+    if (superseded) {
+        closeCompletedOccurrences(now);
+        return true;
+    }
     StepProgress &step =
         m_occurrences.at(key.task.occurrence).steps[static_cast<std::size_t>(key.task.step)];
     saveCheckpoint(key.task, checkpoint);
-    resetRun(*target);
     if (outcome == RunEnd::Completed)
         target->phase = TaskPhase::Done;
     if (outcome == RunEnd::Failed) {
         ++target->failures;
         target->workersWithFailedRuns.insert(worker);
     }
-    markChanged(key.task);
     if (m_job.steps[static_cast<std::size_t>(key.task.step)].gang)
         applyRunEndToGang(step, key, outcome, checkpoint);
     const int failures = m_job.steps[static_cast<std::size_t>(key.task.step)].gang
@@ -233,6 +252,33 @@
     return true;
 }
 
+bool JobRecord::completeByEarlierRun(const workload::RunKey &key, core::Instant now)
+{
+    const Task *target = task(key.task);
+    if (!target || ended(m_state) || key.run <= 0)
+        return false;
+    bool changed = false;
+    std::vector<Task> &tasks = step(key.task)->tasks;
+    const bool gang = m_job.steps[static_cast<std::size_t>(key.task.step)].gang;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+        Task &completed = tasks[i];
+        // The members of a gang complete together.
+        if ((!gang && &completed != target) || completed.hasCompleted() || key.run >= completed.run)
+            continue;
+        completed.completedRun = key.run;
+        // The capacity of an active run stays occupied until its end is confirmed.
+        if (completed.phase == TaskPhase::Pending)
+            resetRun(completed);
+        workload::TaskKey member = key.task;
+        member.index = static_cast<int>(i);
+        markChanged(member);
+        changed = true;
+    }
+    if (changed)
+        closeCompletedOccurrences(now);
+    return changed;
+}
+
 void JobRecord::applyRunEndToGang(StepProgress &step, const workload::RunKey &key, RunEnd outcome,
                                   const std::string &checkpoint)
 {
@@ -254,7 +300,7 @@
     }
 }
 
-bool JobRecord::requeue(const workload::RunKey &key, const std::string &worker)
+bool JobRecord::requeue(const workload::RunKey &key, const std::string &worker, core::Instant now)
 {
     Task *target = task(key.task);
     if (!target || target->phase != TaskPhase::Active || target->run != key.run
@@ -262,6 +308,8 @@
         return false;
     resetRun(*target);
     markChanged(key.task);
+    if (target->phase == TaskPhase::Done)
+        closeCompletedOccurrences(now);
     return true;
 }
 
@@ -296,9 +344,11 @@
 bool JobRecord::workerCrashed(const workload::RunKey &key, const std::string &worker,
                               core::Instant now)
 {
-    if (!requeue(key, worker))
+    if (!requeue(key, worker, now))
         return false;
     Task *target = task(key.task);
+    if (!target || target->phase == TaskPhase::Done)
+        return true;
     target->crashes = target->savedCheckpoint ? 1 : target->crashes + 1;
     if (target->startedRecently(now))
         ++target->startCrashes;
--- a/src/planning/loadforecast.cpp
+++ b/src/planning/loadforecast.cpp
@@ -333,7 +333,7 @@
     {
         absl::Duration longest;
         for (const Task &task : progress.tasks) {
-            if (task.phase != TaskPhase::Done)
+            if (!task.hasCompleted())
                 longest = std::max(
                     longest,
                     task.phase == TaskPhase::Pending ? time : remainingRunTime(task, time, m_now));
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -87,9 +87,11 @@
     const bool mustMove = worker.draining && run.spec->checkpointable
         && remainingTime(task, taskTime(record, *run.progress, *run.spec), now)
             > worker.leavesAt - now;
-    if (!task.stopRequested && (ended(record.state()) || gangIncomplete || mustMove))
+    const bool superseded = task.completedRun > 0;
+    if (!task.stopRequested && (ended(record.state()) || superseded || gangIncomplete || mustMove))
         requestStop(task,
                     ended(record.state()) ? "job ended"
+                        : superseded      ? "an earlier run has completed"
                         : gangIncomplete  ? "gang incomplete"
                                           : "worker is leaving");
     if (!task.stopRequested)
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -129,7 +129,7 @@
         if (end == WorkerEnd::Crashed && (run.running || !run.startNotSent))
             record.workerCrashed(lost.back(), key, now);
         else
-            record.requeue(lost.back(), key);
+            record.requeue(lost.back(), key, now);
         m_changed.insert(task.job);
     });
     return lost;
@@ -295,26 +295,26 @@
     }
 }
 
-void Planner::runEnded(const std::string &worker, const workload::RunKey &run, RunEnd outcome,
+bool Planner::runEnded(const std::string &worker, const workload::RunKey &run, RunEnd outcome,
                        const std::string &checkpoint, core::Instant now)
 {
     JobRecord *record = find(run.task.job);
     if (!record)
-        return;
+        return false;
     const Task *task = record->task(run.task);
     const std::set<std::string> failedBefore =
         task ? task->workersWithFailedRuns : std::set<std::string>();
-    if (outcome == RunEnd::Completed && hasActiveRun(worker, run)) {
+    if (outcome == RunEnd::Completed && hasActiveRun(worker, run))
         recordCompletion(*record, run.task, now);
+    if (outcome == RunEnd::Completed && record->awaitsEnd(run, worker))
         holdCapacityOfGangMembers(*record, run, worker);
-    }
     if (!record->end(run, worker, outcome, checkpoint, now))
-        return;
+        return false;
     m_changed.insert(run.task.job);
     if (outcome == RunEnd::Completed)
         m_health.recordSuccess(worker, now);
     if (outcome != RunEnd::Failed)
-        return;
+        return true;
     // A task that fails on several workers is itself the cause, not the workers.
     if (failedBefore.empty())
         m_health.recordFailure(worker, now);
@@ -322,12 +322,13 @@
         if (other != worker)
             m_health.retractFailure(other, now);
     }
+    return true;
 }
 
-void Planner::runAbsent(const std::string &worker, const workload::RunKey &run)
+void Planner::runAbsent(const std::string &worker, const workload::RunKey &run, core::Instant now)
 {
     JobRecord *record = find(run.task.job);
-    if (record && record->requeue(run, worker))
+    if (record && record->requeue(run, worker, now))
         m_changed.insert(run.task.job);
 }
 
@@ -410,8 +411,10 @@
         return false;
     const Task *task = record->task(run.task);
     // The record of a task is removed when its occurrence is complete.
-    return task ? task->phase == TaskPhase::Done && task->run == run.run
-                : record->state() == JobState::Completed;
+    if (!task)
+        return record->state() == JobState::Completed;
+    return task->hasCompleted()
+        && (task->completedRun > 0 ? task->completedRun : task->run) == run.run;
 }
 
 workload::Demand Planner::demandOf(const workload::TaskKey &task) const
--- a/src/planning/valuation.cpp
+++ b/src/planning/valuation.cpp
@@ -82,7 +82,7 @@
         return unit.spec->tasks;
     const auto remainingTasks =
         std::count_if(unit.progress->tasks.begin(), unit.progress->tasks.end(),
-                      [](const Task &t) { return t.phase != TaskPhase::Done; });
+                      [](const Task &t) { return !t.hasCompleted(); });
     const bool canMeetDeadline = round.now + unit.taskTime < unit.deadline;
     const core::Instant end = canMeetDeadline ? unit.deadline : unit.zeroValueAt;
     const absl::Duration timeLeft = std::max(end - round.now, unit.taskTime);
@@ -108,9 +108,8 @@
         const workload::Step &spec = job.steps[s];
         const StepProgress &progress = occurrence.steps[s];
         const absl::Duration time = taskTime(record, progress, spec);
-        const auto remainingTasks =
-            std::count_if(progress.tasks.begin(), progress.tasks.end(),
-                          [](const Task &t) { return t.phase != TaskPhase::Done; });
+        const auto remainingTasks = std::count_if(progress.tasks.begin(), progress.tasks.end(),
+                                                  [](const Task &t) { return !t.hasCompleted(); });
         absl::Duration begin;
         absl::Duration remainingBegin;
         for (const int earlier : spec.after) {
--- a/test/control/testprocesses.h
+++ b/test/control/testprocesses.h
@@ -48,8 +48,12 @@
         server.add("watch", [this, name](const Json::Value &params) -> std::optional<Json::Value> {
             if (!isAddressedTo(name, params))
                 return std::nullopt;
-            while (watchesPaused)
-                absl::SleepFor(PollPeriod);
+            if (watchesPaused) {
+                ++heldWatches;
+                while (watchesPaused)
+                    absl::SleepFor(PollPeriod);
+                --heldWatches;
+            }
             const auto state = agent.watch(watchCallFromJson(params));
             return state ? std::optional(toJson(*state)) : std::nullopt;
         });
@@ -87,6 +91,7 @@
     // Calls wait while these are set, as they do in the buffers of a process that does not run.
     std::atomic<bool> watchesPaused = false;
     std::atomic<bool> ordersPaused = false;
+    std::atomic<int> heldWatches = 0;
     std::atomic<int> waitingOrders = 0;
     rpc::Server server;
     Agent agent;
--- a/test/planning/tst_closures.cpp
+++ b/test/planning/tst_closures.cpp
@@ -84,7 +84,7 @@
     CHECK(orders[0].run == start.run);
     f.advanceTime(absl::Seconds(1));
     CHECK(f.planStarts().empty());
-    f.planner.runAbsent("w0", start.run);
+    f.planner.runAbsent("w0", start.run, f.now);
     CHECK(f.workersOf(f.planStarts()) == std::set<std::string>{"w4"});
 }
 
@@ -148,7 +148,7 @@
         REQUIRE(f.planStarts().size() == 1);
     }
     f.planner.updateWorker(f.worker(3));
-    f.planner.startRefusedByClosure("w0", start.run);
+    f.planner.startRefusedByClosure("w0", start.run, f.now);
     f.planner.setClosedDataCentres({"d0"});
     const auto orders = f.plan();
     REQUIRE(orders.size() == 1);
--- a/test/planning/tst_planner.cpp
+++ b/test/planning/tst_planner.cpp
@@ -168,7 +168,7 @@
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].kind == Order::Kind::Stop);
     CHECK(orders[0].run == start.run);
-    f.planner.runAbsent(start.worker, start.run);
+    f.planner.runAbsent(start.worker, start.run, f.now);
     const auto next = f.planStarts();
     REQUIRE(next.size() == 1);
     CHECK((next[0].run.task.job == "b" || next[0].run.run == 2));
@@ -360,7 +360,7 @@
         REQUIRE(starts.size() == 1);
         tried.insert(starts[0].worker);
         f.planner.startRefused(starts[0].worker, starts[0].run);
-        f.planner.runAbsent(starts[0].worker, starts[0].run);
+        f.planner.runAbsent(starts[0].worker, starts[0].run, f.now);
         f.advanceTime(absl::Milliseconds(300));
     }
     CHECK(tried.size() == 3);
--- a/test/planning/tst_plannerfuzz.cpp
+++ b/test/planning/tst_plannerfuzz.cpp
@@ -39,7 +39,12 @@
         for (const Order &order : m_fixture.plan())
             execute(order);
         endRandomRun();
+        if (chance(0.03))
+            cutOffRandomWorker();
+        reconnectWorkers();
         checkCapacity();
+        checkSuperfluousRuns();
+        ++m_steps;
     }
 
 private:
@@ -69,6 +74,7 @@
 
     void execute(const Order &order)
     {
+        CHECK_FALSE(m_cutOff.contains(order.worker));
         std::vector<Running> &running = m_running[order.worker];
         const auto found = std::find_if(running.begin(), running.end(),
                                         [&](const Running &r) { return r.run == order.run; });
@@ -77,7 +83,7 @@
                 return;
             m_closedRuns.insert({order.worker, order.run});
             if (found == running.end()) {
-                m_fixture.planner.runAbsent(order.worker, order.run);
+                m_fixture.planner.runAbsent(order.worker, order.run, m_fixture.now);
                 return;
             }
             running.erase(found);
@@ -88,7 +94,7 @@
         CHECK_FALSE(m_closed.contains(m_fixture.planner.workers().at(order.worker).dataCentre));
         if (chance(0.02) && found == running.end()) {
             m_closedRuns.insert({order.worker, order.run});
-            m_fixture.planner.startRefusedByClosure(order.worker, order.run);
+            m_fixture.planner.startRefusedByClosure(order.worker, order.run, m_fixture.now);
             return;
         }
         if (chance(0.1) || m_closedRuns.contains({order.worker, order.run}))
@@ -131,13 +137,78 @@
     {
         std::erase_if(m_running[worker], [&](const Running &r) { return r.run == run; });
         m_closedRuns.insert({worker, run});
+        reportEnd(worker, run, outcome);
+    }
+
+    void reportEnd(const std::string &worker, const workload::RunKey &run, RunEnd outcome)
+    {
         if (outcome == RunEnd::Completed)
-            m_completed.insert(run.task);
+            m_completed.try_emplace(run.task, m_steps);
         if (outcome == RunEnd::Failed)
             ++m_failures[run.task.job];
         m_fixture.planner.runEnded(worker, run, outcome, {}, m_fixture.now);
     }
 
+    // Lets the runs on a worker end in any way while the leader does not hear of it and gives the
+    // worker up, which is back up to 3 s later.
+    void cutOffRandomWorker()
+    {
+        const std::string key = "w" + std::to_string(randomIndex(6));
+        if (m_cutOff.contains(key))
+            return;
+        CutOff &cut = m_cutOff[key];
+        cut.until = m_steps + 1 + static_cast<int>(randomIndex(60));
+        for (const Running &running : std::exchange(m_running[key], {})) {
+            const workload::RunKey &run = running.run;
+            const workload::Job &job =
+                m_jobs[static_cast<std::size_t>(std::stoi(run.task.job.substr(1)))];
+            m_closedRuns.insert({key, run});
+            if (job.steps[0].gang) {
+                // The members elsewhere end with it.
+                endMembers(run, RunEnd::Broken);
+                cut.ends.emplace_back(run, RunEnd::Lapsed);
+                continue;
+            }
+            const RunEnd hows[] = {RunEnd::Completed, RunEnd::Failed, RunEnd::Lapsed};
+            cut.ends.emplace_back(run, hows[randomIndex(3)]);
+        }
+        m_fixture.planner.removeWorker(key, WorkerEnd::LeaseExpired, m_fixture.now);
+    }
+
+    void reconnectWorkers()
+    {
+        for (auto it = m_cutOff.begin(); it != m_cutOff.end();) {
+            const auto &[key, cut] = *it;
+            if (m_steps < cut.until) {
+                ++it;
+                continue;
+            }
+            m_fixture.planner.updateWorker(PlannerFixture::worker(std::stoi(key.substr(1))));
+            m_fixture.planner.beginListing(key);
+            // Lists repeat ends until they are acknowledged.
+            for (int i = 0; i < 2; ++i) {
+                for (const auto &[run, how] : cut.ends) {
+                    if (i == 0)
+                        reportEnd(key, run, how);
+                    else
+                        CHECK_FALSE(m_fixture.planner.runEnded(key, run, how, {}, m_fixture.now));
+                }
+            }
+            it = m_cutOff.erase(it);
+        }
+    }
+
+    // Stops get lost and are repeated.
+    void checkSuperfluousRuns()
+    {
+        for (const auto &[worker, running] : m_running) {
+            for (const Running &other : running) {
+                const auto found = m_completed.find(other.run.task);
+                CHECK((found == m_completed.end() || m_steps - found->second < MaxStopSteps));
+            }
+        }
+    }
+
     // Ends the other members of a gang.
     void endMembers(const workload::RunKey &run, RunEnd outcome)
     {
@@ -161,21 +232,35 @@
         }
     }
 
+    // A run of a completed task ends within this many steps, each of 50 ms. Each stop is lost with
+    // a probability of 0.1, and repeated after 0.7 s.
+    static constexpr int MaxStopSteps = 200;
+
+    struct CutOff
+    {
+        int until = 0;
+        std::vector<std::pair<workload::RunKey, RunEnd>> ends;
+    };
+
     PlannerFixture m_fixture;
     std::mt19937 m_random;
+    int m_steps = 0;
+    std::map<std::string, CutOff> m_cutOff;
     std::vector<workload::Job> m_jobs;
     std::map<std::string, std::vector<Running>> m_running;
     // Runs that ended or were stopped; their worker does not start them again.
     std::set<std::pair<std::string, workload::RunKey>> m_closedRuns;
     std::set<std::string> m_closed;
-    std::set<workload::TaskKey> m_completed;
+    // The completed tasks, and the steps of the simulation in which their completion was listed.
+    std::map<workload::TaskKey, int> m_completed;
     std::map<std::string, int> m_failures;
 };
 
 } // namespace
 
 // The faults are lost orders, failed runs, and starts that agents refuse for a closed data centre,
-// of which one is closed for a while. A completed task must not run again either.
+// of which one is closed for a while, and workers that are given up while their runs end. A
+// completed task must not run again either, and other runs of it have to be stopped.
 TEST_CASE("no worker exceeds its capacity and no task runs twice under random faults")
 {
     const unsigned seed = GENERATE(range(1U, 21U));
--- a/test/planning/tst_progressrows.cpp
+++ b/test/planning/tst_progressrows.cpp
@@ -158,7 +158,7 @@
         const std::string worker = task.worker;
         const int kind = draw(0, 9);
         if (kind == 0) {
-            m_record.requeue(run, worker);
+            m_record.requeue(run, worker, m_now);
         } else if (kind == 1) {
             m_record.workerCrashed(run, worker, m_now);
         } else if (kind == 2) {
