Reject a submission in doubt once its job was cancelled as unknown

A submission with an unknown outcome names the job's id. DELETE of that id said UnknownJob if the store had not applied the submission yet, and the job ran when it did.

Cause: the cancellation of a job without a row left nothing behind.

The cancellation now stores a row for the id and the account, on the condition that the job has no row, and a submission is conditional on that row being absent. Another account's submissions are not affected, since ids are derived from keys that can be guessed.

--- a/include/oleandercross/daemon/jobrecord.h
+++ b/include/oleandercross/daemon/jobrecord.h
@@ -45,6 +45,9 @@
 std::string jobKey(const core::DataCentreId &dataCentre, const core::JobId &job);
 std::string jobPrefix(const core::DataCentreId &dataCentre);
 std::string doneKey(const core::DataCentreId &dataCentre, const core::JobId &job);
+// Returns the key of the row that keeps the account's submissions of the job from being stored,
+// since it was cancelled before.
+std::string earlyCancelKey(const core::JobId &job, const core::AccountId &account);
 
 // Returns the data centre in a job id, such as `brum` in "brum.<32 hexadecimal digits>". Fails with
 // UnknownJob.
--- a/include/oleandercross/daemon/jobservice.h
+++ b/include/oleandercross/daemon/jobservice.h
@@ -23,7 +23,8 @@
     ~JobService();
 
     // Stores a job and returns its record. A repeated submission with the same key returns the
-    // existing job. Fails with 2xx codes, StoreUnavailable ("not run"), or OutcomeUnknown.
+    // existing job. Fails with 2xx codes, StoreUnavailable or Cancelled ("not run"), or
+    // OutcomeUnknown.
     std::optional<JobRecord> submit(const config::Account &account, const std::string &key,
                                     const std::string &body);
 
@@ -33,7 +34,7 @@
                                  const std::string &knownState, absl::Duration wait);
 
     // Requests cancellation of a job and returns its record, unchanged if the job has already
-    // ended.
+    // ended. After UnknownJob, a submission of the account that is still on its way is not stored.
     std::optional<JobRecord> cancel(const core::AccountId &account, const core::JobId &id);
 
     std::optional<Json::Value> explain(const core::AccountId &account, const core::JobId &id);
@@ -43,6 +44,10 @@
                                         const std::string &knownState, absl::Duration wait);
     std::optional<JobRecord> readRow(const core::JobId &id);
     std::optional<JobRecord> requestCancelInRow(const core::JobId &id);
+    // Stores that the account has cancelled a job that does not exist, so that no submission of it
+    // is stored. Returns true if that is stored or the job has been. Fails with OutcomeUnknown or
+    // StoreUnavailable.
+    bool recordEarlyCancel(const core::AccountId &account, const core::JobId &id);
     // Notifies the leader of an accepted job. The message is retried while the leader changes, see
     // docs/design/handover.md.
     void notifyLeader(const core::DataCentreId &dataCentre, const core::JobId &job,
--- a/src/daemon/jobrecord.cpp
+++ b/src/daemon/jobrecord.cpp
@@ -186,6 +186,11 @@
     return "done/" + dataCentre.str() + "/" + job.str();
 }
 
+std::string earlyCancelKey(const core::JobId &job, const core::AccountId &account)
+{
+    return "cancel/" + job.str() + "/" + account.str();
+}
+
 std::optional<core::DataCentreId> dataCentreOf(const core::JobId &job)
 {
     const auto dot = job.str().find('.');
--- a/src/daemon/jobservice.cpp
+++ b/src/daemon/jobservice.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cctype>
 
 namespace oleandercross::daemon {
 
@@ -26,6 +27,8 @@
 constexpr int NotifyThreadCount = 2;
 // Attempts to write a row that the leader may change at the same time.
 constexpr int MaxCancelWriteAttempts = 5;
+// The number of hexadecimal digits after the data centre in a job id.
+constexpr std::size_t JobIdDigits = 32;
 constexpr std::size_t MaxIdempotencyKeyBytes = 128;
 
 // Returns the data centre for a job that doesn't name one: the only one in the account's
@@ -98,6 +101,16 @@
     return true;
 }
 
+// Returns true if a submission can have this id.
+bool isJobId(const core::JobId &id)
+{
+    const std::string &text = id.str();
+    const std::size_t dot = text.find('.');
+    return dot != std::string::npos && dot > 0 && text.size() - dot - 1 == JobIdDigits
+        && std::all_of(text.begin() + static_cast<std::ptrdiff_t>(dot) + 1, text.end(),
+                       [](unsigned char c) { return std::isxdigit(c) != 0; });
+}
+
 } // namespace
 
 JobService::JobService(ClusterView &cluster, ManifestService &manifests,
@@ -136,7 +149,7 @@
     // The digest is cut to the length of randomHexId().
     const std::string idSuffix = key.empty()
         ? core::randomHexId()
-        : core::sha256Hex(account.name.str() + "\n" + key).substr(0, 32);
+        : core::sha256Hex(account.name.str() + "\n" + key).substr(0, JobIdDigits);
     record->spec.id = core::JobId(record->dataCentre.str() + "." + idSuffix);
     record->spec.account = account.name;
     record->submittedAtMicros = core::wallClockMicros();
@@ -145,9 +158,10 @@
     if (!m_cluster.storeAvailable())
         return fail(ResultCode::StoreUnavailable, "the table service is not responding");
     platform::Transaction transaction;
-    // A job with the same key may already have ended.
+    // A job with the same key may already have ended, or have been cancelled before it was stored.
     transaction.conditions = {{jobKey(record->dataCentre, record->spec.id), 0},
-                              {doneKey(record->dataCentre, record->spec.id), 0}};
+                              {doneKey(record->dataCentre, record->spec.id), 0},
+                              {earlyCancelKey(record->spec.id, account.name), 0}};
     transaction.puts = {
         {jobKey(record->dataCentre, record->spec.id), core::writeJson(encode(*record))}};
     const platform::WriteResult result =
@@ -173,6 +187,8 @@
 std::optional<JobRecord> JobService::resolveDuplicate(const JobRecord &record)
 {
     std::optional<JobRecord> existing = readRow(record.spec.id);
+    if (!existing && core::lastReason().code == ResultCode::UnknownJob)
+        return fail(ResultCode::Cancelled, "the job was cancelled before it was stored");
     if (!existing)
         return std::nullopt;
     if (existing->digest != record.digest || existing->spec.account != record.spec.account)
@@ -245,7 +261,13 @@
 
 std::optional<JobRecord> JobService::cancel(const core::AccountId &account, const core::JobId &id)
 {
-    const std::optional<JobRecord> before = job(account, id, {}, absl::ZeroDuration());
+    std::optional<JobRecord> before = job(account, id, {}, absl::ZeroDuration());
+    if (!before && core::lastReason().code == ResultCode::UnknownJob && isJobId(id)) {
+        if (!recordEarlyCancel(account, id))
+            return std::nullopt;
+        // A job that was stored in the meantime is cancelled.
+        before = job(account, id, {}, absl::ZeroDuration());
+    }
     if (!before || scheduling::ended(before->state))
         return before;
     if (std::optional<JobRecord> record = callLeader("jobCancel", id, {}, absl::ZeroDuration()))
@@ -253,6 +275,28 @@
     return requestCancelInRow(id);
 }
 
+bool JobService::recordEarlyCancel(const core::AccountId &account, const core::JobId &id)
+{
+    const core::DataCentreId dataCentre = *dataCentreOf(id);
+    platform::Transaction transaction;
+    transaction.conditions = {{jobKey(dataCentre, id), 0}, {doneKey(dataCentre, id), 0}};
+    transaction.puts = {{earlyCancelKey(id, account), "{}"}};
+    const platform::WriteResult result =
+        m_store.write(std::move(transaction), platform::WritePriority::Job, WriteTimeout);
+    switch (result.outcome) {
+    case platform::WriteOutcome::Applied:
+    case platform::WriteOutcome::Conflict:
+        return true;
+    case platform::WriteOutcome::NotApplied:
+        fail(ResultCode::StoreUnavailable, "the cancellation could not be stored");
+        return false;
+    case platform::WriteOutcome::Unknown:
+        break;
+    }
+    fail(ResultCode::OutcomeUnknown, "the cancellation may or may not have been stored");
+    return false;
+}
+
 // Stores the cancellation request in the job's row, where the next leader reads it.
 std::optional<JobRecord> JobService::requestCancelInRow(const core::JobId &id)
 {
