Log why ready tasks wait, and how much capacity is reserved

Once a second the planner now counts, for each priority, the ready tasks that would fit into capacity that is kept for urgent jobs, and those that would fit elsewhere. The leader sets metrics and logs tasks_waiting for work that has waited for 2 s.

The test covers a reserve, a gang that is too wide for it, a full cluster and a missing label.

--- a/include/oleandercross/control/leader.h
+++ b/include/oleandercross/control/leader.h
@@ -128,6 +128,8 @@
     void round(core::Instant &nextRoundAt);
     // Updates the metrics of the workers' speeds, and logs when they become uneven or even.
     void reportSpeeds(const planning::SpeedSummary &speeds);
+    // Sets the metrics of waiting work, and logs the priorities that have waited for a while.
+    void reportWaitingWork(planning::WaitingWork waiting);
     static void pauseAfter(absl::Duration roundDuration);
     void applyServices(const workload::Catalog &catalog);
     void clearRejectedServices();
@@ -221,6 +223,7 @@
     // When an agent last reported an incarnation as that of its worker.
     std::map<std::string, core::Instant> m_incarnationSeenAt;
     planning::SpeedSummary m_reportedSpeeds;
+    planning::WaitingWork m_reportedWaitingWork;
     core::Instant m_nextCleanup = absl::InfinitePast();
     RemovedJobs m_removedJobs;
 
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -6,11 +6,13 @@
 #include <oleandercross/planning/jobrecord.h>
 #include <oleandercross/planning/learnedstate.h>
 #include <oleandercross/planning/placement.h>
+#include <oleandercross/planning/waitingwork.h>
 #include <oleandercross/planning/workerspeeds.h>
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -63,6 +65,8 @@
 {
     std::vector<Order> orders;
     SpeedSummary speeds;
+    // The work that waits after this round, about once a second.
+    std::optional<WaitingWork> waiting;
     // The time of the next plan if no event triggers one earlier.
     core::Instant next = absl::InfiniteFuture();
 };
@@ -200,7 +204,11 @@
     std::vector<SchedulingUnit> readyUnits(const Round &round);
     void chooseUrgentReserve(Round &round) const;
     void placeUnit(const SchedulingUnit &unit, Round &round);
+    std::optional<WaitingWork> waitingWork(const std::vector<SchedulingUnit> &units,
+                                           const Round &round);
 
+    void addWaitingTasks(const SchedulingUnit &unit, const Round &round,
+                         WaitingWork &waiting) const;
     bool isClosed(const Worker &worker) const;
     // Drops the unit's reservation if a part of it is on a worker of a closed data centre. The rest
     // would keep capacity from other units without letting this one start.
@@ -319,6 +327,7 @@
     // Workers with restored marks, and when they are dropped unless they have appeared.
     std::set<std::string> m_restoredWorkers;
     core::Instant m_restoredWorkersUntil = absl::InfiniteFuture();
+    core::Instant m_nextWaitingWork = absl::InfinitePast();
 };
 
 } // namespace oleandercross::planning
--- a/src/control/leader.cpp
+++ b/src/control/leader.cpp
@@ -225,6 +225,8 @@
     planning::Plan plan = m_planner.plan(now, core::wallClockMicros() / 1000);
     m_metrics.observe("decision_seconds", m_clock.now() - now);
     reportSpeeds(plan.speeds);
+    if (plan.waiting)
+        reportWaitingWork(*std::move(plan.waiting));
     const std::set<std::string> changed = m_planner.takeChanged();
     const bool renew = now - m_log->lastCommit() >= LeaderWritePeriod;
     if ((!changed.empty() || renew) && !store(changed, now))
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -55,6 +55,7 @@
         if (!m_startsSuspended)
             placeUnit(unit, round);
     }
+    round.plan.waiting = waitingWork(units, round);
     round.plan.next = now + PlanPeriod;
     return std::move(round.plan);
 }
