Let work of any priority use the urgent reserve when it is about to be late

Cause: the reserve for urgent jobs opened to work of priority 1 once it was about to be late, and to lower priorities never. The class of fault is a rule that goes by the number of the priority alone, whatever the work needs.

The reserve now opens to all work that is about to be late. Work with slack still keeps out of it.

Test: "work of any priority uses the urgent reserve once it is about to be late" failed for priorities 2 and 3 before.

--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -284,7 +284,8 @@
     static void restrictToDataRack(PlacementRequest &request, const Round &round);
     const VictimIndex &victims(const SchedulingUnit &unit, Round &round) const;
     bool mayPreempt(const SchedulingUnit &unit, const JobRecord &victim) const;
-    // Returns true if work of lower priority may run on a worker of the urgent reserve.
+    // Returns true if work of lower priority may run on a worker of the urgent reserve. All work may
+    // once it is about to be late, since the reserve lasts as long as urgent jobs are expected.
     bool mayUseUrgentReserve(const SchedulingUnit &unit, const Worker &worker,
                              core::Instant now) const;
     // Returns true if the job is late or has almost no slack left before its deadline.
--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -133,7 +133,7 @@
         return true;
     if (unit.spec->checkpointable && m_options.stopTime <= CheapStopTime)
         return true;
-    return unit.record->job().terms.priority == 1 && isAboutToBeLate(unit, now);
+    return isAboutToBeLate(unit, now);
 }
 
 bool Planner::isAboutToBeLate(const SchedulingUnit &unit, core::Instant now)
--- /dev/null
+++ b/test/planning/tst_urgentreserve.cpp
@@ -0,0 +1,42 @@
+#include "plannerfixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace oleandercross;
+using namespace oleandercross::planning;
+using testing::PlannerFixture;
+
+// Guards against capacity that is kept idle for urgent jobs while work of the lowest priority waits
+// beside it without a limit.
+TEST_CASE("work of any priority uses the urgent reserve once it is about to be late")
+{
+    struct Case
+    {
+        const char *what;
+        int priority;
+        double stretch;
+        std::size_t starts;
+    };
+    const Case c = GENERATE(values<Case>({
+        {"priority 1 with slack", 1, 10, 48},
+        {"priority 2 with slack", 2, 10, 48},
+        {"priority 3 with slack", 3, 10, 48},
+        {"priority 1 about to be late", 1, 1, 64},
+        {"priority 2 about to be late", 2, 1, 64},
+        {"priority 3 about to be late", 3, 1, 64},
+    }));
+    CAPTURE(c.what);
+    PlannerFixture fixture(8);
+    // Two of the eight workers are reserved, since urgent jobs were submitted recently.
+    for (int i = 0; i < 8; ++i) {
+        const workload::Job urgent = PlannerFixture::job("u" + std::to_string(i), 0, 1, 8);
+        fixture.planner.addJob(urgent, fixture.now);
+        fixture.planner.cancelJob(urgent.id, fixture.now);
+    }
+    for (int i = 0; i < 64; ++i) {
+        workload::Job job = PlannerFixture::job("j" + std::to_string(i), c.priority, 1, 1, false);
+        job.terms.stretch = c.stretch;
+        fixture.planner.addJob(job, fixture.now);
+    }
+    CHECK(fixture.planStarts().size() == c.starts);
+}
