Stop work of lower priority only for jobs without slack

Cause: a job of higher priority could always stop up to 0.08 times its own work, also with slack. One task of 89 s with 8 accelerators could so stop 50 young tasks of 1 accelerator. The victims are the youngest runs, so that the same tasks were stopped again.

A job with slack now waits for free capacity. It stops work once it is about to be late, as before, and jobs that are late keep the small budget.

--- a/src/planning/preemption.cpp
+++ b/src/planning/preemption.cpp
@@ -16,10 +16,11 @@
 // started is not free.
 constexpr double UncheckpointedStopSeconds = 0.3;
 // A job may pre-empt up to these multiples of its own work: urgent jobs without a guarantee, other
-// jobs that would be late otherwise, and other jobs with slack.
+// jobs that would be late otherwise, and other jobs that are late. Jobs with slack wait for free
+// capacity, since they would starve lower priorities without need.
 constexpr double UrgentStopBudget = 3;
 constexpr double LateStopBudget = 0.7;
-constexpr double EarlyStopBudget = 0.08;
+constexpr double OverdueStopBudget = 0.08;
 // A job is about to be late if its slack is less than this fraction of its remaining critical path.
 constexpr double LateSlackFraction = 0.3;
 // A task that is expected to complete within this fraction of the stop time is not pre-empted.
@@ -146,7 +147,9 @@
     const workload::Job &job = unit.record->job();
     if (job.terms.priority == 0)
         return UrgentStopBudget;
-    return isAboutToBeLate(unit, now) && !unit.willBeLate(now) ? LateStopBudget : EarlyStopBudget;
+    if (!isAboutToBeLate(unit, now))
+        return 0;
+    return unit.willBeLate(now) ? OverdueStopBudget : LateStopBudget;
 }
 
 void Planner::preemptGroup(const VictimGroup &victim, const SchedulingUnit &unit, Round &round)
