Keep retried tasks away from workers that fail other jobs

At full load these workers are the ones with free capacity.

Cause: a failure on a second worker took back the failure recorded for the first one, since a task that fails on several workers is likely to be the cause itself. Two workers that fail everything so cleared each other, and a retry was only placed with a penalty on a worker with one recent failure, which does not matter when all others are full.

A second failure now counts against the worker if another job has failed there recently and none has succeeded since; the first worker then keeps its mark. A task with a failure avoids workers with a recent failure as it avoids those on which it failed. Gangs only get the penalty, as before, since they need many workers at once. Jobs that fail everywhere still clear healthy workers.

--- a/include/oleandercross/planning/cluster.h
+++ b/include/oleandercross/planning/cluster.h
@@ -54,7 +54,7 @@
 class WorkerHealth
 {
 public:
-    void recordFailure(const std::string &worker, core::Instant now);
+    void recordFailure(const std::string &worker, const std::string &job, core::Instant now);
     void recordSuccess(const std::string &worker, core::Instant now);
     // Excludes the worker for a limited time because a run on it is stalled; recordProgress() ends
     // the exclusion early.
@@ -64,6 +64,10 @@
     void retractFailure(const std::string &worker, core::Instant now);
     void removeWorker(const std::string &worker);
 
+    // Returns true if runs of other jobs have failed on the worker recently and none has succeeded
+    // there since, so that the worker is a likelier cause of a failure than the job.
+    bool hasFailedOtherJobs(const std::string &worker, const std::string &job,
+                            core::Instant now) const;
     // Returns 0 for a healthy worker, 1 for one to avoid and 2 for one that gets no work.
     int suspicionLevel(const std::string &worker, core::Instant now) const;
 
@@ -81,6 +85,8 @@
     {
         double failures = 0;
         core::Instant updatedAt;
+        // The latest recorded failure of each job since the last success. Not stored.
+        std::map<std::string, core::Instant> failedJobs;
     };
 
     double decayedFailures(const Score &score, core::Instant now) const;
--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -273,6 +273,8 @@
     // Returns true if a pending task of the unit is suspected to crash workers and has been started
     // recently; after a while it may start beside others, so that it does not wait without a limit.
     static bool isSuspect(const SchedulingUnit &unit, core::Instant now);
+    // Returns true if a run of a pending task of the unit has failed.
+    static bool hasFailures(const SchedulingUnit &unit);
     // Returns true if the unit may start beside the worker's recent starts, so that a crash of the
     // worker can still be attributed to one task: a suspected task starts only where no other start
     // is recent, and nothing starts beside it until it has run for a while.
--- a/src/planning/cluster.cpp
+++ b/src/planning/cluster.cpp
@@ -15,6 +15,8 @@
 // One recent failure makes a worker suspect; two recent failures exclude it.
 constexpr double SuspectFailureCount = 0.6;
 constexpr double ExcludedFailureCount = 1.6;
+// A failure tells little about the worker after three half-lives.
+constexpr absl::Duration MaxFailureAge = absl::Seconds(18);
 // The exclusion expires, since a worker without runs cannot show progress again.
 constexpr absl::Duration StallExclusionTime = absl::Seconds(3);
 // The factor that a completed run applies to the failures before it.
@@ -52,9 +54,14 @@
     score.updatedAt = now;
 }
 
-void WorkerHealth::recordFailure(const std::string &worker, core::Instant now)
+void WorkerHealth::recordFailure(const std::string &worker, const std::string &job,
+                                 core::Instant now)
 {
     add(worker, 1, now);
+    std::map<std::string, core::Instant> &failedJobs = m_scores[worker].failedJobs;
+    failedJobs[job] = now;
+    std::erase_if(failedJobs,
+                  [now](const auto &entry) { return now - entry.second > MaxFailureAge; });
 }
 
 void WorkerHealth::retractFailure(const std::string &worker, core::Instant now)
@@ -66,7 +73,8 @@
 {
     const auto found = m_scores.find(worker);
     if (found != m_scores.end())
-        found->second = {decayedFailures(found->second, now) * FailureFractionAfterSuccess, now};
+        found->second = {
+            decayedFailures(found->second, now) * FailureFractionAfterSuccess, now, {}};
 }
 
 void WorkerHealth::recordStall(const std::string &worker, core::Instant now)
@@ -85,6 +93,18 @@
     m_stalledAt.erase(worker);
 }
 
+bool WorkerHealth::hasFailedOtherJobs(const std::string &worker, const std::string &job,
+                                      core::Instant now) const
+{
+    const auto found = m_scores.find(worker);
+    if (found == m_scores.end())
+        return false;
+    const std::map<std::string, core::Instant> &failedJobs = found->second.failedJobs;
+    return std::any_of(failedJobs.begin(), failedJobs.end(), [&job, now](const auto &entry) {
+        return entry.first != job && now - entry.second <= MaxFailureAge;
+    });
+}
+
 int WorkerHealth::suspicionLevel(const std::string &worker, core::Instant now) const
 {
     const auto stalled = m_stalledAt.find(worker);
@@ -136,7 +156,7 @@
             readNumbers(value, {{0, MaxStoredFailureCount}, {NoStall, maxStallAge}});
         if (!numbers)
             return false;
-        m_scores[worker] = {(*numbers)[0], now};
+        m_scores[worker] = {(*numbers)[0], now, {}};
         if ((*numbers)[1] >= 0)
             m_stalledAt[worker] = now - absl::Milliseconds((*numbers)[1]);
         return true;
--- a/src/planning/plan.cpp
+++ b/src/planning/plan.cpp
@@ -181,6 +181,7 @@
     const std::vector<int> limits = taskLimits(unit, round);
     const std::vector<bool> failedHere = workersWithFailedRuns(unit, round);
     const bool suspect = isSuspect(unit, round.now);
+    const bool retries = hasFailures(unit);
     std::vector<bool> suitableClasses;
     for (const WorkerClass &workers : round.workerClasses)
         suitableClasses.push_back(workers.service == unit.record->job().terms.service
@@ -197,9 +198,11 @@
             + (!usesReserve && round.inUrgentReserve[i] ? 1 : 0)
             + (suspect && round.busy[i] ? 1 : 0)
             + (isColdForUrgentGang(unit, round.worker(worker), round.now) ? 1 : 0);
-        // A gang needs many workers at once and can seldom avoid one, so that a worker on which it
-        // failed only gets a penalty.
-        if (suspicionLevel == 2 || (failedHere[i] && !unit.spec->gang)) {
+        // A task that has failed before avoids suspected workers, since it may have one attempt
+        // left. A gang needs many workers at once and can seldom avoid one, so that such a worker
+        // only gets a penalty.
+        if (suspicionLevel == 2
+            || (!unit.spec->gang && (failedHere[i] || (retries && suspicionLevel == 1)))) {
             avoided.push_back(worker);
             continue;
         }
@@ -240,6 +243,13 @@
     });
 }
 
+bool Planner::hasFailures(const SchedulingUnit &unit)
+{
+    return std::any_of(unit.taskIndices.begin(), unit.taskIndices.end(), [&unit](int index) {
+        return unit.progress->tasks[static_cast<std::size_t>(index)].failures > 0;
+    });
+}
+
 bool Planner::mayShareWorker(bool suspect, int worker, const Round &round)
 {
     const auto index = static_cast<std::size_t>(worker);
@@ -333,8 +343,9 @@
             return;
         one.taskIndices = {index};
         const Task &task = unit.progress->tasks[static_cast<std::size_t>(index)];
-        const bool canShare = unit.spec->maxPerWorker == 0 && task.workersWithFailedRuns.empty()
-            && task.refusingWorkers.empty() && !task.isSuspect();
+        const bool canShare = unit.spec->maxPerWorker == 0 && task.failures == 0
+            && task.workersWithFailedRuns.empty() && task.refusingWorkers.empty()
+            && !task.isSuspect();
         if (!canShare || !shared) {
             shared = request(one, round);
             if (waited < rackWait)
--- a/src/planning/planner.cpp
+++ b/src/planning/planner.cpp
@@ -315,9 +315,11 @@
         m_health.recordSuccess(worker, now);
     if (outcome != RunEnd::Failed)
         return true;
-    // A task that fails on several workers is itself the cause, not the workers.
-    if (failedBefore.empty())
-        m_health.recordFailure(worker, now);
+    // A task that fails on several workers is itself the cause, unless other jobs fail there too.
+    if (failedBefore.empty() || m_health.hasFailedOtherJobs(worker, run.task.job, now)) {
+        m_health.recordFailure(worker, run.task.job, now);
+        return true;
+    }
     for (const std::string &other : failedBefore) {
         if (other != worker)
             m_health.retractFailure(other, now);
--- a/test/planning/tst_learnedstate.cpp
+++ b/test/planning/tst_learnedstate.cpp
@@ -85,8 +85,8 @@
 {
     WorkerHealth before;
     for (const absl::Duration age : {absl::Seconds(1), absl::ZeroDuration()})
-        before.recordFailure("failed twice", Start - age);
-    before.recordFailure("failed long ago", Start - absl::Minutes(5));
+        before.recordFailure("failed twice", "job", Start - age);
+    before.recordFailure("failed long ago", "job", Start - absl::Minutes(5));
     before.recordStall("stalled", Start - absl::Seconds(2));
     WorkerHealth after;
     const core::Instant otherNow = Start + absl::Hours(5);
