Share the check for free capacity and the reserve's warm-up in tests

The summary of waiting work repeated the check of hasFreeCapacityElsewhere(): the worker is open, offers the service and the label, and has free capacity for a task. Both now call Planner::hasFreeCapacity().

Three test files submitted and cancelled eight urgent jobs so that the planner reserves workers; the fixture has expectUrgentJobs() for it. Two declarations of the summary get their comments.

Behaviour is unchanged and no assertion was touched.

--- a/include/oleandercross/planning/planner.h
+++ b/include/oleandercross/planning/planner.h
@@ -204,9 +204,11 @@
     std::vector<SchedulingUnit> readyUnits(const Round &round);
     void chooseUrgentReserve(Round &round) const;
     void placeUnit(const SchedulingUnit &unit, Round &round);
+    // Returns the work that waits after the placements, or nothing if the last summary is recent.
     std::optional<WaitingWork> waitingWork(const std::vector<SchedulingUnit> &units,
                                            const Round &round);
 
+    // Adds the pending tasks of a unit to the sums of its priority.
     void addWaitingTasks(const SchedulingUnit &unit, const Round &round,
                          WaitingWork &waiting) const;
     bool isClosed(const Worker &worker) const;
@@ -218,6 +220,9 @@
                                     core::Instant now);
     bool isStalled(const ActiveRun &run) const;
     bool hasFreeCapacityElsewhere(const ActiveRun &run, const Round &round) const;
+    // Returns true if the worker is open, suits the step and has free capacity for one task of it.
+    static bool hasFreeCapacity(int worker, const JobRecord &record, const workload::Step &spec,
+                                const Round &round);
     void orderStop(const ActiveRun &run, bool gangIncomplete, Round &round);
     void repeatStart(const ActiveRun &run, Round &round);
     // Returns the expected run time of a task of the step on a worker of average speed, measured
--- a/src/planning/stalls.cpp
+++ b/src/planning/stalls.cpp
@@ -33,17 +33,23 @@
 bool Planner::hasFreeCapacityElsewhere(const ActiveRun &run, const Round &round) const
 {
     for (std::size_t i = 0; i < round.workers.size(); ++i) {
-        const Worker &worker = *round.workers[i];
-        if (static_cast<int>(i) != run.worker && round.isOpen(static_cast<int>(i))
-            && fits(run.spec->perTask, round.freeCapacity[i])
-            && worker.service == run.record->job().terms.service
-            && hasLabel(worker, run.spec->neededLabel)
-            && m_health.suspicionLevel(worker.key, round.now) == 0)
+        const auto index = static_cast<int>(i);
+        if (index != run.worker && hasFreeCapacity(index, *run.record, *run.spec, round)
+            && m_health.suspicionLevel(round.worker(index).key, round.now) == 0)
             return true;
     }
     return false;
 }
 
+bool Planner::hasFreeCapacity(int worker, const JobRecord &record, const workload::Step &spec,
+                              const Round &round)
+{
+    const Worker &candidate = round.worker(worker);
+    return round.isOpen(worker)
+        && fits(spec.perTask, round.freeCapacity[static_cast<std::size_t>(worker)])
+        && candidate.service == record.job().terms.service && hasLabel(candidate, spec.neededLabel);
+}
+
 void Planner::handleStalledRuns(const Round &round)
 {
     for (const ActiveRun &run : round.activeRuns) {
--- a/src/planning/waitingwork.cpp
+++ b/src/planning/waitingwork.cpp
@@ -48,23 +48,19 @@
     });
     if (pending == 0)
         return;
-    const workload::QueueTerms &terms = unit.record->job().terms;
     const std::vector<int> limits = taskLimits(unit, round);
     std::int64_t reservedSlots = 0;
     std::int64_t otherSlots = 0;
     for (std::size_t i = 0; i < round.workers.size(); ++i) {
         const auto index = static_cast<int>(i);
-        const Worker &worker = round.worker(index);
-        if (limits[i] <= 0 || !round.isOpen(index) || worker.service != terms.service
-            || !fits(unit.spec->perTask, round.freeCapacity[i])
-            || !hasLabel(worker, unit.spec->neededLabel))
+        if (limits[i] <= 0 || !hasFreeCapacity(index, *unit.record, *unit.spec, round))
             continue;
         const int slots =
             std::min(limits[i], fittingTaskCount(unit.spec->perTask, round.freeCapacity[i]));
         const bool kept = round.inUrgentReserve[i] && !isEligible(unit, index, round);
         (kept ? reservedSlots : otherSlots) += slots;
     }
-    WaitingTasks &sum = waiting.priorities[terms.priority];
+    WaitingTasks &sum = waiting.priorities[unit.record->job().terms.priority];
     sum.tasks += pending;
     ++sum.steps;
     sum.longestWait = std::max(sum.longestWait, round.now - unit.progress->readySince);
--- a/test/planning/plannerfixture.h
+++ b/test/planning/plannerfixture.h
@@ -51,6 +51,16 @@
         return job;
     }
 
+    // Submits eight copies of an urgent job and cancels them, so that the planner expects more.
+    void expectUrgentJobs(workload::Job job)
+    {
+        for (int i = 0; i < 8; ++i) {
+            job.id = "earlier" + std::to_string(i);
+            planner.addJob(job, now);
+            planner.cancelJob(job.id, now);
+        }
+    }
+
     std::vector<Order> plan() { return planner.plan(now, absl::ToUnixMillis(now)).orders; }
 
     void advanceTime(absl::Duration duration) { now += duration; }
--- a/test/planning/tst_urgentreserve.cpp
+++ b/test/planning/tst_urgentreserve.cpp
@@ -31,11 +31,7 @@
     CAPTURE(c.what);
     PlannerFixture fixture(8);
     // Two of the eight workers are reserved, since urgent jobs were submitted recently.
-    for (int i = 0; i < 8; ++i) {
-        const workload::Job urgent = PlannerFixture::job("u" + std::to_string(i), 0, 1, 8);
-        fixture.planner.addJob(urgent, fixture.now);
-        fixture.planner.cancelJob(urgent.id, fixture.now);
-    }
+    fixture.expectUrgentJobs(PlannerFixture::job("urgent", 0, 1, 8));
     for (int i = 0; i < 64; ++i) {
         workload::Job job = PlannerFixture::job("j" + std::to_string(i), c.priority, 1, 1, false);
         job.terms.stretch = c.stretch;
--- a/test/planning/tst_waitingwork.cpp
+++ b/test/planning/tst_waitingwork.cpp
@@ -29,12 +29,8 @@
     }));
     CAPTURE(c.what);
     PlannerFixture fixture(8);
-    for (int i = 0; c.reserve && i < 8; ++i) {
-        // The reserve follows the urgent jobs that were submitted recently.
-        const workload::Job urgent = PlannerFixture::job("u" + std::to_string(i), 0, 1, 8);
-        fixture.planner.addJob(urgent, fixture.now);
-        fixture.planner.cancelJob(urgent.id, fixture.now);
-    }
+    if (c.reserve)
+        fixture.expectUrgentJobs(PlannerFixture::job("urgent", 0, 1, 8));
     workload::Job job = PlannerFixture::job("batch", 2, c.tasks, c.accelerators, c.gang);
     job.steps[0].neededLabel = c.label;
     fixture.planner.addJob(job, fixture.now);
--- a/test/planning/tst_widejobs.cpp
+++ b/test/planning/tst_widejobs.cpp
@@ -16,11 +16,7 @@
     WideJobFixture()
         : PlannerFixture(WorkerCount)
     {
-        for (int i = 0; i < 8; ++i) {
-            const workload::Job earlier = shortJob("earlier" + std::to_string(i));
-            planner.addJob(earlier, now);
-            planner.cancelJob(earlier.id, now);
-        }
+        expectUrgentJobs(shortJob("earlier"));
     }
 
     static workload::Job shortJob(const std::string &id)
